--- /dev/null
+++ b/src/persimmonpoint/core/catalog/database_directory.hpp
@@ -0,0 +1,46 @@
+#ifndef PERSIMMONPOINT_CORE_CATALOG_DATABASE_DIRECTORY_HPP_INCLUDED
+#define PERSIMMONPOINT_CORE_CATALOG_DATABASE_DIRECTORY_HPP_INCLUDED
+
+/// The databases that registered themselves, and the hosts of this system.
+
+#include <cstdint>
+#include <map>
+#include <persimmonpoint/core/time.hpp>
+#include <string>
+#include <vector>
+
+namespace persimmonpoint {
+
+struct registered_database {
+    std::string id;
+    std::string group;
+    std::string address; ///< IP number and port.
+    std::string availability_zone;
+    std::uint32_t slots = 1; ///< Statements it runs at a time.
+    bool leaving = false;
+    bool claims_primary = false;
+    std::uint64_t started_ms = 0; ///< Unix time of its start.
+
+    friend bool
+    operator==(registered_database const&, registered_database const&) = default;
+};
+
+/// All registered databases as of one version of the store, by id.
+struct database_directory {
+    std::uint64_t version = 0;
+    std::map<std::string, registered_database, std::less<>> databases;
+};
+
+struct registered_host {
+    std::string name;
+    std::string address; ///< Where it takes links from other hosts: IP number and port.
+    std::string availability_zone;
+
+    friend bool operator==(registered_host const&, registered_host const&) = default;
+};
+
+using host_directory = std::vector<registered_host>;
+
+} // namespace persimmonpoint
+
+#endif // PERSIMMONPOINT_CORE_CATALOG_DATABASE_DIRECTORY_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/core/membership/directory_tracker.cpp
@@ -0,0 +1,47 @@
+#include <persimmonpoint/core/membership/directory_tracker.hpp>
+
+namespace persimmonpoint {
+
+namespace {
+
+/// Databases are back in the store within about two seconds of its return.
+constexpr duration missing_limit = std::chrono::milliseconds(2500);
+
+} // namespace
+
+bool directory_tracker::read(database_directory const& stored, instant now) {
+    if (stored.version < this->directory.version) {
+        return false;
+    }
+    database_directory next;
+    next.databases = stored.databases;
+    for (auto const& [id, entry] : this->directory.databases) {
+        if (stored.databases.count(id) > 0) {
+            this->missing_since.erase(id);
+            continue;
+        }
+        instant const since = this->missing_since.emplace(id, now).first->second;
+        if (entry.leaving || now - since >= missing_limit) {
+            this->missing_since.erase(id);
+        } else {
+            next.databases.emplace(id, entry);
+        }
+    }
+    if (next.databases == this->directory.databases && this->directory.version > 0) {
+        return false;
+    }
+    next.version = stored.version;
+    this->directory = std::move(next);
+    return true;
+}
+
+bool directory_tracker::received(database_directory const& other) {
+    if (other.version <= this->directory.version) {
+        return false;
+    }
+    this->directory = other;
+    this->missing_since.clear();
+    return true;
+}
+
+} // namespace persimmonpoint
--- /dev/null
+++ b/src/persimmonpoint/core/membership/directory_tracker.hpp
@@ -0,0 +1,30 @@
+#ifndef PERSIMMONPOINT_CORE_MEMBERSHIP_DIRECTORY_TRACKER_HPP_INCLUDED
+#define PERSIMMONPOINT_CORE_MEMBERSHIP_DIRECTORY_TRACKER_HPP_INCLUDED
+
+#include <map>
+#include <persimmonpoint/core/catalog/database_directory.hpp>
+#include <persimmonpoint/core/time.hpp>
+#include <string>
+
+namespace persimmonpoint {
+
+/// Turns what the store says of the databases into what this host goes by.
+///
+/// Entries of live databases can vanish while the store is away and come back soon after
+/// its return; so one that is missing is kept for a while, unless it was leaving.
+class directory_tracker {
+public:
+    /// A reading of the store. True if what this host goes by has changed.
+    bool read(database_directory const& stored, instant now);
+    /// News from another host. True if it is newer and was taken.
+    bool received(database_directory const& other);
+    database_directory const& current() const { return this->directory; }
+
+private:
+    database_directory directory;
+    std::map<std::string, instant, std::less<>> missing_since;
+};
+
+} // namespace persimmonpoint
+
+#endif // PERSIMMONPOINT_CORE_MEMBERSHIP_DIRECTORY_TRACKER_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/core/membership/peer_health.cpp
@@ -0,0 +1,48 @@
+#include <persimmonpoint/core/membership/peer_health.hpp>
+
+namespace persimmonpoint {
+
+namespace {
+
+constexpr duration silence_limit = std::chrono::milliseconds(450);
+constexpr duration connect_limit = std::chrono::milliseconds(300);
+constexpr duration reconnect_pause = std::chrono::milliseconds(200);
+
+} // namespace
+
+void peer_health::connecting(instant now) {
+    this->reconnecting = true;
+    if (this->current == state::untried) {
+        this->current = state::connecting;
+    }
+    this->since = now;
+}
+
+void peer_health::heard(instant now) {
+    this->current = state::connected;
+    this->reconnecting = false;
+    this->since = now;
+}
+
+void peer_health::lost(instant now) {
+    this->current = state::lost;
+    this->reconnecting = false;
+    this->is_leaving = false;
+    this->since = now;
+}
+
+bool peer_health::overdue(instant now) const {
+    if (this->reconnecting) {
+        return now - this->since > connect_limit;
+    }
+    return this->current == state::connected && now - this->since > silence_limit;
+}
+
+bool peer_health::may_connect(instant now) const {
+    if (this->reconnecting || this->current == state::connected) {
+        return false;
+    }
+    return this->current == state::untried || now - this->since > reconnect_pause;
+}
+
+} // namespace persimmonpoint
--- /dev/null
+++ b/src/persimmonpoint/core/membership/peer_health.hpp
@@ -0,0 +1,37 @@
+#ifndef PERSIMMONPOINT_CORE_MEMBERSHIP_PEER_HEALTH_HPP_INCLUDED
+#define PERSIMMONPOINT_CORE_MEMBERSHIP_PEER_HEALTH_HPP_INCLUDED
+
+#include <optional>
+#include <persimmonpoint/core/time.hpp>
+
+namespace persimmonpoint {
+
+/// Whether another host may be given work, judged by the link to it.
+///
+/// A host that has not been tried yet is taken to be there: a fresh host must not wait
+/// before it can work. One that was lost counts again only once it has answered.
+class peer_health {
+public:
+    void connecting(instant now);
+    void heard(instant now);
+    void lost(instant now);
+    void leaving(bool value) { this->is_leaving = value; }
+
+    bool usable() const { return !this->is_leaving && this->current != state::lost; }
+    bool connected() const { return this->current == state::connected; }
+    /// True if a link has been silent for so long that it must be given up.
+    bool overdue(instant now) const;
+    /// True if a connection may be attempted now.
+    bool may_connect(instant now) const;
+
+private:
+    enum class state { untried, connecting, connected, lost };
+    state current = state::untried;
+    bool is_leaving = false;
+    bool reconnecting = false;
+    instant since{}; ///< Last heard, or when the attempt began, or when it was lost.
+};
+
+} // namespace persimmonpoint
+
+#endif // PERSIMMONPOINT_CORE_MEMBERSHIP_PEER_HEALTH_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/core/routing/connection_budget.hpp
@@ -0,0 +1,29 @@
+#ifndef PERSIMMONPOINT_CORE_ROUTING_CONNECTION_BUDGET_HPP_INCLUDED
+#define PERSIMMONPOINT_CORE_ROUTING_CONNECTION_BUDGET_HPP_INCLUDED
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <persimmonpoint/core/routing/lane_choice.hpp>
+
+namespace persimmonpoint {
+
+/// Connections and statements at a time of the owner at `rank`, out of what a database
+/// takes from all hosts. The first owner has most of them; the rest is kept for owners that
+/// step in, since the connections of a host that died linger.
+inline lane_limits
+owner_limits(std::size_t rank, std::uint32_t max_connections, std::uint32_t slots) {
+    std::uint32_t const part = rank == 0   ? max_connections - max_connections / 4
+                               : rank == 1 ? max_connections / 8
+                                           : max_connections / 16;
+    lane_limits limits;
+    limits.connections = std::max<std::uint32_t>(part, 1);
+    // One more than the database runs at a time covers the way there and back.
+    limits.running = rank == 0 ? slots + 1 : slots;
+    limits.per_team = slots;
+    return limits;
+}
+
+} // namespace persimmonpoint
+
+#endif // PERSIMMONPOINT_CORE_ROUTING_CONNECTION_BUDGET_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -0,0 +1,478 @@
+#include <boost/asio/steady_timer.hpp>
+#include <persimmonpoint/core/session/caller_state.hpp>
+#include <persimmonpoint/engine/caller_session.hpp>
+#include <persimmonpoint/observe/event_log.hpp>
+#include <utility>
+
+namespace persimmonpoint::engine {
+
+namespace {
+
+/// Whom databases are told for a caller without a key, on a route that is open to all.
+constexpr std::string_view anonymous_team = "-";
+
+} // namespace
+
+struct caller_session::implementation
+    : std::enable_shared_from_this<caller_session::implementation> {
+    implementation(
+        session_context& context,
+        std::shared_ptr<caller_channel> channel,
+        ended_handler on_ended)
+        : context(context), channel(std::move(channel)), on_ended(std::move(on_ended)),
+          idle_timer(context.runs.loop) {}
+
+    fleet_configuration const& configuration() const {
+        return *this->context.runs.view.configuration;
+    }
+
+    // Admission
+
+    /// The route and team as the newest configuration has them; an error otherwise.
+    statement_error admit(served_route const*& allowed, std::string& as_team) const {
+        allowed = this->configuration().find_route(this->database);
+        if (allowed == nullptr) {
+            return statement_error::no_database;
+        }
+        std::string_view const holder = this->configuration().team_of(this->key);
+        if (holder.empty() && !allowed->allow_anonymous) {
+            return statement_error::denied;
+        }
+        as_team = holder.empty() ? anonymous_team : holder;
+        return statement_error::none;
+    }
+
+    void start(std::string_view wanted, std::string_view given_key) {
+        this->database = wanted;
+        this->key = given_key;
+        served_route const* allowed = nullptr;
+        std::string holder;
+        statement_error const refusal = this->admit(allowed, holder);
+        ++this->context.counts.sessions_opened;
+        if (refusal != statement_error::none) {
+            observe::log_event(
+                observe::log_level::info, "session_refused",
+                {{"database", wanted},
+                 {"error", to_string(refusal)},
+                 {"configuration", this->configuration().version}});
+            this->channel->refuse(refusal, this->refusal_text(refusal));
+            this->end();
+            return;
+        }
+        this->channel->accept();
+    }
+
+    std::string refusal_text(statement_error refusal) const {
+        return refusal == statement_error::no_database
+                   ? "no route has the database name " + this->database
+                   : "the key is not known for " + this->database;
+    }
+
+    // Statements
+
+    void take(statement const& what) {
+        this->idle_timer.cancel();
+        ++this->context.counts.statements;
+        this->current_id = what.id;
+        this->received = this->context.runs.time.now();
+        if (this->was_idle_too_long && this->tell_of_idle_end(what)) {
+            return;
+        }
+        served_route const* allowed = nullptr;
+        std::string holder;
+        statement_error const refusal = this->admit(allowed, holder);
+        if (this->refuse_inadmissible(refusal, holder)) {
+            return;
+        }
+        if (this->state.state() == transaction_state::idle) {
+            this->route = *allowed;
+            this->team = holder;
+            this->wrote = false;
+        }
+        this->lane = this->state.lane();
+        this->lane_database = this->state.database();
+        this->carry_out(what, this->state.decide(what));
+    }
+
+    /// A key that was withdrawn ends its transactions too; a changed route does not.
+    bool refuse_inadmissible(statement_error refusal, std::string const& holder) {
+        bool const inside = this->state.state() != transaction_state::idle;
+        bool const other_team = inside && refusal == statement_error::none && holder != this->team;
+        bool const matters = inside ? refusal == statement_error::denied || other_team
+                                    : refusal != statement_error::none;
+        if (!matters) {
+            return false;
+        }
+        statement_error const code = other_team ? statement_error::denied : refusal;
+        this->drop_lane();
+        this->state.ended();
+        this->answer_error(code, this->refusal_text(code));
+        return true;
+    }
+
+    bool tell_of_idle_end(statement const& what) {
+        this->was_idle_too_long = false;
+        if (what.verb == statement_verb::rollback || what.verb == statement_verb::commit) {
+            return false;
+        }
+        this->answer_error(
+            statement_error::aborted, "the transaction was idle for too long");
+        return true;
+    }
+
+    void carry_out(statement const& what, caller_decision decision) {
+        switch (decision.step) {
+        case statement_step::reply_done:
+            this->answer_done();
+            return;
+        case statement_step::reply_error:
+            this->answer_error(decision.error, decision.error_text);
+            return;
+        case statement_step::rollback_inside:
+            this->state.ended();
+            this->drop_lane();
+            this->answer_done();
+            return;
+        case statement_step::run_single:
+        case statement_step::open:
+            if (this->refuse_over_quota()) {
+                return;
+            }
+            break;
+        default:
+            break;
+        }
+        this->run(what, decision);
+    }
+
+    bool refuse_over_quota() {
+        if (this->team == anonymous_team) {
+            return false;
+        }
+        duration const wait = this->context.quotas.take(this->team);
+        if (wait <= duration(0)) {
+            return false;
+        }
+        auto const ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+        ++this->context.counts.refused_quota;
+        this->state.failed();
+        this->log_refusal("over_quota", ms);
+        this->answer_error(
+            statement_error::busy,
+            "the team is over its rate; retry_after_ms=" + std::to_string(ms));
+        return true;
+    }
+
+    void log_refusal(std::string_view reason, std::int64_t retry_ms) {
+        observe::log_event(
+            observe::log_level::info, "statement_refused",
+            {{"id", this->current_id},
+             {"team", this->team},
+             {"route", this->route.name},
+             {"reason", reason},
+             {"retry_after_ms", retry_ms},
+             {"configuration", this->configuration().version}});
+    }
+
+    void run(statement const& what, caller_decision const& decision) {
+        run_request request;
+        work_order& order = request.order;
+        order.kind = this->order_kind_of(what, decision);
+        order.group = this->route.group;
+        order.team = this->team;
+        order.id = what.id;
+        order.text = decision.text;
+        order.prepared = decision.prepared;
+        order.writes = decision.writes;
+        order.values = this->state.values();
+        order.priority = this->route.priority;
+        bool const first_read_only =
+            decision.step == statement_step::open && this->state.read_only();
+        // On a primary route a plain transaction proves that its database leads.
+        order.read_only_transaction =
+            first_read_only && this->route.kind != route_kind::primary;
+        request.route = this->route;
+        request.keeps_effect = what.verb == statement_verb::commit ||
+                               (decision.step == statement_step::run_single && decision.writes);
+        if (what.verb == statement_verb::commit) {
+            order.writes = this->wrote;
+        }
+        if (this->route.kind == route_kind::read_own_writes) {
+            request.own_commit = this->state.own_commit(this->route.group);
+        }
+        bool const single_read =
+            decision.step == statement_step::run_single && !decision.writes;
+        request.needs_leader = this->route.kind == route_kind::primary ||
+                               !(single_read || order.read_only_transaction);
+        if (single_read && request.needs_leader) {
+            order.kind = order_kind::leader_read;
+        }
+        if (this->lane != 0) {
+            order.lane = this->lane;
+            order.database = this->lane_database;
+            order.read_only_transaction = this->lane_reads_only;
+            request.owner = this->lane_owner;
+        }
+        this->opens_read_only = order.read_only_transaction;
+        this->running = true;
+        statement_run::start(
+            this->context.runs, std::move(request),
+            [self = this->shared_from_this(), verb = what.verb,
+             step = decision.step, writes = decision.writes](run_outcome outcome) {
+                self->finished(verb, step, writes, std::move(outcome));
+            });
+    }
+
+    order_kind order_kind_of(statement const& what, caller_decision const& decision) const {
+        if (what.verb == statement_verb::commit) {
+            return order_kind::commit;
+        }
+        switch (decision.step) {
+        case statement_step::open:
+            return order_kind::open_transaction;
+        case statement_step::run_inside:
+            return order_kind::in_transaction;
+        default:
+            return order_kind::single;
+        }
+    }
+
+    // Outcomes
+
+    void finished(
+        statement_verb verb, statement_step step, bool writes, run_outcome outcome) {
+        this->running = false;
+        work_answer& answer = outcome.answer;
+        bool const good = answer.error == statement_error::none;
+        this->count(outcome, good, verb, writes);
+        this->log_outcome(outcome);
+        if (verb == statement_verb::commit) {
+            this->finish_commit(answer, good);
+        } else if (step == statement_step::run_single) {
+            if (good && writes && answer.position) {
+                this->state.acknowledged(this->route.group, *answer.position);
+            }
+        } else {
+            this->finish_inside(outcome, good, writes);
+        }
+        if (this->closed) {
+            this->drop_lane();
+            return;
+        }
+        caller_answer reply;
+        reply.error = answer.error;
+        reply.error_text = std::move(answer.error_text);
+        reply.rows = std::move(answer.rows);
+        reply.signature = std::move(answer.signature);
+        reply.position = answer.position;
+        this->reply(std::move(reply));
+    }
+
+    void finish_commit(work_answer const& answer, bool good) {
+        if (good && this->wrote && answer.position) {
+            this->state.acknowledged(this->route.group, *answer.position);
+        }
+        this->state.ended();
+        this->lane = 0;
+    }
+
+    void finish_inside(run_outcome const& outcome, bool good, bool writes) {
+        work_answer const& answer = outcome.answer;
+        if (answer.lane != 0) {
+            this->lane = answer.lane;
+            this->lane_owner = outcome.owner;
+            this->lane_database = outcome.database;
+            this->lane_reads_only = this->opens_read_only;
+            this->state.opened(outcome.database, answer.lane);
+            this->wrote = this->wrote || (good && writes);
+            return;
+        }
+        this->lane = 0;
+        this->state.failed();
+    }
+
+    void count(run_outcome const& outcome, bool good, statement_verb verb, bool writes) {
+        traffic_counts& counts = this->context.counts;
+        counts.retries += outcome.attempts > 1 ? outcome.attempts - 1 : 0;
+        if (good) {
+            ++counts.succeeded;
+            auto const& leader = this->context.runs.view.group(this->route.group).leader();
+            bool const on_primary = leader && leader->database == outcome.database;
+            if (!writes && verb != statement_verb::commit) {
+                ++(on_primary ? counts.reads_on_primaries : counts.reads_on_replicas);
+            }
+            return;
+        }
+        switch (outcome.answer.error) {
+        case statement_error::busy:
+            ++counts.refused_busy;
+            return;
+        case statement_error::in_doubt:
+            ++counts.in_doubt;
+            return;
+        case statement_error::timeout:
+            ++counts.timeouts;
+            return;
+        case statement_error::aborted:
+            ++counts.aborted;
+            return;
+        default:
+            ++counts.other_errors;
+        }
+    }
+
+    void log_outcome(run_outcome const& outcome) {
+        duration const took = this->context.runs.time.now() - this->received;
+        observe::log_event(
+            observe::log_level::info, "statement_done",
+            {{"id", this->current_id},
+             {"team", this->team},
+             {"route", this->route.name},
+             {"group", this->route.group},
+             {"database", outcome.database},
+             {"owner", outcome.owner},
+             {"outcome", to_string(outcome.answer.error)},
+             {"own_refusal", outcome.refused},
+             {"reason", outcome.answer.error_text},
+             {"attempts", outcome.attempts},
+             {"load", outcome.answer.load},
+             {"took_ms", to_seconds(took) * 1000},
+             {"configuration", this->configuration().version}});
+    }
+
+    // Answers
+
+    void answer_done() {
+        this->reply({});
+    }
+
+    void answer_error(statement_error code, std::string text) {
+        caller_answer reply;
+        reply.error = code;
+        reply.error_text = std::move(text);
+        this->reply(std::move(reply));
+    }
+
+    void reply(caller_answer answer) {
+        if (this->closed) {
+            return;
+        }
+        answer.state = this->state.state();
+        this->busy = false;
+        this->channel->answer(answer);
+        if (this->lane != 0 && this->state.state() == transaction_state::open) {
+            this->watch_idle();
+        }
+    }
+
+    // Ends
+
+    void watch_idle() {
+        duration const limit = this->configuration().transaction_idle;
+        if (limit <= duration(0)) {
+            return;
+        }
+        this->idle_timer.expires_after(limit);
+        this->idle_timer.async_wait(
+            [weak = this->weak_from_this()](boost::system::error_code failure) {
+                auto const self = weak.lock();
+                if (self && !failure && !self->busy && !self->closed) {
+                    self->end_idle_transaction();
+                }
+            });
+    }
+
+    void end_idle_transaction() {
+        observe::log_event(
+            observe::log_level::info, "transaction_idle_ended",
+            {{"id", this->current_id}, {"team", this->team}, {"route", this->route.name}});
+        this->drop_lane();
+        this->state.failed();
+        this->was_idle_too_long = true;
+    }
+
+    /// Tells the owner to roll back; nobody waits for it.
+    void drop_lane() {
+        if (this->lane == 0) {
+            return;
+        }
+        work_order order;
+        order.kind = order_kind::rollback;
+        order.lane = std::exchange(this->lane, 0);
+        order.database = this->lane_database;
+        order.group = this->route.group;
+        this->context.runs.orders.submit_to(
+            this->lane_owner, std::move(order), [](work_answer const&, std::string const&) {});
+    }
+
+    void end() {
+        if (std::exchange(this->closed, true)) {
+            return;
+        }
+        this->idle_timer.cancel();
+        if (!this->running) {
+            this->drop_lane();
+        }
+        if (this->on_ended) {
+            std::exchange(this->on_ended, nullptr)(this->owner);
+        }
+    }
+
+    session_context& context;
+    std::shared_ptr<caller_channel> channel;
+    ended_handler on_ended;
+    caller_session* owner = nullptr;
+    boost::asio::steady_timer idle_timer;
+    std::string database;
+    std::string key;
+    std::string team;
+    served_route route;
+    caller_state state;
+    std::uint64_t lane = 0;
+    std::string lane_owner;
+    std::string lane_database;
+    bool lane_reads_only = false;
+    bool opens_read_only = false;
+    bool wrote = false; ///< In the present transaction.
+    bool busy = false;  ///< A request is not answered yet.
+    bool running = false;
+    bool closed = false;
+    bool was_idle_too_long = false;
+    std::string current_id;
+    instant received{};
+};
+
+caller_session::caller_session(
+    session_context& context,
+    std::shared_ptr<caller_channel> channel,
+    ended_handler on_ended)
+    : impl(std::make_shared<implementation>(
+          context, std::move(channel), std::move(on_ended))) {
+    this->impl->owner = this;
+}
+
+caller_session::~caller_session() = default;
+
+void caller_session::on_start(std::string_view database, std::string_view key) {
+    this->impl->start(database, key);
+}
+
+void caller_session::on_statement(statement const& what) {
+    this->impl->busy = true;
+    this->impl->take(what);
+}
+
+void caller_session::on_closed() {
+    this->impl->end();
+}
+
+bool caller_session::close_if_idle() {
+    if (this->impl->busy || this->impl->state.state() != transaction_state::idle) {
+        return false;
+    }
+    this->impl->channel->close();
+    this->impl->end();
+    return true;
+}
+
+} // namespace persimmonpoint::engine
--- /dev/null
+++ b/src/persimmonpoint/engine/caller_session.hpp
@@ -0,0 +1,61 @@
+#ifndef PERSIMMONPOINT_ENGINE_CALLER_SESSION_HPP_INCLUDED
+#define PERSIMMONPOINT_ENGINE_CALLER_SESSION_HPP_INCLUDED
+
+#include <memory>
+#include <persimmonpoint/engine/quota_keeper.hpp>
+#include <persimmonpoint/engine/statement_run.hpp>
+#include <persimmonpoint/interfaces/caller_channel.hpp>
+
+namespace persimmonpoint::engine {
+
+/// Counts of what callers got; read by the metrics.
+struct traffic_counts {
+    std::uint64_t sessions_opened = 0;
+    std::uint64_t statements = 0;
+    std::uint64_t succeeded = 0;
+    std::uint64_t refused_quota = 0;
+    std::uint64_t refused_busy = 0;
+    std::uint64_t in_doubt = 0;
+    std::uint64_t timeouts = 0;
+    std::uint64_t aborted = 0;
+    std::uint64_t other_errors = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t reads_on_replicas = 0;
+    std::uint64_t reads_on_primaries = 0;
+};
+
+/// What sessions need of their host.
+struct session_context {
+    run_context& runs;
+    quota_keeper& quotas;
+    traffic_counts& counts;
+};
+
+/// One caller's session.
+class caller_session final : public caller_observer,
+                             public std::enable_shared_from_this<caller_session> {
+public:
+    using ended_handler = std::function<void(caller_session*)>;
+
+    caller_session(
+        session_context& context,
+        std::shared_ptr<caller_channel> channel,
+        ended_handler on_ended);
+    ~caller_session() override;
+
+    void on_start(std::string_view database, std::string_view key) override;
+    void on_statement(statement const& what) override;
+    void on_closed() override;
+
+    /// Closes the session if it is outside a transaction and has no request outstanding.
+    /// True if it is closed.
+    bool close_if_idle();
+
+private:
+    struct implementation;
+    std::shared_ptr<implementation> impl;
+};
+
+} // namespace persimmonpoint::engine
+
+#endif // PERSIMMONPOINT_ENGINE_CALLER_SESSION_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -0,0 +1,722 @@
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+#include <map>
+#include <optional>
+#include <persimmonpoint/engine/database_owner.hpp>
+#include <utility>
+#include <vector>
+
+namespace persimmonpoint::engine {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// How often deadlines are looked at while there is work.
+constexpr auto sweep_interval = std::chrono::milliseconds(20);
+/// A transaction whose session says nothing for so long has lost it.
+constexpr duration longest_transaction_pause = std::chrono::seconds(12);
+/// Orders that may wait; one more is refused.
+constexpr std::size_t most_waiting = 400;
+/// After a failed connection attempt, the next one waits this long.
+constexpr duration reopen_pause = std::chrono::milliseconds(60);
+/// Time that an order of the system's own may take if it names none.
+constexpr duration default_budget = std::chrono::milliseconds(500);
+
+bool is_control(order_kind kind) {
+    return kind == order_kind::leader_check || kind == order_kind::report_state ||
+           kind == order_kind::hold || kind == order_kind::resume;
+}
+
+work_answer not_run(order_refusal refusal) {
+    work_answer answer;
+    answer.refusal = refusal;
+    return answer;
+}
+
+/// An order and who waits for its answer.
+struct pending_order {
+    work_order order;
+    order_source source = 0;
+    answer_handler handler;
+    instant deadline{};
+    std::uint64_t arrival = 0;
+};
+
+struct step {
+    upstream_command command;
+    bool is_main = false;
+};
+
+struct lane {
+    lane_view view;
+    std::shared_ptr<upstream_connection> connection;
+    order_source source = 0;
+    std::optional<pending_order> current;
+    std::vector<step> steps;
+    std::size_t next_step = 0;
+    bool main_sent = false;
+    bool counts_as_commit = false;
+};
+
+bool changes_log(work_order const& order) {
+    bool const alone = order.kind == order_kind::single && order.writes;
+    return alone || (order.kind == order_kind::commit && order.writes);
+}
+
+/// True if only a database that leads answers such an order with success.
+bool proves_lead(work_order const& order) {
+    switch (order.kind) {
+    case order_kind::leader_check:
+    case order_kind::leader_read:
+        return true;
+    case order_kind::single:
+    case order_kind::commit:
+        return order.writes;
+    case order_kind::open_transaction:
+    case order_kind::in_transaction:
+        return !order.read_only_transaction;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+struct database_owner::implementation : std::enable_shared_from_this<implementation> {
+    implementation(
+        asio::io_context& loop,
+        upstream_connector& connector,
+        clock const& time,
+        owner_observer& observer,
+        registered_database database)
+        : connector(connector), time(time), observer(observer),
+          database(std::move(database)), sweeper(loop), loop(loop) {}
+
+    // Orders
+
+    void submit(work_order order, order_source source, answer_handler handler) {
+        instant const now = this->time.now();
+        duration const budget = order.budget_ms > 0
+                                    ? duration(std::chrono::milliseconds(order.budget_ms))
+                                    : default_budget;
+        pending_order pending{
+            std::move(order), source, std::move(handler), now + budget, ++this->arrivals};
+        if (this->closed) {
+            this->reply(pending, not_run(order_refusal::unreachable));
+            return;
+        }
+        if (pending.order.lane != 0) {
+            this->run_on_open_lane(std::move(pending));
+        } else if (this->waiting.size() >= most_waiting) {
+            this->reply(pending, not_run(order_refusal::queue_full));
+        } else {
+            this->waiting.push_back(std::move(pending));
+            this->pump();
+        }
+        this->watch_deadlines();
+    }
+
+    void run_on_open_lane(pending_order pending) {
+        auto const found = this->lanes.find(pending.order.lane);
+        bool const usable = found != this->lanes.end() &&
+                            found->second.view.state == lane_state::in_transaction &&
+                            found->second.source == pending.source &&
+                            !found->second.current;
+        if (!usable) {
+            this->reply(pending, not_run(order_refusal::lane_lost));
+            return;
+        }
+        this->run(found->second, std::move(pending));
+    }
+
+    void reply(pending_order& pending, work_answer answer) {
+        answer.load = this->load();
+        answer_handler const handler = std::exchange(pending.handler, nullptr);
+        if (handler) {
+            handler(std::move(answer));
+        }
+    }
+
+    std::uint32_t load() const {
+        return static_cast<std::uint32_t>(this->waiting.size() + this->running);
+    }
+
+    // Choice of a connection
+
+    /// Starts what can be started. Higher priority first, then by arrival.
+    void pump() {
+        this->waiting.sort([](pending_order const& left, pending_order const& right) {
+            return std::make_tuple(!is_control(left.order.kind), left.order.priority, left.arrival) <
+                   std::make_tuple(!is_control(right.order.kind), right.order.priority, right.arrival);
+        });
+        for (auto each = this->waiting.begin(); each != this->waiting.end();) {
+            bool const control = is_control(each->order.kind);
+            if (!control && this->running >= this->limits.running) {
+                ++each;
+                continue;
+            }
+            lane* const chosen = control ? this->lane_for_control(each->order)
+                                         : this->lane_for(each->order);
+            if (chosen == nullptr) {
+                ++each;
+                continue;
+            }
+            pending_order pending = std::move(*each);
+            each = this->waiting.erase(each);
+            this->run(*chosen, std::move(pending));
+        }
+    }
+
+    std::vector<lane_view const*> views() const {
+        std::vector<lane_view const*> all;
+        all.reserve(this->lanes.size());
+        for (auto const& each : this->lanes) {
+            all.push_back(&each.second.view);
+        }
+        return all;
+    }
+
+    lane* lane_for(work_order const& order) {
+        auto const all = this->views();
+        lane_decision const decision = choose_lane(order, all, this->limits);
+        switch (decision.next) {
+        case lane_decision::step::use:
+            return &this->lanes.find(decision.lane)->second;
+        case lane_decision::step::evict:
+            if (this->may_open()) {
+                this->drop(decision.lane);
+                this->open(order.team);
+            }
+            return nullptr;
+        case lane_decision::step::open:
+            this->open(order.team);
+            return nullptr;
+        default:
+            return nullptr;
+        }
+    }
+
+    /// Any idle connection will do; one beyond the limit is opened if there is none.
+    lane* lane_for_control(work_order const& order) {
+        bool opening = false;
+        for (auto& each : this->lanes) {
+            if (each.second.view.state == lane_state::idle) {
+                return &each.second;
+            }
+            opening = opening || each.second.view.state == lane_state::opening;
+        }
+        if (!opening && this->lanes.size() <= this->limits.connections) {
+            this->open(order.team);
+        }
+        return nullptr;
+    }
+
+    // Connections
+
+    bool may_open() const { return this->time.now() >= this->open_again; }
+
+    void open(std::string const& team) {
+        if (!this->may_open()) {
+            return;
+        }
+        std::uint64_t const id = ++this->last_lane;
+        lane& made = this->lanes[id];
+        made.view.id = id;
+        made.view.team = team;
+        made.connection = this->connector.make();
+        ++this->opened_count;
+        made.connection->open(
+            {this->database.address, this->database.group, this->database.id, team},
+            [weak = this->weak_from_this(), id](open_result result, auto) {
+                if (auto const self = weak.lock()) {
+                    self->opened(id, result);
+                }
+            });
+    }
+
+    void opened(std::uint64_t id, open_result result) {
+        auto const found = this->lanes.find(id);
+        if (found == this->lanes.end()) {
+            return;
+        }
+        if (result == open_result::opened) {
+            this->observer.on_answer(this->database.id);
+            found->second.view.state = lane_state::idle;
+            found->second.view.last_used = this->time.now();
+            this->pump();
+            return;
+        }
+        this->lanes.erase(found);
+        this->open_again = this->time.now() + reopen_pause;
+        if (result == open_result::refused) {
+            this->observer.on_refused(this->database.id);
+        } else if (result == open_result::silent) {
+            this->observer.on_silent(this->database.id);
+        }
+        if (this->usable_lanes() == 0) {
+            this->refuse_waiting();
+        }
+    }
+
+    std::size_t usable_lanes() const {
+        return static_cast<std::size_t>(
+            std::count_if(this->lanes.begin(), this->lanes.end(), [](auto const& each) {
+                return each.second.view.state != lane_state::opening;
+            }));
+    }
+
+    /// Those that wait are better off elsewhere.
+    void refuse_waiting() {
+        std::list<pending_order> refused = std::exchange(this->waiting, {});
+        for (pending_order& each : refused) {
+            this->reply(each, not_run(order_refusal::unreachable));
+        }
+    }
+
+    void drop(std::uint64_t id) {
+        auto const found = this->lanes.find(id);
+        if (found == this->lanes.end()) {
+            return;
+        }
+        found->second.connection->close();
+        this->lanes.erase(found);
+    }
+
+    // Running an order
+
+    void run(lane& on, pending_order pending) {
+        on.steps = this->plan(on, pending.order);
+        on.next_step = 0;
+        on.main_sent = false;
+        on.source = pending.source;
+        on.counts_as_commit = changes_log(pending.order);
+        on.current = std::move(pending);
+        if (on.view.state == lane_state::idle) {
+            on.view.state = lane_state::busy;
+        }
+        ++this->running;
+        this->send_step(on);
+    }
+
+    std::vector<step> plan(lane const& on, work_order const& order) const {
+        std::vector<step> steps;
+        if (is_control(order.kind)) {
+            steps.push_back({this->control_command(order), true});
+            return steps;
+        }
+        for (setup_step const& each : plan_setup(order, on.view)) {
+            steps.push_back({this->setup_command(order, each), false});
+        }
+        bool const opens = order.kind == order_kind::leader_read ||
+                           order.kind == order_kind::open_transaction ||
+                           (order.kind == order_kind::commit && order.lane == 0);
+        if (opens) {
+            upstream_command begin;
+            begin.action = order.read_only_transaction ? upstream_action::begin_read
+                                                       : upstream_action::begin;
+            begin.floor = order.floor;
+            steps.push_back({begin, false});
+        }
+        upstream_command main;
+        main.action = order.prepared ? upstream_action::execute_prepared
+                                     : upstream_action::forward;
+        if (order.kind == order_kind::rollback) {
+            main.action = upstream_action::rollback;
+        }
+        main.id = order.id;
+        main.text = order.text;
+        main.prepared = order.prepared.value_or(prepared_shape{});
+        if (order.kind == order_kind::single && !order.writes) {
+            main.floor = order.floor;
+        }
+        steps.push_back({main, true});
+        return steps;
+    }
+
+    upstream_command control_command(work_order const& order) const {
+        upstream_command command;
+        command.term = order.term;
+        switch (order.kind) {
+        case order_kind::leader_check:
+            command.action = upstream_action::begin;
+            break;
+        case order_kind::report_state:
+            command.action = upstream_action::report_state;
+            break;
+        case order_kind::hold:
+            command.action = upstream_action::hold;
+            break;
+        default:
+            command.action = upstream_action::resume;
+        }
+        return command;
+    }
+
+    upstream_command
+    setup_command(work_order const& order, setup_step const& setup) const {
+        upstream_command command;
+        switch (setup.kind) {
+        case setup_kind::reset:
+            command.action = upstream_action::reset;
+            break;
+        case setup_kind::set:
+            command.action = upstream_action::set;
+            command.name = setup.name;
+            command.text = setup.value;
+            break;
+        default:
+            command.action = upstream_action::prepare;
+            command.prepared = *order.prepared;
+        }
+        return command;
+    }
+
+    void send_step(lane& on) {
+        step const& next = on.steps[on.next_step];
+        if (next.is_main) {
+            on.main_sent = true;
+            if (on.counts_as_commit) {
+                this->observer.on_commit_sent(this->database.id);
+            }
+        }
+        on.connection->execute(
+            next.command,
+            [weak = this->weak_from_this(), id = on.view.id](upstream_answer answer) {
+                if (auto const self = weak.lock()) {
+                    self->step_answered(id, std::move(answer));
+                }
+            });
+    }
+
+    void step_answered(std::uint64_t id, upstream_answer answer) {
+        auto const found = this->lanes.find(id);
+        if (found == this->lanes.end()) {
+            return;
+        }
+        lane& on = found->second;
+        if (answer.lost) {
+            this->lane_broke(id);
+            return;
+        }
+        this->observer.on_answer(this->database.id);
+        if (!on.current) {
+            this->idle_again(on, answer);
+            return;
+        }
+        step const& done = on.steps[on.next_step];
+        if (done.is_main) {
+            this->main_answered(on, std::move(answer));
+        } else if (answer.error != statement_error::none) {
+            this->setup_failed(on, std::move(answer));
+        } else {
+            this->note_setup(on, done.command);
+            ++on.next_step;
+            this->send_step(on);
+        }
+    }
+
+    void note_setup(lane& on, upstream_command const& command) {
+        switch (command.action) {
+        case upstream_action::reset:
+            on.view.values.clear();
+            on.view.prepared.clear();
+            break;
+        case upstream_action::set:
+            on.view.values[command.name] = command.text;
+            break;
+        case upstream_action::prepare:
+            on.view.prepared.insert(command.prepared);
+            break;
+        default:
+            break;
+        }
+    }
+
+    /// The statement itself was not sent.
+    void setup_failed(lane& on, upstream_answer answer) {
+        pending_order pending = this->take_current(on);
+        work_answer out;
+        bool const was_begin = on.steps[on.next_step].command.action == upstream_action::begin ||
+                               on.steps[on.next_step].command.action == upstream_action::begin_read;
+        if (was_begin && proves_not_run(answer.error)) {
+            out.outcome = order_outcome::answered;
+            out.error = answer.error;
+            out.error_text = answer.error_text;
+            out.position = answer.position;
+        } else {
+            out.refusal = order_refusal::unreachable;
+        }
+        bool const reusable =
+            was_begin && answer.state == transaction_state::idle;
+        std::uint64_t const id = on.view.id;
+        if (reusable) {
+            on.view.state = lane_state::idle;
+            on.view.last_used = this->time.now();
+        } else if (was_begin) {
+            this->roll_back(on);
+        } else {
+            this->drop(id);
+        }
+        this->reply(pending, std::move(out));
+        this->pump();
+    }
+
+    void main_answered(lane& on, upstream_answer answer) {
+        work_order const& order = on.current->order;
+        if (std::exchange(on.counts_as_commit, false)) {
+            this->observer.on_commit_answered(this->database.id);
+        }
+        work_answer out;
+        out.outcome = order_outcome::answered;
+        out.error = answer.error;
+        out.error_text = std::move(answer.error_text);
+        out.rows = std::move(answer.rows);
+        out.signature = std::move(answer.signature);
+        out.position = answer.position;
+        out.report = answer.report;
+        out.state = answer.state;
+        bool const good = out.error == statement_error::none;
+        out.leader_confirmed = good && proves_lead(order);
+        bool const stays_open =
+            (order.kind == order_kind::open_transaction ||
+             order.kind == order_kind::in_transaction) &&
+            answer.state == transaction_state::open;
+        pending_order pending = this->take_current(on);
+        if (stays_open) {
+            on.view.state = lane_state::in_transaction;
+            on.view.last_used = this->time.now();
+            out.lane = on.view.id;
+        } else if (answer.state == transaction_state::idle) {
+            on.view.state = lane_state::idle;
+            on.view.last_used = this->time.now();
+        } else {
+            this->roll_back(on);
+        }
+        this->reply(pending, std::move(out));
+        this->pump();
+    }
+
+    pending_order take_current(lane& on) {
+        --this->running;
+        pending_order pending = std::move(*on.current);
+        on.current.reset();
+        return pending;
+    }
+
+    /// Ends a transaction that nobody waits for any more; the lane is idle behind it.
+    void roll_back(lane& on) {
+        on.view.state = lane_state::busy;
+        on.source = 0;
+        upstream_command command;
+        command.action = upstream_action::rollback;
+        on.connection->execute(
+            command,
+            [weak = this->weak_from_this(), id = on.view.id](upstream_answer answer) {
+                if (auto const self = weak.lock()) {
+                    self->step_answered(id, std::move(answer));
+                }
+            });
+    }
+
+    void idle_again(lane& on, upstream_answer const& answer) {
+        if (answer.error != statement_error::none ||
+            answer.state != transaction_state::idle) {
+            this->drop(on.view.id);
+        } else {
+            on.view.state = lane_state::idle;
+            on.view.last_used = this->time.now();
+        }
+        this->pump();
+    }
+
+    void lane_broke(std::uint64_t id) {
+        auto const found = this->lanes.find(id);
+        if (found == this->lanes.end()) {
+            return;
+        }
+        lane& on = found->second;
+        std::optional<pending_order> pending;
+        if (on.current) {
+            pending = this->take_current(on);
+        }
+        bool const sent = on.main_sent;
+        if (std::exchange(on.counts_as_commit, false) && sent) {
+            this->observer.on_commit_answered(this->database.id);
+        }
+        this->drop(id);
+        if (pending) {
+            work_answer out = not_run(order_refusal::unreachable);
+            out.outcome = sent ? order_outcome::unknown : order_outcome::not_run;
+            this->reply(*pending, std::move(out));
+        }
+        this->pump();
+    }
+
+    // Deadlines and sources
+
+    void watch_deadlines() {
+        if (this->sweeping || this->closed) {
+            return;
+        }
+        this->sweeping = true;
+        this->sweeper.expires_after(sweep_interval);
+        this->sweeper.async_wait(
+            [weak = this->weak_from_this()](boost::system::error_code failure) {
+                auto const self = weak.lock();
+                if (self && !failure) {
+                    self->sweeping = false;
+                    self->sweep();
+                }
+            });
+    }
+
+    void sweep() {
+        instant const now = this->time.now();
+        std::list<pending_order> expired;
+        for (auto each = this->waiting.begin(); each != this->waiting.end();) {
+            auto const next = std::next(each);
+            if (each->deadline <= now) {
+                expired.splice(expired.end(), this->waiting, each);
+            }
+            each = next;
+        }
+        std::vector<std::uint64_t> overdue;
+        bool transactions = false;
+        for (auto const& [id, on] : this->lanes) {
+            bool const late = on.current && on.current->deadline <= now;
+            bool const forgotten = on.view.state == lane_state::in_transaction &&
+                                   now - on.view.last_used > longest_transaction_pause;
+            transactions = transactions || on.view.state == lane_state::in_transaction;
+            if (late || forgotten) {
+                overdue.push_back(id);
+            }
+        }
+        for (std::uint64_t const id : overdue) {
+            this->observer.on_silent(this->database.id);
+            this->lane_broke(id);
+        }
+        for (pending_order& each : expired) {
+            this->reply(each, not_run(order_refusal::expired));
+        }
+        this->pump();
+        if (!this->waiting.empty() || this->running > 0 || transactions) {
+            this->watch_deadlines();
+        }
+    }
+
+    void forget(order_source source) {
+        this->waiting.remove_if(
+            [source](pending_order const& each) { return each.source == source; });
+        std::vector<std::uint64_t> abandoned;
+        for (auto& [id, on] : this->lanes) {
+            if (on.source != source) {
+                continue;
+            }
+            if (on.current) {
+                on.current->handler = nullptr;
+            }
+            if (on.view.state == lane_state::in_transaction) {
+                abandoned.push_back(id);
+            }
+        }
+        for (std::uint64_t const id : abandoned) {
+            lane& on = this->lanes.find(id)->second;
+            if (on.current) {
+                this->lane_broke(id);
+            } else {
+                this->roll_back(on);
+            }
+        }
+    }
+
+    void close() {
+        this->closed = true;
+        this->sweeper.cancel();
+        for (auto& each : this->lanes) {
+            each.second.connection->close();
+        }
+        std::vector<pending_order> lost;
+        for (auto& each : this->lanes) {
+            if (each.second.current) {
+                lost.push_back(std::move(*each.second.current));
+            }
+        }
+        this->lanes.clear();
+        this->running = 0;
+        for (pending_order& each : lost) {
+            work_answer out = not_run(order_refusal::unreachable);
+            out.outcome = order_outcome::unknown;
+            this->reply(each, std::move(out));
+        }
+        this->refuse_waiting();
+    }
+
+    upstream_connector& connector;
+    clock const& time;
+    owner_observer& observer;
+    registered_database database;
+    asio::steady_timer sweeper;
+    asio::io_context& loop;
+    lane_limits limits;
+    std::list<pending_order> waiting;
+    std::map<std::uint64_t, lane> lanes;
+    std::uint64_t last_lane = 0;
+    std::uint64_t arrivals = 0;
+    std::uint64_t opened_count = 0;
+    std::uint32_t running = 0;
+    instant open_again{};
+    bool sweeping = false;
+    bool closed = false;
+};
+
+database_owner::database_owner(
+    asio::io_context& loop,
+    upstream_connector& connector,
+    clock const& clock,
+    owner_observer& observer,
+    registered_database database)
+    : impl(std::make_shared<implementation>(
+          loop, connector, clock, observer, std::move(database))) {}
+
+database_owner::~database_owner() {
+    this->impl->close();
+}
+
+void database_owner::submit(
+    work_order order, order_source source, answer_handler handler) {
+    this->impl->submit(std::move(order), source, std::move(handler));
+}
+
+void database_owner::forget(order_source source) {
+    this->impl->forget(source);
+}
+
+void database_owner::set_database(registered_database const& database) {
+    this->impl->database = database;
+}
+
+void database_owner::set_limits(lane_limits limits) {
+    this->impl->limits = limits;
+    this->impl->pump();
+}
+
+void database_owner::close() {
+    this->impl->close();
+}
+
+std::uint32_t database_owner::load() const {
+    return this->impl->load();
+}
+
+std::size_t database_owner::connections() const {
+    return this->impl->lanes.size();
+}
+
+std::uint64_t database_owner::connections_opened() const {
+    return this->impl->opened_count;
+}
+
+} // namespace persimmonpoint::engine
--- /dev/null
+++ b/src/persimmonpoint/engine/database_owner.hpp
@@ -0,0 +1,64 @@
+#ifndef PERSIMMONPOINT_ENGINE_DATABASE_OWNER_HPP_INCLUDED
+#define PERSIMMONPOINT_ENGINE_DATABASE_OWNER_HPP_INCLUDED
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <persimmonpoint/core/catalog/database_directory.hpp>
+#include <persimmonpoint/core/routing/lane_choice.hpp>
+#include <persimmonpoint/interfaces/clock.hpp>
+#include <persimmonpoint/interfaces/upstream_connection.hpp>
+#include <string>
+
+namespace persimmonpoint::engine {
+
+/// What an owner sees of its database; told as it happens.
+class owner_observer {
+public:
+    virtual ~owner_observer() = default;
+    virtual void on_answer(std::string const& database) = 0;
+    virtual void on_refused(std::string const& database) = 0;
+    virtual void on_silent(std::string const& database) = 0;
+    virtual void on_commit_sent(std::string const& database) = 0;
+    virtual void on_commit_answered(std::string const& database) = 0;
+};
+
+/// Identifies who has given an order, so that its transactions end with it.
+using order_source = std::uint64_t;
+
+/// The connections of this host to one database: runs orders on them, queues what can't
+/// run yet, and keeps the connections of open transactions apart.
+class database_owner {
+public:
+    database_owner(
+        boost::asio::io_context& loop,
+        upstream_connector& connector,
+        clock const& clock,
+        owner_observer& observer,
+        registered_database database);
+    ~database_owner();
+    database_owner(database_owner const&) = delete;
+    database_owner& operator=(database_owner const&) = delete;
+
+    /// Takes an order. The handler is called once, possibly at once.
+    void submit(work_order order, order_source source, answer_handler handler);
+    /// Rolls back the transactions of a source that is gone and drops its orders.
+    void forget(order_source source);
+    void set_database(registered_database const& database);
+    void set_limits(lane_limits limits);
+    /// Ends everything; waiting orders are answered as not run.
+    void close();
+
+    std::uint32_t load() const;
+    std::size_t connections() const;
+    std::uint64_t connections_opened() const;
+
+private:
+    struct implementation;
+    std::shared_ptr<implementation> impl;
+};
+
+} // namespace persimmonpoint::engine
+
+#endif // PERSIMMONPOINT_ENGINE_DATABASE_OWNER_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/engine/dispatcher.cpp
@@ -0,0 +1,224 @@
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <persimmonpoint/core/routing/connection_budget.hpp>
+#include <persimmonpoint/core/routing/owner_ranking.hpp>
+#include <persimmonpoint/engine/dispatcher.hpp>
+#include <utility>
+
+namespace persimmonpoint::engine {
+
+namespace {
+
+/// Orders of this host itself.
+constexpr order_source local_source = std::numeric_limits<order_source>::max();
+/// Owners that are tried for one order.
+constexpr std::size_t most_owners = 3;
+
+} // namespace
+
+struct dispatcher::implementation : std::enable_shared_from_this<implementation> {
+    implementation(
+        boost::asio::io_context& loop,
+        upstream_connector& connector,
+        clock const& time,
+        owner_observer& observer,
+        fleet_view const& view,
+        std::string self)
+        : loop(loop), connector(connector), time(time), observer(observer), view(view),
+          self(std::move(self)) {}
+
+    database_owner* owner(std::string const& id) {
+        auto const found = this->owners.find(id);
+        if (found != this->owners.end()) {
+            return found->second.get();
+        }
+        registered_database const* const entry = this->view.find_database(id);
+        if (entry == nullptr) {
+            return nullptr;
+        }
+        auto made = std::make_unique<database_owner>(
+            this->loop, this->connector, this->time, this->observer, *entry);
+        made->set_limits(this->limits_for(*entry));
+        return this->owners.emplace(id, std::move(made)).first->second.get();
+    }
+
+    lane_limits limits_for(registered_database const& database) const {
+        auto const ranked = this->ranked(database);
+        auto const at = std::find(ranked.begin(), ranked.end(), this->self);
+        auto const& groups = this->view.configuration->groups;
+        auto const group = groups.find(database.group);
+        std::uint32_t const most =
+            group == groups.end() ? 1 : group->second.max_connections;
+        return owner_limits(
+            static_cast<std::size_t>(at - ranked.begin()), most, database.slots);
+    }
+
+    std::vector<std::string> ranked(registered_database const& database) const {
+        std::vector<registered_host> const hosts = this->mesh->usable_hosts();
+        return rank_owners(database.id, database.availability_zone, hosts);
+    }
+
+    void submit_along(
+        work_order order, std::vector<std::string> owners, std::size_t at, handler done) {
+        std::string const host = owners[at];
+        work_order copy = order;
+        this->submit_to(
+            host, std::move(copy),
+            [weak = this->weak_from_this(), order = std::move(order),
+             owners = std::move(owners), at,
+             done = std::move(done)](work_answer answer, std::string const& by) mutable {
+                auto const self = weak.lock();
+                bool const elsewhere = answer.outcome == order_outcome::not_run &&
+                                       answer.refusal == order_refusal::unreachable &&
+                                       at + 1 < std::min(owners.size(), most_owners);
+                if (self && elsewhere) {
+                    self->submit_along(
+                        std::move(order), std::move(owners), at + 1, std::move(done));
+                    return;
+                }
+                done(std::move(answer), by);
+            });
+    }
+
+    void submit_to(std::string const& host, work_order order, handler done) {
+        if (host == this->self) {
+            this->run_here(
+                std::move(order), local_source, [host, done = std::move(done)](work_answer answer) {
+                    done(std::move(answer), host);
+                });
+            return;
+        }
+        this->mesh->submit(
+            host, std::move(order), [host, done = std::move(done)](work_answer answer) {
+                done(std::move(answer), host);
+            });
+    }
+
+    void run_here(work_order order, order_source source, answer_handler done) {
+        database_owner* const target = this->owner(order.database);
+        if (target == nullptr) {
+            work_answer answer;
+            answer.refusal = order_refusal::unreachable;
+            done(std::move(answer));
+            return;
+        }
+        target->submit(std::move(order), source, std::move(done));
+    }
+
+    void refresh() {
+        for (auto each = this->owners.begin(); each != this->owners.end();) {
+            registered_database const* const entry = this->view.find_database(each->first);
+            if (entry == nullptr) {
+                // Its handlers run while it still is in the map.
+                each->second->close();
+                each = this->owners.erase(each);
+                continue;
+            }
+            each->second->set_database(*entry);
+            each->second->set_limits(this->limits_for(*entry));
+            ++each;
+        }
+    }
+
+    boost::asio::io_context& loop;
+    upstream_connector& connector;
+    clock const& time;
+    owner_observer& observer;
+    fleet_view const& view;
+    std::string self;
+    peer_mesh* mesh = nullptr;
+    std::map<std::string, std::unique_ptr<database_owner>, std::less<>> owners;
+};
+
+dispatcher::dispatcher(
+    boost::asio::io_context& loop,
+    upstream_connector& connector,
+    clock const& clock,
+    owner_observer& observer,
+    fleet_view const& view,
+    std::string self)
+    : impl(std::make_shared<implementation>(
+          loop, connector, clock, observer, view, std::move(self))) {}
+
+dispatcher::~dispatcher() = default;
+
+void dispatcher::use(peer_mesh& mesh) {
+    this->impl->mesh = &mesh;
+}
+
+void dispatcher::submit(work_order order, handler done) {
+    registered_database const* const entry =
+        this->impl->view.find_database(order.database);
+    std::vector<std::string> owners;
+    if (entry != nullptr) {
+        owners = this->impl->ranked(*entry);
+    }
+    if (owners.empty()) {
+        work_answer answer;
+        answer.refusal = order_refusal::unreachable;
+        done(std::move(answer), this->impl->self);
+        return;
+    }
+    this->impl->submit_along(std::move(order), std::move(owners), 0, std::move(done));
+}
+
+void dispatcher::submit_to(std::string const& owner, work_order order, handler done) {
+    this->impl->submit_to(owner, std::move(order), std::move(done));
+}
+
+void dispatcher::run_here(work_order order, order_source source, answer_handler done) {
+    this->impl->run_here(std::move(order), source, std::move(done));
+}
+
+void dispatcher::forget(order_source source) {
+    for (auto& each : this->impl->owners) {
+        each.second->forget(source);
+    }
+}
+
+std::vector<std::string>
+dispatcher::owners_of(registered_database const& database) const {
+    return this->impl->ranked(database);
+}
+
+bool dispatcher::owns(registered_database const& database) const {
+    auto const ranked = this->impl->ranked(database);
+    return !ranked.empty() && ranked.front() == this->impl->self;
+}
+
+void dispatcher::refresh() {
+    this->impl->refresh();
+}
+
+void dispatcher::close() {
+    for (auto& each : this->impl->owners) {
+        each.second->close();
+    }
+}
+
+std::uint64_t dispatcher::connections_opened() const {
+    std::uint64_t sum = 0;
+    for (auto const& each : this->impl->owners) {
+        sum += each.second->connections_opened();
+    }
+    return sum;
+}
+
+std::size_t dispatcher::connections() const {
+    std::size_t sum = 0;
+    for (auto const& each : this->impl->owners) {
+        sum += each.second->connections();
+    }
+    return sum;
+}
+
+std::uint32_t dispatcher::load() const {
+    std::uint32_t sum = 0;
+    for (auto const& each : this->impl->owners) {
+        sum += each.second->load();
+    }
+    return sum;
+}
+
+} // namespace persimmonpoint::engine
--- /dev/null
+++ b/src/persimmonpoint/engine/dispatcher.hpp
@@ -0,0 +1,57 @@
+#ifndef PERSIMMONPOINT_ENGINE_DISPATCHER_HPP_INCLUDED
+#define PERSIMMONPOINT_ENGINE_DISPATCHER_HPP_INCLUDED
+
+#include <functional>
+#include <memory>
+#include <persimmonpoint/engine/database_owner.hpp>
+#include <persimmonpoint/engine/fleet_view.hpp>
+#include <persimmonpoint/engine/peer_mesh.hpp>
+#include <string>
+
+namespace persimmonpoint::engine {
+
+/// Takes orders to the host that owns the database's connections, and runs the orders for
+/// the databases that this host owns.
+class dispatcher {
+public:
+    /// `owner`: the host that ran the order, which any lane in the answer belongs to.
+    using handler = std::function<void(work_answer answer, std::string const& owner)>;
+
+    dispatcher(
+        boost::asio::io_context& loop,
+        upstream_connector& connector,
+        clock const& clock,
+        owner_observer& observer,
+        fleet_view const& view,
+        std::string self);
+    ~dispatcher();
+    void use(peer_mesh& mesh);
+
+    /// Gives the order to the first owner that is usable, and to the next one if it could
+    /// not be run there.
+    void submit(work_order order, handler done);
+    /// Gives the order to this owner only.
+    void submit_to(std::string const& owner, work_order order, handler done);
+    /// Runs an order here, for another host or this one.
+    void run_here(work_order order, order_source source, answer_handler done);
+    void forget(order_source source);
+
+    /// Usable owners of a database, the first one first.
+    std::vector<std::string> owners_of(registered_database const& database) const;
+    bool owns(registered_database const& database) const;
+
+    /// Fits limits and databases to a changed directory, configuration or set of hosts.
+    void refresh();
+    void close();
+    std::uint64_t connections_opened() const;
+    std::size_t connections() const;
+    std::uint32_t load() const;
+
+private:
+    struct implementation;
+    std::shared_ptr<implementation> impl;
+};
+
+} // namespace persimmonpoint::engine
+
+#endif // PERSIMMONPOINT_ENGINE_DISPATCHER_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/engine/fleet_view.hpp
@@ -0,0 +1,63 @@
+#ifndef PERSIMMONPOINT_ENGINE_FLEET_VIEW_HPP_INCLUDED
+#define PERSIMMONPOINT_ENGINE_FLEET_VIEW_HPP_INCLUDED
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <persimmonpoint/core/catalog/fleet_configuration.hpp>
+#include <persimmonpoint/core/membership/directory_tracker.hpp>
+#include <persimmonpoint/core/routing/group_routing.hpp>
+#include <string>
+
+namespace persimmonpoint::engine {
+
+/// All that the traffic thread knows of the fleet.
+class fleet_view {
+public:
+    std::shared_ptr<fleet_configuration const> configuration =
+        std::make_shared<fleet_configuration>();
+    std::uint64_t configuration_row = 0; ///< 0 until one has been read.
+    std::string configuration_body;      ///< As it lies in the store, for other hosts.
+    directory_tracker directory;
+    host_directory hosts;
+
+    /// What is known of a group; made when it is asked for first.
+    group_routing& group(std::string_view name) {
+        auto found = this->groups.find(name);
+        if (found == this->groups.end()) {
+            found = this->groups.emplace(std::string(name), group_routing()).first;
+        }
+        return found->second;
+    }
+    std::map<std::string, group_routing, std::less<>>& all_groups() {
+        return this->groups;
+    }
+    registered_database const* find_database(std::string_view id) const {
+        auto const& all = this->directory.current().databases;
+        auto const found = all.find(id);
+        return found == all.end() ? nullptr : &found->second;
+    }
+    /// Gives each group its databases, after the directory has changed.
+    void share_out_databases() {
+        std::map<std::string, std::vector<registered_database>, std::less<>> by_group;
+        for (auto const& each : this->directory.current().databases) {
+            by_group[each.second.group].push_back(each.second);
+        }
+        for (auto& each : by_group) {
+            this->group(each.first);
+        }
+        for (auto& each : this->groups) {
+            each.second.set_databases(std::move(by_group[each.first]));
+        }
+    }
+    bool is_ready() const {
+        return this->configuration_row > 0 && this->directory.current().version > 0;
+    }
+
+private:
+    std::map<std::string, group_routing, std::less<>> groups;
+};
+
+} // namespace persimmonpoint::engine
+
+#endif // PERSIMMONPOINT_ENGINE_FLEET_VIEW_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -0,0 +1,520 @@
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <persimmonpoint/core/recovery/primary_suspicion.hpp>
+#include <persimmonpoint/core/routing/owner_ranking.hpp>
+#include <persimmonpoint/engine/leadership_keeper.hpp>
+#include <persimmonpoint/observe/event_log.hpp>
+#include <set>
+#include <utility>
+
+namespace persimmonpoint::engine {
+
+namespace {
+
+constexpr auto tick_interval = std::chrono::milliseconds(30);
+/// A primary that says nothing for so long is asked whether it leads.
+constexpr duration probe_interval = std::chrono::milliseconds(250);
+constexpr std::uint32_t probe_budget_ms = 300;
+/// A database that answered so recently is reached.
+constexpr duration reached_lately = std::chrono::milliseconds(300);
+/// Other hosts that are asked whether they reach a silent primary.
+constexpr std::size_t most_asked = 3;
+/// After others reached it, a silent primary is left alone for this time.
+constexpr duration leave_alone = std::chrono::milliseconds(1000);
+/// A change follows the one before in the same group no sooner than this.
+constexpr duration between_changes = std::chrono::milliseconds(1500);
+/// Owners of a group's primary that have been so for this long prepare for a change.
+constexpr duration settle_time = std::chrono::milliseconds(700);
+constexpr auto token_retry = std::chrono::milliseconds(200);
+
+struct watched_group {
+    std::string primary; ///< Empty if none is known.
+    std::unique_ptr<primary_suspicion> suspicion;
+    instant managed_since{};
+    instant last_answer{};
+    instant last_probe{};
+    std::unique_ptr<leadership_change> change;
+    instant change_started{};
+    instant next_change{};
+    instant leave_alone_until{};
+    bool asking = false;
+    bool token_prepared = false;
+    bool token_outdated = false;
+    std::set<std::string> stepping; ///< Databases with an order of the change under way.
+};
+
+} // namespace
+
+struct leadership_keeper::implementation
+    : std::enable_shared_from_this<leadership_keeper::implementation> {
+    implementation(run_context& context, leadership_authority& authority)
+        : context(context), authority(authority), timer(context.loop) {}
+
+    void tick() {
+        this->timer.expires_after(tick_interval);
+        this->timer.async_wait(
+            [weak = this->weak_from_this()](boost::system::error_code failure) {
+                auto const keeper = weak.lock();
+                if (keeper && !failure) {
+                    keeper->look();
+                    keeper->tick();
+                }
+            });
+    }
+
+    instant now() const { return this->context.time.now(); }
+
+    void look() {
+        for (auto& [name, routing] : this->context.view.all_groups()) {
+            if (this->context.view.configuration->groups.count(name) == 0 ||
+                routing.databases().empty()) {
+                continue;
+            }
+            watched_group& group = this->groups[name];
+            if (group.change) {
+                this->step(name, group);
+            } else if (this->manages(name, routing)) {
+                this->watch(name, group, routing);
+            } else {
+                group.managed_since = instant();
+                group.suspicion.reset();
+            }
+        }
+    }
+
+    /// The host that owns the primary's connections has the evidence; without a primary
+    /// some host must still act.
+    bool manages(std::string const& name, group_routing const& routing) const {
+        if (routing.leader()) {
+            registered_database const* const primary =
+                routing.find(routing.leader()->database);
+            return primary != nullptr && this->context.orders.owns(*primary);
+        }
+        registered_database const whole{name, name, {}, {}, 1, false, false, 0};
+        return this->context.orders.owns(whole);
+    }
+
+    void watch(std::string const& name, watched_group& group, group_routing& routing) {
+        instant const time = this->now();
+        std::string const primary = routing.leader() ? routing.leader()->database : "";
+        if (group.managed_since == instant() || group.primary != primary ||
+            !group.suspicion) {
+            group.primary = primary;
+            group.managed_since = time;
+            group.last_answer = time;
+            group.suspicion = std::make_unique<primary_suspicion>(time);
+            group.token_prepared = false;
+        }
+        this->prepare_token(name, group, time);
+        if (primary.empty()) {
+            this->without_primary(name, group, time);
+            return;
+        }
+        if (routing.find(primary)->leaving) {
+            this->begin(name, group, change_reason::primary_leaving);
+            return;
+        }
+        if (time - group.last_answer > probe_interval &&
+            time - group.last_probe > probe_interval) {
+            group.last_probe = time;
+            this->ask_leader(name, primary);
+        }
+        this->judge(name, group, time);
+    }
+
+    void judge(std::string const& name, watched_group& group, instant time) {
+        switch (group.suspicion->judge(time)) {
+        case primary_verdict::gone:
+            this->begin(name, group, change_reason::primary_lost);
+            return;
+        case primary_verdict::cannot_commit:
+            this->begin(name, group, change_reason::commits_stalled);
+            return;
+        case primary_verdict::silent:
+            if (!group.asking && time >= group.leave_alone_until) {
+                this->ask_others(name, group);
+            }
+            return;
+        default:
+            return;
+        }
+    }
+
+    /// Nobody leads, by all that is known: some copy must.
+    void without_primary(std::string const& name, watched_group& group, instant time) {
+        if (time - group.managed_since > settle_time) {
+            this->begin(name, group, change_reason::primary_lost);
+        }
+    }
+
+    /// A token at hand lets a primary be replaced while the store is away.
+    void prepare_token(std::string const& name, watched_group& group, instant time) {
+        if (group.token_prepared || time - group.managed_since < settle_time) {
+            return;
+        }
+        group.token_prepared = true;
+        this->authority.ask_token(name, false, [](std::optional<std::uint64_t>) {});
+    }
+
+    void ask_leader(std::string const& name, std::string const& primary) {
+        work_order order;
+        order.kind = order_kind::leader_check;
+        order.group = name;
+        order.database = primary;
+        order.team = this->some_team();
+        order.budget_ms = probe_budget_ms;
+        instant const sent = this->now();
+        group_routing& routing = this->context.view.group(name);
+        routing.sent(primary);
+        this->context.orders.run_here(
+            std::move(order), 0, [weak = this->weak_from_this(), name, primary, sent](work_answer answer) {
+                auto const keeper = weak.lock();
+                if (keeper) {
+                    learn_from_answer(
+                        keeper->context.view.group(name), primary, sent, answer, keeper->now());
+                }
+            });
+    }
+
+    std::string some_team() const {
+        auto const& teams = this->context.view.configuration->teams;
+        return teams.empty() ? "-" : teams.begin()->first;
+    }
+
+    void ask_others(std::string const& name, watched_group& group) {
+        auto hosts = this->mesh->connected_hosts();
+        // The next owners are the ones that would serve the primary in this host's place.
+        registered_database const* const primary =
+            this->context.view.group(name).find(group.primary);
+        auto const ranked = this->context.orders.owners_of(*primary);
+        std::vector<std::string> asked;
+        for (std::string const& each : ranked) {
+            bool const linked = std::find(hosts.begin(), hosts.end(), each) != hosts.end();
+            if (linked && asked.size() < most_asked) {
+                asked.push_back(each);
+            }
+        }
+        if (asked.empty()) {
+            this->begin(name, group, change_reason::primary_lost);
+            return;
+        }
+        group.asking = true;
+        auto const left = std::make_shared<std::size_t>(asked.size());
+        auto const reached = std::make_shared<bool>(false);
+        for (std::string const& each : asked) {
+            this->mesh->ask_reach(
+                each, group.primary,
+                [weak = this->weak_from_this(), name, primary_id = group.primary, left,
+                 reached](bool yes) {
+                    *reached = *reached || yes;
+                    auto const keeper = weak.lock();
+                    if (--*left == 0 && keeper) {
+                        keeper->others_answered(name, primary_id, *reached);
+                    }
+                });
+        }
+    }
+
+    void others_answered(
+        std::string const& name, std::string const& primary, bool reached) {
+        watched_group& group = this->groups[name];
+        group.asking = false;
+        observe::log_event(
+            observe::log_level::info, "primary_silent",
+            {{"group", name}, {"database", primary}, {"others_reach_it", reached}});
+        if (reached) {
+            group.leave_alone_until = this->now() + leave_alone;
+            return;
+        }
+        bool const still = group.suspicion && !group.change && group.primary == primary &&
+                           group.suspicion->judge(this->now()) != primary_verdict::healthy;
+        if (still) {
+            this->begin(name, group, change_reason::primary_lost);
+        }
+    }
+
+    // A change of leadership
+
+    std::vector<group_copy> copies_of(std::string const& name, std::string const& primary) {
+        std::vector<group_copy> copies;
+        for (registered_database const& each : this->context.view.group(name).databases()) {
+            if (each.id != primary) {
+                copies.push_back(group_copy{each.id, each.leaving});
+            }
+        }
+        return copies;
+    }
+
+    void begin(std::string const& name, watched_group& group, change_reason reason) {
+        instant const time = this->now();
+        auto copies = this->copies_of(name, group.primary);
+        if (time < group.next_change || copies.empty()) {
+            return;
+        }
+        auto const& leader = this->context.view.group(name).leader();
+        group.change_started = time;
+        group.change = std::make_unique<leadership_change>(
+            group.primary, std::move(copies), leader ? leader->term : 0, reason, time);
+        observe::log_event(
+            observe::log_level::warning, "leadership_change_begins",
+            {{"group", name},
+             {"database", group.primary},
+             {"reason", to_string(reason)},
+             {"directory", this->context.view.directory.current().version}});
+        this->step(name, group);
+    }
+
+    void step(std::string const& name, watched_group& group) {
+        group.change->set_copies(this->copies_of(name, group.primary));
+        for (change_action const& each : group.change->step(this->now())) {
+            this->carry_out(name, group, each);
+            if (!group.change) {
+                return;
+            }
+        }
+    }
+
+    void carry_out(
+        std::string const& name, watched_group& group, change_action const& action) {
+        switch (action.kind) {
+        case change_action_kind::ask_token:
+            this->fetch_token(name, std::exchange(group.token_outdated, false));
+            return;
+        case change_action_kind::ask_state:
+            this->ask_copy(name, action, order_kind::report_state);
+            return;
+        case change_action_kind::hold:
+            this->ask_copy(name, action, order_kind::hold);
+            return;
+        case change_action_kind::resume:
+            this->ask_copy(name, action, order_kind::resume);
+            return;
+        case change_action_kind::promote:
+            this->call_promotion(name, action);
+            return;
+        default:
+            this->finish(name, group, action);
+        }
+    }
+
+    leadership_change* change_of(std::string const& name) {
+        auto const found = this->groups.find(name);
+        return found == this->groups.end() ? nullptr : found->second.change.get();
+    }
+
+    void fetch_token(std::string const& name, bool renew) {
+        this->authority.ask_token(
+            name, renew,
+            [weak = this->weak_from_this(), name](std::optional<std::uint64_t> token) {
+                auto const keeper = weak.lock();
+                leadership_change* const change =
+                    keeper ? keeper->change_of(name) : nullptr;
+                if (change == nullptr) {
+                    return;
+                }
+                if (token) {
+                    change->token_granted(*token);
+                    keeper->step(name, keeper->groups[name]);
+                } else {
+                    keeper->refuse_token_later(name);
+                }
+            });
+    }
+
+    void refuse_token_later(std::string const& name) {
+        auto const pause =
+            std::make_shared<boost::asio::steady_timer>(this->context.loop, token_retry);
+        pause->async_wait([weak = this->weak_from_this(), name,
+                           pause](boost::system::error_code) {
+            auto const keeper = weak.lock();
+            leadership_change* const change = keeper ? keeper->change_of(name) : nullptr;
+            if (change != nullptr) {
+                change->token_refused(keeper->now());
+            }
+        });
+    }
+
+    void ask_copy(std::string const& name, change_action const& action, order_kind kind) {
+        work_order order;
+        order.kind = kind;
+        order.group = name;
+        order.database = action.database;
+        order.team = this->some_team();
+        order.term = action.term;
+        order.budget_ms = probe_budget_ms;
+        this->context.orders.submit(
+            std::move(order), [weak = this->weak_from_this(), name,
+                               database = action.database,
+                               kind](work_answer answer, std::string const&) {
+                auto const keeper = weak.lock();
+                leadership_change* const change =
+                    keeper ? keeper->change_of(name) : nullptr;
+                if (change == nullptr) {
+                    return;
+                }
+                observe::log_event(
+                    observe::log_level::info, "copy_reported",
+                    {{"group", name},
+                     {"database", database},
+                     {"order", static_cast<int>(kind)},
+                     {"answered", answer.report.has_value()},
+                     {"position",
+                      answer.report ? static_cast<std::int64_t>(answer.report->received.offset) : -1},
+                     {"error", to_string(answer.error)},
+                     {"state", change->state_name()}});
+                change->reported(database, answer.report, keeper->now());
+                keeper->step(name, keeper->groups[name]);
+            });
+    }
+
+    void call_promotion(std::string const& name, change_action const& action) {
+        observe::log_event(
+            observe::log_level::warning, "promotion_called",
+            {{"group", name}, {"database", action.database}, {"token", action.token}});
+        this->authority.promote(
+            name, action.database, action.token,
+            [weak = this->weak_from_this(), name](promotion_result result) {
+                auto const keeper = weak.lock();
+                leadership_change* const change =
+                    keeper ? keeper->change_of(name) : nullptr;
+                if (change == nullptr) {
+                    return;
+                }
+                observe::log_event(
+                    observe::log_level::warning, "promotion_answered",
+                    {{"group", name}, {"result", static_cast<int>(result)}});
+                keeper->groups[name].token_outdated =
+                    result == promotion_result::conflict;
+                change->promotion_answered(result, keeper->now());
+                keeper->step(name, keeper->groups[name]);
+            });
+    }
+
+    void finish(
+        std::string const& name, watched_group& group, change_action const& action) {
+        instant const time = this->now();
+        bool const promoted = action.kind == change_action_kind::finished;
+        observe::log_event(
+            observe::log_level::warning, "leadership_change_over",
+            {{"group", name},
+             {"promoted", promoted},
+             {"database", action.database},
+             {"term", action.term},
+             {"took_ms", to_seconds(time - group.change_started) * 1000}});
+        this->retired = std::move(group.change);
+        group.next_change = time + between_changes;
+        group.suspicion.reset();
+        group.managed_since = instant();
+        if (!promoted) {
+            return;
+        }
+        ++this->finished;
+        this->context.view.group(name).leader_proved(action.database, action.term);
+        this->mesh->broadcast(leader_message{name, action.database, action.term});
+    }
+
+    // Evidence
+
+    template <class Tell>
+    void tell(std::string const& database, Tell tell) {
+        for (auto& each : this->groups) {
+            watched_group& group = each.second;
+            if (group.primary == database && group.suspicion) {
+                tell(group);
+            }
+        }
+    }
+
+    run_context& context;
+    leadership_authority& authority;
+    boost::asio::steady_timer timer;
+    peer_mesh* mesh = nullptr;
+    std::map<std::string, watched_group, std::less<>> groups;
+    std::map<std::string, instant, std::less<>> answered_at;
+    /// A change is kept until it is no longer on the stack.
+    std::unique_ptr<leadership_change> retired;
+    std::uint64_t finished = 0;
+};
+
+leadership_keeper::leadership_keeper(
+    run_context& context, leadership_authority& authority)
+    : impl(std::make_shared<implementation>(context, authority)) {}
+
+leadership_keeper::~leadership_keeper() {
+    this->impl->timer.cancel();
+}
+
+void leadership_keeper::start(peer_mesh& mesh) {
+    this->impl->mesh = &mesh;
+    this->impl->tick();
+}
+
+void leadership_keeper::probe(
+    std::string const& database, std::function<void(bool)> done) {
+    auto const found = this->impl->answered_at.find(database);
+    bool const lately = found != this->impl->answered_at.end() &&
+                        this->impl->now() - found->second < reached_lately;
+    if (lately) {
+        done(true);
+        return;
+    }
+    registered_database const* const entry =
+        this->impl->context.view.find_database(database);
+    if (entry == nullptr) {
+        done(false);
+        return;
+    }
+    work_order order;
+    order.kind = order_kind::leader_check;
+    order.group = entry->group;
+    order.database = database;
+    order.team = this->impl->some_team();
+    order.budget_ms = probe_budget_ms;
+    this->impl->context.orders.run_here(
+        std::move(order), 0, [done = std::move(done)](work_answer const& answer) {
+            done(answer.outcome == order_outcome::answered);
+        });
+}
+
+void leadership_keeper::on_answer(std::string const& database) {
+    instant const now = this->impl->now();
+    this->impl->answered_at[database] = now;
+    this->impl->tell(database, [now](watched_group& group) {
+        group.last_answer = now;
+        group.suspicion->answered(now);
+        if (group.change) {
+            group.change->primary_seen();
+        }
+    });
+}
+
+void leadership_keeper::on_refused(std::string const& database) {
+    instant const now = this->impl->now();
+    this->impl->tell(
+        database, [now](watched_group& group) { group.suspicion->refused(now); });
+}
+
+void leadership_keeper::on_silent(std::string const& database) {
+    instant const now = this->impl->now();
+    this->impl->tell(
+        database, [now](watched_group& group) { group.suspicion->unanswered(now); });
+}
+
+void leadership_keeper::on_commit_sent(std::string const& database) {
+    instant const now = this->impl->now();
+    this->impl->tell(
+        database, [now](watched_group& group) { group.suspicion->commit_sent(now); });
+}
+
+void leadership_keeper::on_commit_answered(std::string const& database) {
+    instant const now = this->impl->now();
+    this->impl->tell(
+        database, [now](watched_group& group) { group.suspicion->commit_answered(now); });
+}
+
+std::uint64_t leadership_keeper::changes_finished() const {
+    return this->impl->finished;
+}
+
+} // namespace persimmonpoint::engine
--- /dev/null
+++ b/src/persimmonpoint/engine/leadership_keeper.hpp
@@ -0,0 +1,58 @@
+#ifndef PERSIMMONPOINT_ENGINE_LEADERSHIP_KEEPER_HPP_INCLUDED
+#define PERSIMMONPOINT_ENGINE_LEADERSHIP_KEEPER_HPP_INCLUDED
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <persimmonpoint/core/recovery/leadership_change.hpp>
+#include <persimmonpoint/engine/database_owner.hpp>
+#include <persimmonpoint/engine/statement_run.hpp>
+#include <string>
+
+namespace persimmonpoint::engine {
+
+/// What the keeper asks of the control thread. Handlers run on the traffic thread.
+class leadership_authority {
+public:
+    virtual ~leadership_authority() = default;
+    /// A fencing token for the group; nothing if it can't be had now. `renew`: a token that
+    /// is greater than all before, even if one is held.
+    virtual void ask_token(
+        std::string const& group,
+        bool renew,
+        std::function<void(std::optional<std::uint64_t>)> done) = 0;
+    virtual void promote(
+        std::string const& group,
+        std::string const& database,
+        std::uint64_t token,
+        std::function<void(promotion_result)> done) = 0;
+};
+
+/// Watches the primaries whose connections this host owns, and replaces those that died or
+/// are leaving.
+class leadership_keeper final : public owner_observer {
+public:
+    leadership_keeper(run_context& context, leadership_authority& authority);
+    ~leadership_keeper() override;
+    void start(peer_mesh& mesh);
+
+    /// Can this host reach the database? Asked by other hosts.
+    void probe(std::string const& database, std::function<void(bool)> done);
+
+    void on_answer(std::string const& database) override;
+    void on_refused(std::string const& database) override;
+    void on_silent(std::string const& database) override;
+    void on_commit_sent(std::string const& database) override;
+    void on_commit_answered(std::string const& database) override;
+
+    std::uint64_t changes_finished() const;
+
+private:
+    struct implementation;
+    std::shared_ptr<implementation> impl;
+};
+
+} // namespace persimmonpoint::engine
+
+#endif // PERSIMMONPOINT_ENGINE_LEADERSHIP_KEEPER_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/engine/peer_link.cpp
@@ -0,0 +1,141 @@
+#include <array>
+#include <boost/asio/write.hpp>
+#include <persimmonpoint/engine/peer_link.hpp>
+#include <persimmonpoint/net/tcp_options.hpp>
+#include <utility>
+
+namespace persimmonpoint::engine {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto unacknowledged_limit = std::chrono::milliseconds(1000);
+constexpr std::size_t read_bytes = 16 * 1024;
+/// A peer that doesn't read is cut off before its messages fill the memory.
+constexpr std::size_t most_unsent_bytes = 8 * 1024 * 1024;
+
+} // namespace
+
+struct peer_link::implementation : std::enable_shared_from_this<implementation> {
+    explicit implementation(tcp::socket socket) : socket(std::move(socket)) {
+        net::set_tcp_options(this->socket, unacknowledged_limit);
+    }
+
+    void read() {
+        this->socket.async_read_some(
+            asio::buffer(this->received),
+            [self = this->shared_from_this()](
+                boost::system::error_code failure, std::size_t size) {
+                if (failure) {
+                    self->broken();
+                    return;
+                }
+                self->decoder.add(std::string_view(self->received.data(), size));
+                self->take_messages();
+                if (!self->closed) {
+                    self->read();
+                }
+            });
+    }
+
+    void take_messages() {
+        while (!this->closed) {
+            auto message = this->decoder.next();
+            if (!message) {
+                break;
+            }
+            this->on_message(std::move(*message));
+        }
+        if (this->decoder.broken()) {
+            this->broken();
+        }
+    }
+
+    void send(peer_message const& message) {
+        if (this->closed) {
+            return;
+        }
+        this->outgoing += encode(message);
+        if (this->outgoing.size() > most_unsent_bytes) {
+            asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+                self->broken();
+            });
+            return;
+        }
+        this->write();
+    }
+
+    void write() {
+        if (this->writing || this->closed || this->outgoing.empty()) {
+            return;
+        }
+        this->writing = true;
+        this->in_flight = std::exchange(this->outgoing, {});
+        asio::async_write(
+            this->socket, asio::buffer(this->in_flight),
+            [self = this->shared_from_this()](
+                boost::system::error_code failure, std::size_t) {
+                self->writing = false;
+                if (failure) {
+                    self->broken();
+                    return;
+                }
+                self->write();
+            });
+    }
+
+    void broken() {
+        if (this->closed) {
+            return;
+        }
+        closed_handler const handler = this->on_closed;
+        this->shut();
+        if (handler) {
+            handler();
+        }
+    }
+
+    void shut() {
+        if (std::exchange(this->closed, true)) {
+            return;
+        }
+        this->on_closed = nullptr;
+        boost::system::error_code ignored;
+        this->socket.close(ignored);
+    }
+
+    tcp::socket socket;
+    message_handler on_message;
+    closed_handler on_closed;
+    std::array<char, read_bytes> received{};
+    peer_decoder decoder;
+    std::string outgoing;
+    std::string in_flight;
+    bool writing = false;
+    bool closed = false;
+};
+
+peer_link::peer_link(tcp::socket socket)
+    : impl(std::make_shared<implementation>(std::move(socket))) {}
+
+peer_link::~peer_link() {
+    this->impl->shut();
+}
+
+void peer_link::start(message_handler on_message, closed_handler on_closed) {
+    this->impl->on_message = std::move(on_message);
+    this->impl->on_closed = std::move(on_closed);
+    this->impl->read();
+}
+
+void peer_link::send(peer_message const& message) {
+    this->impl->send(message);
+}
+
+void peer_link::close() {
+    this->impl->shut();
+}
+
+} // namespace persimmonpoint::engine
--- /dev/null
+++ b/src/persimmonpoint/engine/peer_link.hpp
@@ -0,0 +1,32 @@
+#ifndef PERSIMMONPOINT_ENGINE_PEER_LINK_HPP_INCLUDED
+#define PERSIMMONPOINT_ENGINE_PEER_LINK_HPP_INCLUDED
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <persimmonpoint/engine/peer_messages.hpp>
+
+namespace persimmonpoint::engine {
+
+/// One TCP connection between two hosts, in messages. Used from one event loop only.
+class peer_link {
+public:
+    using message_handler = std::function<void(peer_message)>;
+    using closed_handler = std::function<void()>;
+
+    explicit peer_link(boost::asio::ip::tcp::socket socket);
+    ~peer_link();
+
+    /// Starts to read. The closed handler is called once, not from `close`.
+    void start(message_handler on_message, closed_handler on_closed);
+    void send(peer_message const& message);
+    void close();
+
+private:
+    struct implementation;
+    std::shared_ptr<implementation> impl;
+};
+
+} // namespace persimmonpoint::engine
+
+#endif // PERSIMMONPOINT_ENGINE_PEER_LINK_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -0,0 +1,611 @@
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <optional>
+#include <persimmonpoint/core/membership/peer_health.hpp>
+#include <persimmonpoint/engine/peer_link.hpp>
+#include <persimmonpoint/engine/peer_mesh.hpp>
+#include <persimmonpoint/net/tcp_options.hpp>
+#include <persimmonpoint/observe/event_log.hpp>
+#include <set>
+#include <utility>
+
+namespace persimmonpoint::engine {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto tick_interval = std::chrono::milliseconds(75);
+/// Each linked host is told this often that this one lives.
+constexpr duration alive_interval = std::chrono::milliseconds(150);
+/// An incoming link that is silent for so long is closed.
+constexpr duration incoming_silence_limit = std::chrono::milliseconds(1500);
+/// Up to this many hosts, each is linked to all; beyond it only where there is work, and to
+/// a few neighbours that pass news on.
+constexpr std::size_t fully_linked_hosts = 16;
+constexpr std::size_t neighbours = 3;
+/// A link without orders is given up after this time in a large fleet.
+constexpr duration unused_limit = std::chrono::seconds(20);
+constexpr duration reach_limit = std::chrono::milliseconds(350);
+
+work_answer link_lost() {
+    work_answer answer;
+    answer.outcome = order_outcome::unknown;
+    answer.refusal = order_refusal::unreachable;
+    return answer;
+}
+
+work_answer no_link() {
+    work_answer answer;
+    answer.refusal = order_refusal::unreachable;
+    return answer;
+}
+
+struct reach_waiter {
+    std::function<void(bool)> done;
+    instant deadline;
+};
+
+struct outgoing {
+    registered_host host;
+    peer_health health;
+    std::shared_ptr<tcp::socket> dialling;
+    std::unique_ptr<peer_link> link;
+    std::vector<peer_message> unsent; ///< Until the link is there.
+    std::map<std::uint64_t, answer_handler> orders;
+    std::map<std::uint64_t, reach_waiter> reach;
+    instant last_alive{};
+    instant last_used{};
+};
+
+struct incoming {
+    std::unique_ptr<peer_link> link;
+    std::string host;
+    instant heard{};
+};
+
+} // namespace
+
+struct peer_mesh::implementation : std::enable_shared_from_this<implementation> {
+    implementation(
+        asio::io_context& loop,
+        clock const& time,
+        mesh_observer& observer,
+        registered_host self)
+        : loop(loop), time(time), observer(observer), self(std::move(self)), ticker(loop),
+          acceptor(loop) {}
+
+    void listen() {
+        auto const endpoint = net::parse_endpoint(this->self.address);
+        if (!endpoint) {
+            throw std::invalid_argument("peers.address is no address: " + this->self.address);
+        }
+        this->acceptor.open(endpoint->protocol());
+        this->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        this->acceptor.bind(*endpoint);
+        this->acceptor.listen();
+        this->accept();
+        this->tick();
+    }
+
+    // Incoming links
+
+    void accept() {
+        this->acceptor.async_accept(
+            [weak = this->weak_from_this()](
+                boost::system::error_code failure, tcp::socket socket) {
+                auto const self = weak.lock();
+                if (!self || self->closed) {
+                    return;
+                }
+                if (!failure) {
+                    self->accepted(std::move(socket));
+                }
+                self->accept();
+            });
+    }
+
+    void accepted(tcp::socket socket) {
+        order_source const source = ++this->last_source;
+        incoming& made = this->callers[source];
+        made.link = std::make_unique<peer_link>(std::move(socket));
+        made.heard = this->time.now();
+        made.link->start(
+            [this, source](peer_message message) {
+                this->take_incoming(source, std::move(message));
+            },
+            [this, source] { this->incoming_gone(source); });
+    }
+
+    void incoming_gone(order_source source) {
+        auto const found = this->callers.find(source);
+        if (found == this->callers.end()) {
+            return;
+        }
+        this->retired.push_back(std::move(found->second.link));
+        this->callers.erase(found);
+        this->observer.on_source_gone(source);
+    }
+
+    void reply(order_source source, peer_message const& message) {
+        auto const found = this->callers.find(source);
+        if (found != this->callers.end()) {
+            found->second.link->send(message);
+        }
+    }
+
+    void take_incoming(order_source source, peer_message message) {
+        auto const found = this->callers.find(source);
+        if (found == this->callers.end()) {
+            return;
+        }
+        incoming& from = found->second;
+        from.heard = this->time.now();
+        if (auto* const hello = std::get_if<hello_message>(&message)) {
+            from.host = hello->host;
+            if (hello->protocol != peer_protocol_version) {
+                this->incoming_gone(source);
+            }
+        } else if (auto* const order = std::get_if<order_message>(&message)) {
+            this->take_order(source, std::move(*order));
+        } else if (auto* const alive = std::get_if<alive_message>(&message)) {
+            this->reply(source, this->observer.own_state());
+            this->offer_news(*alive, [this, source](peer_message const& news) {
+                this->reply(source, news);
+            });
+        } else if (auto* const report = std::get_if<quota_report_message>(&message)) {
+            this->reply(source, this->observer.on_quota_report(from.host, *report));
+        } else if (auto* const query = std::get_if<reach_query_message>(&message)) {
+            this->observer.on_reach_query(
+                query->database, [weak = this->weak_from_this(), source,
+                                  number = query->number](bool reached) {
+                    if (auto const mesh = weak.lock()) {
+                        mesh->reply(source, reach_answer_message{number, reached});
+                    }
+                });
+        } else {
+            this->take_news(std::move(message));
+        }
+    }
+
+    void take_order(order_source source, order_message message) {
+        this->observer.on_order(
+            std::move(message.order), source,
+            [weak = this->weak_from_this(), source,
+             number = message.number](work_answer answer) {
+                if (auto const mesh = weak.lock()) {
+                    mesh->reply(source, answer_message{number, std::move(answer)});
+                }
+            });
+    }
+
+    void take_news(peer_message message) {
+        if (auto* const configuration = std::get_if<configuration_message>(&message)) {
+            this->observer.on_configuration(std::move(*configuration));
+        } else if (auto* const directory = std::get_if<directory_message>(&message)) {
+            this->observer.on_directory(std::move(*directory));
+        } else if (auto* const leader = std::get_if<leader_message>(&message)) {
+            this->observer.on_leader(*leader);
+        }
+    }
+
+    template <class Send>
+    void offer_news(alive_message const& theirs, Send send) {
+        alive_message const mine = this->observer.own_state();
+        if (mine.configuration_row > theirs.configuration_row) {
+            send(this->observer.own_configuration());
+        }
+        if (mine.directory_version > theirs.directory_version) {
+            send(this->observer.own_directory());
+        }
+    }
+
+    // Outgoing links
+
+    void set_hosts(std::span<registered_host const> hosts) {
+        std::set<std::string> names;
+        for (registered_host const& each : hosts) {
+            if (each.name == this->self.name) {
+                continue;
+            }
+            names.insert(each.name);
+            auto const found = this->peers.find(each.name);
+            if (found != this->peers.end() && found->second.host.address != each.address) {
+                this->give_up(found->second);
+                this->peers.erase(found);
+            }
+            this->peers[each.name].host = each;
+        }
+        for (auto each = this->peers.begin(); each != this->peers.end();) {
+            if (names.count(each->first) > 0) {
+                ++each;
+                continue;
+            }
+            this->give_up(each->second);
+            each = this->peers.erase(each);
+        }
+        this->observer.on_peers_changed();
+    }
+
+    /// Hosts that this one keeps a link to though it has no work for them.
+    bool is_neighbour(std::string const& name) const {
+        if (this->peers.size() < fully_linked_hosts) {
+            return true;
+        }
+        auto at = this->peers.upper_bound(this->self.name);
+        for (std::size_t i = 0; i < neighbours; ++i, ++at) {
+            at = at == this->peers.end() ? this->peers.begin() : at;
+            if (at->first == name) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void tick() {
+        this->ticker.expires_after(tick_interval);
+        this->ticker.async_wait(
+            [weak = this->weak_from_this()](boost::system::error_code failure) {
+                auto const mesh = weak.lock();
+                if (mesh && !failure && !mesh->closed) {
+                    mesh->look();
+                    mesh->tick();
+                }
+            });
+    }
+
+    void look() {
+        instant const now = this->time.now();
+        this->retired.clear();
+        std::vector<order_source> silent;
+        for (auto const& [source, from] : this->callers) {
+            if (now - from.heard > incoming_silence_limit) {
+                silent.push_back(source);
+            }
+        }
+        for (order_source const source : silent) {
+            this->incoming_gone(source);
+        }
+        std::vector<std::string> names;
+        for (auto const& each : this->peers) {
+            names.push_back(each.first);
+        }
+        for (std::string const& name : names) {
+            auto const found = this->peers.find(name);
+            if (found != this->peers.end()) {
+                this->look_at(found->second, now);
+            }
+        }
+    }
+
+    void look_at(outgoing& peer, instant now) {
+        this->expire_reach(peer, now);
+        if (peer.health.overdue(now)) {
+            this->lose(peer, "silent");
+            return;
+        }
+        bool const wanted = this->is_neighbour(peer.host.name) ||
+                            now - peer.last_used < unused_limit;
+        if (wanted && peer.health.may_connect(now)) {
+            this->dial(peer, now);
+            return;
+        }
+        if (peer.link && now - peer.last_alive >= alive_interval) {
+            peer.last_alive = now;
+            peer.link->send(this->observer.own_state());
+        }
+    }
+
+    void expire_reach(outgoing& peer, instant now) {
+        std::vector<std::function<void(bool)>> expired;
+        for (auto each = peer.reach.begin(); each != peer.reach.end();) {
+            if (each->second.deadline <= now) {
+                expired.push_back(std::move(each->second.done));
+                each = peer.reach.erase(each);
+            } else {
+                ++each;
+            }
+        }
+        for (auto const& each : expired) {
+            each(false);
+        }
+    }
+
+    void dial(outgoing& peer, instant now) {
+        auto const endpoint = net::parse_endpoint(peer.host.address);
+        if (!endpoint) {
+            peer.health.lost(now);
+            return;
+        }
+        peer.health.connecting(now);
+        peer.dialling = std::make_shared<tcp::socket>(this->loop);
+        peer.dialling->async_connect(
+            *endpoint, [weak = this->weak_from_this(), name = peer.host.name,
+                        socket = peer.dialling](boost::system::error_code failure) {
+                auto const mesh = weak.lock();
+                if (mesh) {
+                    mesh->dialled(name, socket, failure);
+                }
+            });
+    }
+
+    void dialled(
+        std::string const& name,
+        std::shared_ptr<tcp::socket> const& socket,
+        boost::system::error_code failure) {
+        auto const found = this->peers.find(name);
+        if (found == this->peers.end() || found->second.dialling != socket) {
+            return;
+        }
+        outgoing& peer = found->second;
+        peer.dialling.reset();
+        if (failure) {
+            this->lose(peer, failure.message());
+            return;
+        }
+        peer.link = std::make_unique<peer_link>(std::move(*socket));
+        peer.link->start(
+            [this, name](peer_message message) {
+                this->take_outgoing(name, std::move(message));
+            },
+            [this, name] {
+                auto const broken = this->peers.find(name);
+                if (broken != this->peers.end()) {
+                    this->lose(broken->second, "closed by the other side");
+                }
+            });
+        peer.link->send(hello_message{peer_protocol_version, this->self.name});
+        peer.last_alive = this->time.now();
+        peer.link->send(this->observer.own_state());
+        for (peer_message const& each : std::exchange(peer.unsent, {})) {
+            peer.link->send(each);
+        }
+    }
+
+    void take_outgoing(std::string const& name, peer_message message) {
+        auto const found = this->peers.find(name);
+        if (found == this->peers.end()) {
+            return;
+        }
+        outgoing& peer = found->second;
+        bool const was_usable = peer.health.usable();
+        bool const was_connected = peer.health.connected();
+        peer.health.heard(this->time.now());
+        if (!was_connected) {
+            observe::log_event(
+                observe::log_level::info, "peer_connected", {{"peer", name}});
+        }
+        if (auto* const answer = std::get_if<answer_message>(&message)) {
+            this->take_answer(peer, std::move(*answer));
+        } else if (auto* const alive = std::get_if<alive_message>(&message)) {
+            peer.health.leaving(alive->leaving);
+            this->offer_news(*alive, [&peer](peer_message const& news) {
+                if (peer.link) {
+                    peer.link->send(news);
+                }
+            });
+        } else if (auto* const grant = std::get_if<quota_grant_message>(&message)) {
+            this->observer.on_quota_grant(name, *grant);
+        } else if (auto* const reach = std::get_if<reach_answer_message>(&message)) {
+            auto const waiter = peer.reach.find(reach->number);
+            if (waiter != peer.reach.end()) {
+                auto const done = std::move(waiter->second.done);
+                peer.reach.erase(waiter);
+                done(reach->reached);
+            }
+        } else {
+            this->take_news(std::move(message));
+        }
+        auto const again = this->peers.find(name);
+        if (again != this->peers.end() && again->second.health.usable() != was_usable) {
+            this->observer.on_peers_changed();
+        }
+    }
+
+    void take_answer(outgoing& peer, answer_message message) {
+        auto const found = peer.orders.find(message.number);
+        if (found == peer.orders.end()) {
+            return;
+        }
+        answer_handler const done = std::move(found->second);
+        peer.orders.erase(found);
+        done(std::move(message.answer));
+    }
+
+    /// Drops the link; what was sent over it has no known outcome.
+    void lose(outgoing& peer, std::string_view reason) {
+        bool const was_usable = peer.health.usable();
+        peer.health.lost(this->time.now());
+        if (was_usable) {
+            observe::log_event(
+                observe::log_level::warning, "peer_lost",
+                {{"peer", peer.host.name},
+                 {"reason", reason},
+                 {"orders_open", peer.orders.size()}});
+        }
+        this->give_up(peer);
+        if (was_usable) {
+            this->observer.on_peers_changed();
+        }
+    }
+
+    void give_up(outgoing& peer) {
+        bool const was_linked = peer.link != nullptr;
+        if (peer.link) {
+            peer.link->close();
+            this->retired.push_back(std::move(peer.link));
+        }
+        if (peer.dialling) {
+            boost::system::error_code ignored;
+            peer.dialling->close(ignored);
+            peer.dialling.reset();
+        }
+        peer.unsent.clear();
+        auto const orders = std::exchange(peer.orders, {});
+        auto const reach = std::exchange(peer.reach, {});
+        // The handlers may use the mesh; they run once it is consistent again.
+        asio::post(this->loop, [orders, reach, was_linked] {
+            for (auto const& each : orders) {
+                each.second(was_linked ? link_lost() : no_link());
+            }
+            for (auto const& each : reach) {
+                each.second.done(false);
+            }
+        });
+    }
+
+    bool send(outgoing& peer, peer_message const& message) {
+        instant const now = this->time.now();
+        peer.last_used = now;
+        if (peer.link) {
+            peer.link->send(message);
+            return true;
+        }
+        if (!peer.health.usable()) {
+            return false;
+        }
+        peer.unsent.push_back(message);
+        if (peer.health.may_connect(now)) {
+            this->dial(peer, now);
+        }
+        return true;
+    }
+
+    asio::io_context& loop;
+    clock const& time;
+    mesh_observer& observer;
+    registered_host self;
+    asio::steady_timer ticker;
+    tcp::acceptor acceptor;
+    std::map<std::string, outgoing, std::less<>> peers;
+    std::map<order_source, incoming> callers;
+    /// Links that were given up, possibly from within their own handlers.
+    std::vector<std::unique_ptr<peer_link>> retired;
+    order_source last_source = 0;
+    std::uint64_t last_number = 0;
+    bool closed = false;
+};
+
+peer_mesh::peer_mesh(
+    asio::io_context& loop,
+    clock const& clock,
+    mesh_observer& observer,
+    registered_host self)
+    : impl(std::make_shared<implementation>(loop, clock, observer, std::move(self))) {
+    this->impl->listen();
+}
+
+peer_mesh::~peer_mesh() {
+    this->close();
+}
+
+void peer_mesh::set_hosts(std::span<registered_host const> hosts) {
+    this->impl->set_hosts(hosts);
+}
+
+void peer_mesh::set_seeds(std::span<std::string const> addresses) {
+    std::vector<registered_host> hosts;
+    for (std::string const& each : addresses) {
+        if (each != this->impl->self.address) {
+            hosts.push_back(registered_host{"seed " + each, each, {}});
+        }
+    }
+    this->impl->set_hosts(hosts);
+}
+
+std::vector<registered_host> peer_mesh::usable_hosts() const {
+    std::vector<registered_host> hosts = {this->impl->self};
+    for (auto const& each : this->impl->peers) {
+        if (each.second.health.usable()) {
+            hosts.push_back(each.second.host);
+        }
+    }
+    return hosts;
+}
+
+bool peer_mesh::is_usable(std::string_view host) const {
+    auto const found = this->impl->peers.find(host);
+    return host == this->impl->self.name ||
+           (found != this->impl->peers.end() && found->second.health.usable());
+}
+
+std::vector<std::string> peer_mesh::connected_hosts() const {
+    std::vector<std::string> names;
+    for (auto const& each : this->impl->peers) {
+        if (each.second.health.connected()) {
+            names.push_back(each.first);
+        }
+    }
+    return names;
+}
+
+void peer_mesh::submit(std::string const& host, work_order order, answer_handler done) {
+    auto const found = this->impl->peers.find(host);
+    if (found == this->impl->peers.end()) {
+        done(no_link());
+        return;
+    }
+    outgoing& peer = found->second;
+    std::uint64_t const number = ++this->impl->last_number;
+    if (!this->impl->send(peer, order_message{number, std::move(order)})) {
+        done(no_link());
+        return;
+    }
+    peer.orders.emplace(number, std::move(done));
+}
+
+void peer_mesh::send(std::string const& host, peer_message const& message) {
+    auto const found = this->impl->peers.find(host);
+    if (found != this->impl->peers.end()) {
+        this->impl->send(found->second, message);
+    }
+}
+
+void peer_mesh::broadcast(peer_message const& message) {
+    for (auto& each : this->impl->peers) {
+        if (each.second.link) {
+            each.second.link->send(message);
+        }
+    }
+}
+
+void peer_mesh::ask_reach(
+    std::string const& host, std::string const& database, std::function<void(bool)> done) {
+    auto const found = this->impl->peers.find(host);
+    if (found == this->impl->peers.end()) {
+        done(false);
+        return;
+    }
+    std::uint64_t const number = ++this->impl->last_number;
+    if (!this->impl->send(found->second, reach_query_message{number, database})) {
+        done(false);
+        return;
+    }
+    found->second.reach.emplace(
+        number, reach_waiter{std::move(done), this->impl->time.now() + reach_limit});
+}
+
+void peer_mesh::announce() {
+    alive_message const state = this->impl->observer.own_state();
+    this->broadcast(state);
+    for (auto& each : this->impl->callers) {
+        each.second.link->send(state);
+    }
+}
+
+void peer_mesh::close() {
+    if (std::exchange(this->impl->closed, true)) {
+        return;
+    }
+    boost::system::error_code ignored;
+    this->impl->acceptor.close(ignored);
+    this->impl->ticker.cancel();
+    for (auto& each : this->impl->peers) {
+        this->impl->give_up(each.second);
+    }
+    this->impl->callers.clear();
+}
+
+} // namespace persimmonpoint::engine
--- /dev/null
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -0,0 +1,189 @@
+#include <array>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <persimmonpoint/engine/peer_messages.hpp>
+#include <sstream>
+
+namespace persimmonpoint {
+
+// Found by cereal through the namespace of the types.
+
+template <class Archive>
+void serialize(Archive& archive, log_position& value) {
+    archive(value.term, value.offset);
+}
+
+template <class Archive>
+void serialize(Archive& archive, prepared_shape& value) {
+    archive(value.shape, value.writes);
+}
+
+template <class Archive>
+void serialize(Archive& archive, work_order& value) {
+    archive(value.kind, value.lane, value.group, value.database, value.team, value.id);
+    archive(value.text, value.prepared, value.writes, value.read_only_transaction);
+    archive(value.floor, value.values, value.budget_ms, value.priority, value.term);
+}
+
+template <class Archive>
+void serialize(Archive& archive, database_state& value) {
+    archive(value.leads, value.term, value.received, value.held_term);
+}
+
+template <class Archive>
+void serialize(Archive& archive, work_answer& value) {
+    archive(value.outcome, value.refusal, value.error, value.error_text, value.rows);
+    archive(value.signature, value.state, value.position, value.lane, value.load);
+    archive(value.leader_confirmed, value.report);
+}
+
+template <class Archive>
+void serialize(Archive& archive, registered_database& value) {
+    archive(value.id, value.group, value.address, value.availability_zone, value.slots);
+    archive(value.leaving, value.claims_primary, value.started_ms);
+}
+
+template <class Archive>
+void serialize(Archive& archive, database_directory& value) {
+    archive(value.version, value.databases);
+}
+
+template <class Archive>
+void serialize(Archive& archive, quota_part& value) {
+    archive(value.rate, value.burst);
+}
+
+template <class Archive>
+void serialize(Archive& archive, team_demand& value) {
+    archive(value.team, value.demand);
+}
+
+template <class Archive>
+void serialize(Archive& archive, team_grant& value) {
+    archive(value.team, value.part);
+}
+
+} // namespace persimmonpoint
+
+namespace persimmonpoint::engine {
+
+namespace {
+
+constexpr std::size_t length_bytes = 4;
+/// Larger than any configuration or answer.
+constexpr std::size_t most_message_bytes = 4 * 1024 * 1024;
+
+std::size_t read_length(std::string_view bytes) {
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < length_bytes; ++i) {
+        length |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[i])) << (8 * i);
+    }
+    return length;
+}
+
+void write_length(std::string& bytes, std::size_t length) {
+    for (std::size_t i = 0; i < length_bytes; ++i) {
+        bytes[i] = static_cast<char>((length >> (8 * i)) & 0xffU);
+    }
+}
+
+} // namespace
+
+template <class Archive>
+void serialize(Archive& archive, hello_message& value) {
+    archive(value.protocol, value.host);
+}
+
+template <class Archive>
+void serialize(Archive& archive, order_message& value) {
+    archive(value.number, value.order);
+}
+
+template <class Archive>
+void serialize(Archive& archive, answer_message& value) {
+    archive(value.number, value.answer);
+}
+
+template <class Archive>
+void serialize(Archive& archive, alive_message& value) {
+    archive(value.leaving, value.configuration_row, value.directory_version);
+}
+
+template <class Archive>
+void serialize(Archive& archive, configuration_message& value) {
+    archive(value.row_version, value.body);
+}
+
+template <class Archive>
+void serialize(Archive& archive, directory_message& value) {
+    archive(value.directory);
+}
+
+template <class Archive>
+void serialize(Archive& archive, leader_message& value) {
+    archive(value.group, value.database, value.term);
+}
+
+template <class Archive>
+void serialize(Archive& archive, quota_report_message& value) {
+    archive(value.number, value.confirmed, value.demands);
+}
+
+template <class Archive>
+void serialize(Archive& archive, quota_grant_message& value) {
+    archive(value.number, value.grants);
+}
+
+template <class Archive>
+void serialize(Archive& archive, reach_query_message& value) {
+    archive(value.number, value.database);
+}
+
+template <class Archive>
+void serialize(Archive& archive, reach_answer_message& value) {
+    archive(value.number, value.reached);
+}
+
+std::string encode(peer_message const& message) {
+    std::ostringstream out;
+    out.write("\0\0\0\0", length_bytes);
+    {
+        cereal::PortableBinaryOutputArchive archive(out);
+        archive(message);
+    }
+    std::string bytes = std::move(out).str();
+    write_length(bytes, bytes.size() - length_bytes);
+    return bytes;
+}
+
+std::optional<peer_message> peer_decoder::next() {
+    if (this->failed || this->buffer.size() < length_bytes) {
+        return std::nullopt;
+    }
+    std::size_t const length = read_length(this->buffer);
+    if (length > most_message_bytes) {
+        this->failed = true;
+        return std::nullopt;
+    }
+    if (this->buffer.size() < length_bytes + length) {
+        return std::nullopt;
+    }
+    std::istringstream in(this->buffer.substr(length_bytes, length));
+    this->buffer.erase(0, length_bytes + length);
+    try {
+        cereal::PortableBinaryInputArchive archive(in);
+        peer_message message;
+        archive(message);
+        return message;
+    } catch (std::exception const&) {
+        // The caller closes the connection and logs it.
+        this->failed = true;
+        return std::nullopt;
+    }
+}
+
+} // namespace persimmonpoint::engine
--- /dev/null
+++ b/src/persimmonpoint/engine/peer_messages.hpp
@@ -0,0 +1,113 @@
+#ifndef PERSIMMONPOINT_ENGINE_PEER_MESSAGES_HPP_INCLUDED
+#define PERSIMMONPOINT_ENGINE_PEER_MESSAGES_HPP_INCLUDED
+
+/// Messages between the hosts of this system. Each is idempotent.
+
+#include <cstdint>
+#include <persimmonpoint/core/catalog/database_directory.hpp>
+#include <persimmonpoint/core/limits/quota_divider.hpp>
+#include <persimmonpoint/core/statement/work_order.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace persimmonpoint::engine {
+
+/// Raised when a message changes; hosts of other versions are not spoken to.
+inline constexpr std::uint32_t peer_protocol_version = 1;
+
+/// The first message on a connection.
+struct hello_message {
+    std::uint32_t protocol = peer_protocol_version;
+    std::string host;
+};
+
+struct order_message {
+    std::uint64_t number = 0;
+    work_order order;
+};
+
+struct answer_message {
+    std::uint64_t number = 0;
+    work_answer answer;
+};
+
+/// Sent at intervals, and answered by the same.
+struct alive_message {
+    bool leaving = false; ///< Takes no further orders.
+    std::uint64_t configuration_row = 0; ///< Store's version of the row.
+    std::uint64_t directory_version = 0;
+};
+
+/// The operator's configuration as it lies in the store.
+struct configuration_message {
+    std::uint64_t row_version = 0;
+    std::string body;
+};
+
+struct directory_message {
+    database_directory directory;
+};
+
+struct leader_message {
+    std::string group;
+    std::string database;
+    std::uint64_t term = 0;
+};
+
+/// What a host asks of teams' quotas, for the divider of these teams.
+struct quota_report_message {
+    std::uint64_t number = 0;
+    std::uint64_t confirmed = 0; ///< Newest report that was granted.
+    std::vector<team_demand> demands;
+};
+
+struct quota_grant_message {
+    std::uint64_t number = 0; ///< Of the report.
+    std::vector<team_grant> grants;
+};
+
+/// Can you reach this database?
+struct reach_query_message {
+    std::uint64_t number = 0;
+    std::string database;
+};
+
+struct reach_answer_message {
+    std::uint64_t number = 0;
+    bool reached = false;
+};
+
+using peer_message = std::variant<
+    hello_message,
+    order_message,
+    answer_message,
+    alive_message,
+    configuration_message,
+    directory_message,
+    leader_message,
+    quota_report_message,
+    quota_grant_message,
+    reach_query_message,
+    reach_answer_message>;
+
+/// The message's bytes, with its length in front.
+std::string encode(peer_message const& message);
+
+/// Cuts received bytes into messages.
+class peer_decoder {
+public:
+    void add(std::string_view bytes) { this->buffer.append(bytes); }
+    /// The next whole message. Nothing if none is whole yet, or once `broken` is true.
+    std::optional<peer_message> next();
+    /// The bytes can't be read; the connection is to be closed.
+    bool broken() const { return this->failed; }
+
+private:
+    std::string buffer;
+    bool failed = false;
+};
+
+} // namespace persimmonpoint::engine
+
+#endif // PERSIMMONPOINT_ENGINE_PEER_MESSAGES_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/engine/statement_run.cpp
@@ -0,0 +1,279 @@
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <persimmonpoint/engine/statement_run.hpp>
+#include <persimmonpoint/observe/event_log.hpp>
+#include <utility>
+
+namespace persimmonpoint::engine {
+
+namespace {
+
+/// Pause before a database is asked for again that could not be had.
+constexpr auto retry_pause = std::chrono::milliseconds(20);
+/// Part of the route's staleness bound that is left for the clocks.
+constexpr duration staleness_margin = std::chrono::milliseconds(20);
+/// The owner of a lane is given this much less time than the statement has.
+constexpr duration answer_margin = std::chrono::milliseconds(10);
+/// A leader check takes no slot; one that takes longer is lost.
+constexpr std::uint32_t leader_check_budget_ms = 250;
+/// Share of the target latency that a statement may wait for a database to be there.
+constexpr int patience_divisor = 4;
+
+std::uint32_t to_budget(duration left) {
+    auto const ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(left - answer_margin).count();
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(ms, 1));
+}
+
+attempt_subject make_subject(run_request const& request, instant now) {
+    attempt_subject subject;
+    subject.keeps_effect = request.keeps_effect;
+    subject.in_transaction = request.order.lane != 0;
+    subject.needs_leader = request.needs_leader;
+    subject.started = now;
+    subject.time_limit = request.route.statement_timeout;
+    subject.patience = request.route.target_latency / patience_divisor;
+    return subject;
+}
+
+} // namespace
+
+void learn_from_answer(
+    group_routing& group,
+    std::string const& database,
+    instant sent,
+    work_answer const& answer,
+    instant now) {
+    group.answered(
+        database, answer.position,
+        answer.outcome == order_outcome::answered ? std::optional(answer.load) : std::nullopt, now);
+    if (answer.refusal == order_refusal::unreachable) {
+        group.unreachable(database, now);
+    }
+    if (answer.leader_confirmed && answer.position) {
+        group.floors.observe(sent, *answer.position);
+        if (group.leader_proved(database, answer.position->term)) {
+            observe::log_event(
+                observe::log_level::info, "leader_learned",
+                {{"database", database}, {"term", answer.position->term}});
+        }
+    }
+    if (answer.error == statement_error::read_only) {
+        group.leader_denied(database);
+    }
+}
+
+struct statement_run::implementation {
+    run_context& context;
+    run_request request;
+    handler done;
+    attempt_plan plan;
+    boost::asio::steady_timer timer;    ///< Of the whole statement.
+    boost::asio::steady_timer pause;
+    bool checked_leader = false;
+    bool outstanding = false;
+    bool finished = false;
+};
+
+void statement_run::start(run_context& context, run_request request, handler done) {
+    auto const run =
+        std::make_shared<statement_run>(context, std::move(request), std::move(done));
+    run->begin();
+}
+
+statement_run::statement_run(run_context& context, run_request request, handler done) {
+    attempt_subject const subject = make_subject(request, context.time.now());
+    this->impl = std::make_unique<implementation>(implementation{
+        context, std::move(request), std::move(done), attempt_plan(subject),
+        boost::asio::steady_timer(context.loop), boost::asio::steady_timer(context.loop)});
+}
+
+statement_run::~statement_run() = default;
+
+void statement_run::begin() {
+    this->impl->timer.expires_after(this->impl->request.route.statement_timeout);
+    this->impl->timer.async_wait(
+        [self = this->shared_from_this()](boost::system::error_code failure) {
+            if (!failure) {
+                self->refuse(
+                    self->impl->outstanding ? statement_error::timeout
+                                            : statement_error::busy,
+                    "the route's timeout passed");
+            }
+        });
+    if (this->impl->request.order.lane != 0) {
+        this->attempt_inside();
+    } else {
+        this->attempt();
+    }
+}
+
+void statement_run::attempt_inside() {
+    this->send(this->impl->request.order.database, std::nullopt);
+}
+
+bool statement_run::find_floor(std::optional<log_position>& floor) const {
+    run_request const& request = this->impl->request;
+    group_routing& group = this->impl->context.view.group(request.route.group);
+    floor = group.floors.floor_for(
+        request.route.max_staleness - staleness_margin, this->impl->plan.subject().started);
+    if (!floor) {
+        return false;
+    }
+    if (request.own_commit) {
+        floor = std::max(*floor, *request.own_commit);
+    }
+    return true;
+}
+
+void statement_run::attempt() {
+    run_request const& request = this->impl->request;
+    instant const now = this->impl->context.time.now();
+    group_routing& group = this->impl->context.view.group(request.route.group);
+    std::optional<std::string> chosen;
+    std::optional<log_position> floor;
+    if (request.needs_leader) {
+        if (group.leader()) {
+            chosen = group.leader()->database;
+        }
+    } else if (this->find_floor(floor)) {
+        chosen = group.choose_for_read(
+            floor, this->impl->context.availability_zone, this->impl->plan.tried(), now);
+    } else if (!this->impl->checked_leader && group.leader()) {
+        this->check_leader();
+        return;
+    }
+    if (!chosen) {
+        this->impl->checked_leader = false;
+        this->follow(this->impl->plan.no_database(now), {});
+        return;
+    }
+    this->send(*chosen, floor);
+}
+
+void statement_run::check_leader() {
+    this->impl->checked_leader = true;
+    run_request const& request = this->impl->request;
+    group_routing& group = this->impl->context.view.group(request.route.group);
+    work_order order;
+    order.kind = order_kind::leader_check;
+    order.group = request.route.group;
+    order.database = group.leader()->database;
+    order.team = request.order.team;
+    order.budget_ms = leader_check_budget_ms;
+    instant const sent = this->impl->context.time.now();
+    std::string const database = order.database;
+    group.sent(database);
+    this->impl->context.orders.submit(
+        std::move(order), [self = this->shared_from_this(), database,
+                           sent](work_answer answer, std::string const&) {
+            self->learn(database, sent, answer);
+            if (!self->impl->finished) {
+                self->attempt();
+            }
+        });
+}
+
+void statement_run::send(
+    std::string const& database, std::optional<log_position> floor) {
+    run_request const& request = this->impl->request;
+    instant const now = this->impl->context.time.now();
+    work_order order = request.order;
+    order.database = database;
+    order.floor = floor;
+    order.budget_ms = to_budget(this->impl->plan.remaining(now));
+    this->impl->context.view.group(request.route.group).sent(database);
+    this->impl->outstanding = true;
+    auto done = [self = this->shared_from_this(), database,
+                 now](work_answer answer, std::string const& owner) {
+        self->answered(database, now, std::move(answer), owner);
+    };
+    if (request.owner.empty()) {
+        this->impl->context.orders.submit(std::move(order), std::move(done));
+    } else {
+        this->impl->context.orders.submit_to(
+            request.owner, std::move(order), std::move(done));
+    }
+}
+
+void statement_run::learn(
+    std::string const& database, instant sent, work_answer const& answer) {
+    group_routing& group =
+        this->impl->context.view.group(this->impl->request.route.group);
+    learn_from_answer(group, database, sent, answer, this->impl->context.time.now());
+}
+
+void statement_run::answered(
+    std::string const& database,
+    instant sent,
+    work_answer answer,
+    std::string const& owner) {
+    this->learn(database, sent, answer);
+    if (this->impl->finished) {
+        // Too late for the caller; a transaction that it opened is not wanted any more.
+        if (answer.lane != 0 && this->impl->request.order.lane == 0) {
+            work_order order;
+            order.kind = order_kind::rollback;
+            order.lane = answer.lane;
+            order.database = database;
+            this->impl->context.orders.submit_to(
+                owner, std::move(order), [](work_answer const&, std::string const&) {});
+        }
+        return;
+    }
+    this->impl->outstanding = false;
+    instant const now = this->impl->context.time.now();
+    attempt_decision decision = this->impl->plan.answered(answer, database, now);
+    run_outcome outcome;
+    outcome.answer = std::move(answer);
+    outcome.database = database;
+    outcome.owner = owner;
+    this->follow(std::move(decision), std::move(outcome));
+}
+
+void statement_run::follow(attempt_decision decision, run_outcome outcome) {
+    switch (decision.step) {
+    case attempt_step::deliver:
+        this->finish(std::move(outcome));
+        return;
+    case attempt_step::try_again:
+        this->attempt();
+        return;
+    case attempt_step::try_later:
+        this->later();
+        return;
+    default:
+        this->refuse(decision.error, std::move(decision.error_text));
+    }
+}
+
+void statement_run::later() {
+    this->impl->pause.expires_after(retry_pause);
+    this->impl->pause.async_wait(
+        [self = this->shared_from_this()](boost::system::error_code failure) {
+            if (!failure && !self->impl->finished) {
+                self->attempt();
+            }
+        });
+}
+
+void statement_run::refuse(statement_error code, std::string text) {
+    run_outcome outcome;
+    outcome.refused = true;
+    outcome.answer.error = code;
+    outcome.answer.error_text = std::move(text);
+    this->finish(std::move(outcome));
+}
+
+void statement_run::finish(run_outcome outcome) {
+    if (std::exchange(this->impl->finished, true)) {
+        return;
+    }
+    this->impl->timer.cancel();
+    this->impl->pause.cancel();
+    outcome.attempts = this->impl->plan.attempts();
+    handler const done = std::exchange(this->impl->done, nullptr);
+    done(std::move(outcome));
+}
+
+} // namespace persimmonpoint::engine
--- /dev/null
+++ b/src/persimmonpoint/engine/statement_run.hpp
@@ -0,0 +1,80 @@
+#ifndef PERSIMMONPOINT_ENGINE_STATEMENT_RUN_HPP_INCLUDED
+#define PERSIMMONPOINT_ENGINE_STATEMENT_RUN_HPP_INCLUDED
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <persimmonpoint/core/catalog/fleet_configuration.hpp>
+#include <persimmonpoint/core/recovery/attempt_plan.hpp>
+#include <persimmonpoint/engine/dispatcher.hpp>
+#include <persimmonpoint/engine/fleet_view.hpp>
+#include <string>
+
+namespace persimmonpoint::engine {
+
+/// What a statement run needs of its host.
+struct run_context {
+    boost::asio::io_context& loop;
+    clock const& time;
+    fleet_view& view;
+    dispatcher& orders;
+    std::string availability_zone;
+};
+
+struct run_request {
+    work_order order;   ///< Kind, texts, values; the database is chosen by the run.
+    served_route route; ///< As it was when the transaction began.
+    bool needs_leader = false;
+    std::optional<log_position> own_commit; ///< Of the session, where its reads need it.
+    bool keeps_effect = false;
+    std::string owner; ///< Of the transaction's lane; empty outside a transaction.
+};
+
+struct run_outcome {
+    bool refused = false; ///< `answer.error` is the system's, not the database's.
+    work_answer answer;
+    std::string database;
+    std::string owner;
+    unsigned attempts = 0;
+};
+
+/// Takes one statement to a database, by as many attempts as its plan allows.
+class statement_run : public std::enable_shared_from_this<statement_run> {
+public:
+    using handler = std::function<void(run_outcome)>;
+
+    static void start(run_context& context, run_request request, handler done);
+
+    statement_run(run_context& context, run_request request, handler done);
+    ~statement_run();
+
+private:
+    void begin();
+    void attempt();
+    void attempt_inside();
+    void send(std::string const& database, std::optional<log_position> floor);
+    void answered(std::string const& database, instant sent, work_answer answer, std::string const& owner);
+    void learn(std::string const& database, instant sent, work_answer const& answer);
+    void check_leader();
+    void follow(attempt_decision decision, run_outcome outcome);
+    void later();
+    void refuse(statement_error code, std::string text);
+    void finish(run_outcome outcome);
+    /// False if no floor is known that is good enough.
+    bool find_floor(std::optional<log_position>& floor) const;
+
+    struct implementation;
+    std::unique_ptr<implementation> impl;
+};
+
+/// Takes note of what a database's answer tells about its group.
+void learn_from_answer(
+    group_routing& group,
+    std::string const& database,
+    instant sent,
+    work_answer const& answer,
+    instant now);
+
+} // namespace persimmonpoint::engine
+
+#endif // PERSIMMONPOINT_ENGINE_STATEMENT_RUN_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/engine/store_watch.hpp
@@ -0,0 +1,59 @@
+#ifndef PERSIMMONPOINT_ENGINE_STORE_WATCH_HPP_INCLUDED
+#define PERSIMMONPOINT_ENGINE_STORE_WATCH_HPP_INCLUDED
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <persimmonpoint/interfaces/clock.hpp>
+#include <persimmonpoint/interfaces/fleet_store.hpp>
+#include <string>
+
+namespace persimmonpoint::engine {
+
+/// What the store says, as it comes. Called on the control thread.
+class store_observer {
+public:
+    virtual ~store_observer() = default;
+    virtual void on_stored_configuration(stored_configuration configuration) = 0;
+    virtual void on_stored_databases(database_directory directory) = 0;
+    virtual void on_stored_hosts(host_directory hosts) = 0;
+};
+
+/// Follows the store: the operator's configuration, the databases, the hosts. Registers
+/// this host. Takes leases. Runs on the control thread.
+class store_watch {
+public:
+    store_watch(
+        boost::asio::io_context& loop,
+        clock const& clock,
+        fleet_store& store,
+        store_observer& observer,
+        registered_host self);
+    ~store_watch();
+
+    void start();
+    /// Stops to watch and removes this host from the store.
+    void leave();
+
+    /// A few hosts read the databases often and tell the others. Any thread.
+    void set_leading_reader(bool value);
+
+    using token_handler = std::function<void(std::optional<std::uint64_t>)>;
+    /// A fencing token for a group. `renew`: greater than the one that is held.
+    /// `lives`: whether a host of that name is there, as far as this one can tell.
+    void ask_token(
+        std::string const& group,
+        bool renew,
+        std::function<bool(std::string const&)> lives,
+        token_handler done);
+
+private:
+    struct implementation;
+    std::shared_ptr<implementation> impl;
+};
+
+} // namespace persimmonpoint::engine
+
+#endif // PERSIMMONPOINT_ENGINE_STORE_WATCH_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -0,0 +1,413 @@
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <persimmonpoint/core/routing/owner_ranking.hpp>
+#include <persimmonpoint/engine/boot_clock.hpp>
+#include <persimmonpoint/engine/caller_session.hpp>
+#include <persimmonpoint/engine/dispatcher.hpp>
+#include <persimmonpoint/engine/leadership_keeper.hpp>
+#include <persimmonpoint/engine/peer_mesh.hpp>
+#include <persimmonpoint/engine/quota_keeper.hpp>
+#include <persimmonpoint/engine/store_watch.hpp>
+#include <persimmonpoint/host/front_host.hpp>
+#include <persimmonpoint/net/http_responder.hpp>
+#include <persimmonpoint/net/tcp_options.hpp>
+#include <persimmonpoint/observe/event_log.hpp>
+#include <persimmonpoint/platform/fleet_decoder.hpp>
+#include <persimmonpoint/platform/line_connection.hpp>
+#include <persimmonpoint/platform/line_listener.hpp>
+#include <persimmonpoint/platform/operator_client.hpp>
+#include <persimmonpoint/platform/store_client.hpp>
+#include <set>
+#include <thread>
+#include <utility>
+
+namespace persimmonpoint::host {
+
+namespace asio = boost::asio;
+using namespace persimmonpoint::engine;
+
+namespace {
+
+/// Hosts that read the store often and pass its news on.
+constexpr std::size_t leading_readers = 2;
+/// The platform takes a host out after two questions a second apart.
+constexpr auto rotation_time = std::chrono::milliseconds(2300);
+constexpr auto drain_tick = std::chrono::milliseconds(50);
+/// Before the end of the grace, the process is gone.
+constexpr auto end_margin = std::chrono::milliseconds(500);
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+
+asio::ip::tcp::endpoint endpoint_of(std::string const& text) {
+    // The settings were checked when they were loaded.
+    return net::parse_endpoint(text).value_or(asio::ip::tcp::endpoint());
+}
+
+} // namespace
+
+struct front_host::implementation final : mesh_observer,
+                                          leadership_authority,
+                                          store_observer {
+    explicit implementation(settings::front_settings given)
+        : settings(std::move(given)),
+          self{settings.name, settings.peers, settings.availability_zone},
+          connector(traffic_loop), store(control_loop, settings.store),
+          promotion(control_loop, settings.promotion, settings.name),
+          watch(control_loop, time, store, *this, self),
+          evidence(*this), orders(traffic_loop, connector, time, evidence, view, settings.name),
+          runs{traffic_loop, time, view, orders, settings.availability_zone},
+          quotas(traffic_loop, time, view, settings.name), keeper(runs, *this),
+          mesh(traffic_loop, time, *this, self), sessions_context{runs, quotas, counts},
+          drain_timer(traffic_loop), signals(control_loop, SIGTERM, SIGINT, SIGHUP) {
+        this->orders.use(this->mesh);
+        this->quotas.start(this->mesh);
+        this->keeper.start(this->mesh);
+        this->mesh.set_seeds(this->settings.seeds);
+    }
+
+    /// The keeper is made after the dispatcher, which tells it what it sees.
+    struct evidence_relay final : owner_observer {
+        explicit evidence_relay(implementation& host) : host(host) {}
+        void on_answer(std::string const& database) override {
+            this->host.keeper.on_answer(database);
+        }
+        void on_refused(std::string const& database) override {
+            this->host.keeper.on_refused(database);
+        }
+        void on_silent(std::string const& database) override {
+            this->host.keeper.on_silent(database);
+        }
+        void on_commit_sent(std::string const& database) override {
+            this->host.keeper.on_commit_sent(database);
+        }
+        void on_commit_answered(std::string const& database) override {
+            this->host.keeper.on_commit_answered(database);
+        }
+        implementation& host;
+    };
+
+    // Threads
+
+    void run() {
+        observe::log_event(
+            observe::log_level::info, "started",
+            {{"zone", this->settings.availability_zone},
+             {"callers", this->settings.callers},
+             {"peers", this->settings.peers}});
+        net::http_responder readiness(
+            this->control_loop, endpoint_of(this->settings.readiness),
+            [this](std::string_view) { return this->answer_readiness(); });
+        std::unique_ptr<net::http_responder> metrics;
+        if (!this->settings.metrics.empty()) {
+            metrics = std::make_unique<net::http_responder>(
+                this->control_loop, endpoint_of(this->settings.metrics),
+                [this](std::string_view) { return this->answer_metrics(); });
+        }
+        this->wait_for_signal();
+        this->watch.start();
+        auto const keep_traffic = asio::make_work_guard(this->traffic_loop);
+        auto const keep_control = asio::make_work_guard(this->control_loop);
+        std::thread traffic([this] { this->traffic_loop.run(); });
+        this->control_loop.run();
+        traffic.join();
+        observe::log_event(observe::log_level::info, "stopped", {});
+    }
+
+    void wait_for_signal() {
+        this->signals.async_wait([this](boost::system::error_code failure, int signal) {
+            if (failure) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                // No setting can change while the process runs: addresses need a restart.
+                observe::log_event(observe::log_level::info, "settings_reread", {});
+                this->wait_for_signal();
+                return;
+            }
+            this->leaving = true;
+            observe::log_event(
+                observe::log_level::info, "stopping",
+                {{"grace_ms", this->settings.grace.count()}});
+            this->watch.leave();
+            asio::post(this->traffic_loop, [this] { this->begin_drain(); });
+        });
+    }
+
+    // Traffic thread: callers
+
+    void open_for_callers() {
+        if (this->listener || !this->view.is_ready()) {
+            return;
+        }
+        this->listener = std::make_unique<platform::line_listener>(
+            this->traffic_loop, endpoint_of(this->settings.callers),
+            [this](std::shared_ptr<caller_channel> channel) {
+                auto const session = std::make_shared<caller_session>(
+                    this->sessions_context, std::move(channel),
+                    [this](caller_session* ended) { this->sessions.erase(ended); });
+                this->sessions.emplace(session.get(), session);
+                return session;
+            });
+        this->ready = true;
+        observe::log_event(
+            observe::log_level::info, "ready",
+            {{"configuration", this->view.configuration->version},
+             {"databases", this->view.directory.current().databases.size()},
+             {"hosts", this->view.hosts.size()}});
+    }
+
+    void begin_drain() {
+        if (this->draining) {
+            return;
+        }
+        this->draining = true;
+        this->drain_began = std::chrono::steady_clock::now();
+        this->mesh.announce();
+        this->drain();
+    }
+
+    void drain() {
+        auto const passed = std::chrono::steady_clock::now() - this->drain_began;
+        if (passed >= rotation_time || !this->listener) {
+            this->close_idle_sessions();
+        }
+        bool const over = passed >= this->settings.grace - end_margin;
+        bool const done = this->sessions.empty() && this->orders.load() == 0 &&
+                          passed >= rotation_time;
+        if (over || done || !this->listener) {
+            this->end();
+            return;
+        }
+        this->drain_timer.expires_after(drain_tick);
+        this->drain_timer.async_wait([this](boost::system::error_code failure) {
+            if (!failure) {
+                this->drain();
+            }
+        });
+    }
+
+    void close_idle_sessions() {
+        std::vector<std::shared_ptr<caller_session>> open;
+        for (auto const& each : this->sessions) {
+            open.push_back(each.second);
+        }
+        for (auto const& each : open) {
+            each->close_if_idle();
+        }
+    }
+
+    void end() {
+        this->orders.close();
+        this->mesh.close();
+        this->control_loop.stop();
+        this->traffic_loop.stop();
+    }
+
+    // Traffic thread: news
+
+    void use_configuration(std::uint64_t row, std::string body) {
+        if (row <= this->view.configuration_row) {
+            return;
+        }
+        auto decoded = platform::decode_configuration(body);
+        if (!decoded) {
+            observe::log_event(
+                observe::log_level::error, "configuration_unreadable",
+                {{"row", row}, {"reason", decoded.error().message}});
+            return;
+        }
+        if (decoded.value().version < this->view.configuration->version) {
+            return;
+        }
+        this->view.configuration_row = row;
+        this->view.configuration_body = std::move(body);
+        this->view.configuration =
+            std::make_shared<fleet_configuration>(std::move(decoded.value()));
+        observe::log_event(
+            observe::log_level::info, "configuration_in_force",
+            {{"configuration", this->view.configuration->version}, {"row", row}});
+        this->quotas.refresh();
+        this->orders.refresh();
+        this->mesh.announce();
+        this->open_for_callers();
+    }
+
+    void directory_changed() {
+        this->view.share_out_databases();
+        observe::log_event(
+            observe::log_level::info, "databases_changed",
+            {{"directory", this->view.directory.current().version},
+             {"databases", this->view.directory.current().databases.size()}});
+        this->orders.refresh();
+        this->mesh.announce();
+        this->open_for_callers();
+    }
+
+    void use_hosts(host_directory hosts) {
+        this->view.hosts = std::move(hosts);
+        observe::log_event(
+            observe::log_level::info, "hosts_changed", {{"hosts", this->view.hosts.size()}});
+        this->mesh.set_hosts(this->view.hosts);
+        this->quotas.refresh();
+    }
+
+    // mesh_observer
+
+    void on_order(work_order order, order_source source, answer_handler done) override {
+        this->orders.run_here(std::move(order), source, std::move(done));
+    }
+    void on_source_gone(order_source source) override { this->orders.forget(source); }
+    void on_configuration(configuration_message message) override {
+        this->use_configuration(message.row_version, std::move(message.body));
+    }
+    void on_directory(directory_message message) override {
+        if (this->view.directory.received(message.directory)) {
+            this->directory_changed();
+        }
+    }
+    void on_leader(leader_message const& message) override {
+        this->view.group(message.group).leader_proved(message.database, message.term);
+    }
+    quota_grant_message on_quota_report(
+        std::string const& host, quota_report_message const& message) override {
+        return this->quotas.on_report(host, message);
+    }
+    void on_quota_grant(
+        std::string const& host, quota_grant_message const& message) override {
+        this->quotas.on_grant(host, message);
+    }
+    void on_reach_query(
+        std::string const& database, std::function<void(bool)> done) override {
+        this->keeper.probe(database, std::move(done));
+    }
+    void on_peers_changed() override {
+        this->orders.refresh();
+        auto const ranked = rank_owners("store", {}, this->mesh.usable_hosts());
+        auto const at = std::find(ranked.begin(), ranked.end(), this->settings.name);
+        this->watch.set_leading_reader(
+            static_cast<std::size_t>(at - ranked.begin()) < leading_readers);
+    }
+    alive_message own_state() override {
+        return alive_message{
+            this->leaving, this->view.configuration_row,
+            this->view.directory.current().version};
+    }
+    configuration_message own_configuration() override {
+        return configuration_message{
+            this->view.configuration_row, this->view.configuration_body};
+    }
+    directory_message own_directory() override {
+        return directory_message{this->view.directory.current()};
+    }
+
+    // leadership_authority, called on the traffic thread
+
+    void ask_token(
+        std::string const& group,
+        bool renew,
+        std::function<void(std::optional<std::uint64_t>)> done) override {
+        std::set<std::string> alive;
+        for (registered_host const& each : this->mesh.usable_hosts()) {
+            alive.insert(each.name);
+        }
+        asio::post(this->control_loop, [this, group, renew, alive = std::move(alive),
+                                        done = std::move(done)] {
+            this->watch.ask_token(
+                group, renew,
+                [alive](std::string const& host) { return alive.count(host) > 0; },
+                [this, done](std::optional<std::uint64_t> token) {
+                    asio::post(this->traffic_loop, [done, token] { done(token); });
+                });
+        });
+    }
+
+    void promote(
+        std::string const& group,
+        std::string const& database,
+        std::uint64_t token,
+        std::function<void(promotion_result)> done) override {
+        asio::post(this->control_loop, [this, group, database, token, done = std::move(done)] {
+            this->promotion.promote(
+                group, database, token, [this, done](promotion_result result) {
+                    asio::post(this->traffic_loop, [done, result] { done(result); });
+                });
+        });
+    }
+
+    // store_observer, called on the control thread
+
+    void on_stored_configuration(stored_configuration read) override {
+        asio::post(this->traffic_loop, [this, read = std::move(read)]() mutable {
+            this->use_configuration(read.row_version, std::move(read.body));
+        });
+    }
+    void on_stored_databases(database_directory read) override {
+        asio::post(this->traffic_loop, [this, read = std::move(read)] {
+            if (this->view.directory.read(read, this->time.now())) {
+                this->directory_changed();
+            }
+        });
+    }
+    void on_stored_hosts(host_directory hosts) override {
+        asio::post(this->traffic_loop, [this, hosts = std::move(hosts)]() mutable {
+            this->use_hosts(std::move(hosts));
+        });
+    }
+
+    // Control thread: HTTP
+
+    net::http_response answer_readiness() const {
+        bool const yes = this->ready && !this->leaving;
+        return net::http_response{
+            yes ? status_ok : status_unavailable, "text/plain", yes ? "ready\n" : "no\n"};
+    }
+
+    net::http_response answer_metrics() const {
+        net::http_response response;
+        response.body = "# not collected yet\n";
+        return response;
+    }
+
+    settings::front_settings settings;
+    registered_host self;
+    boot_clock time;
+    asio::io_context control_loop{1};
+    asio::io_context traffic_loop{1};
+    fleet_view view;
+    traffic_counts counts;
+    platform::line_connector connector;
+    platform::store_client store;
+    platform::operator_client promotion;
+    store_watch watch;
+    evidence_relay evidence;
+    dispatcher orders;
+    run_context runs;
+    quota_keeper quotas;
+    leadership_keeper keeper;
+    peer_mesh mesh;
+    session_context sessions_context;
+    std::map<caller_session*, std::shared_ptr<caller_session>> sessions;
+    std::unique_ptr<platform::line_listener> listener;
+    asio::steady_timer drain_timer;
+    asio::signal_set signals;
+    std::chrono::steady_clock::time_point drain_began;
+    bool draining = false;
+    std::atomic<bool> ready{false};
+    std::atomic<bool> leaving{false};
+};
+
+front_host::front_host(settings::front_settings settings)
+    : impl(std::make_unique<implementation>(std::move(settings))) {}
+
+front_host::~front_host() = default;
+
+void front_host::run() {
+    this->impl->run();
+}
+
+} // namespace persimmonpoint::host
--- /dev/null
+++ b/src/persimmonpoint/interfaces/fleet_store.hpp
@@ -0,0 +1,82 @@
+#ifndef PERSIMMONPOINT_INTERFACES_FLEET_STORE_HPP_INCLUDED
+#define PERSIMMONPOINT_INTERFACES_FLEET_STORE_HPP_INCLUDED
+
+/// What a fleet keeps outside itself, and where its configuration and its databases stand.
+
+#include <cstdint>
+#include <functional>
+#include <persimmonpoint/core/catalog/database_directory.hpp>
+#include <persimmonpoint/core/error.hpp>
+#include <persimmonpoint/core/recovery/leadership_change.hpp>
+#include <string>
+#include <string_view>
+
+namespace persimmonpoint {
+
+/// The operator's configuration as it lies in the store.
+struct stored_configuration {
+    std::uint64_t row_version = 0; ///< 0 if there is none yet.
+    std::string body;
+};
+
+/// A change seen by a watch.
+struct watch_result {
+    bool changed = false;
+    bool history_lost = false; ///< Everything is to be read again.
+    std::uint64_t version = 0; ///< Watch on from here.
+};
+
+struct stored_hosts {
+    std::uint64_t version = 0; ///< Watch on from here.
+    host_directory hosts;
+};
+
+/// Which host may replace the primary of a group, and its fencing token.
+struct leadership_lease {
+    std::string holder;
+    std::uint64_t token = 0;
+    std::uint64_t taken_at_ms = 0; ///< By the store's steady clock.
+    std::uint64_t row_version = 0; ///< 0: nobody has held it yet.
+    std::uint64_t store_now_ms = 0;
+};
+
+/// The platform's store as the fleet uses it. Handlers run on the caller's event loop; an
+/// error tells whether the call may still take effect.
+class fleet_store {
+public:
+    template <class T>
+    using handler = std::function<void(result<T>)>;
+
+    virtual ~fleet_store() = default;
+    virtual void read_configuration(handler<stored_configuration> done) = 0;
+    /// Ends when the configuration has changed after `version`, or after `wait`.
+    virtual void watch_configuration(
+        std::uint64_t version, std::chrono::milliseconds wait, handler<watch_result> done) = 0;
+    virtual void read_databases(handler<database_directory> done) = 0;
+    virtual void read_hosts(handler<stored_hosts> done) = 0;
+    virtual void watch_hosts(
+        std::uint64_t version, std::chrono::milliseconds wait, handler<watch_result> done) = 0;
+    virtual void register_host(registered_host const& host, handler<void> done) = 0;
+    virtual void remove_host(std::string_view name, handler<void> done) = 0;
+    virtual void read_lease(std::string_view group, handler<leadership_lease> done) = 0;
+    /// Writes the lease if its row still has `lease.row_version`. False if it has not.
+    virtual void take_lease(
+        std::string_view group, leadership_lease const& lease, handler<bool> done) = 0;
+};
+
+/// The platform's call that makes a database the primary of its group.
+class promoter {
+public:
+    using handler = std::function<void(promotion_result)>;
+
+    virtual ~promoter() = default;
+    virtual void promote(
+        std::string_view group,
+        std::string_view database,
+        std::uint64_t token,
+        handler done) = 0;
+};
+
+} // namespace persimmonpoint
+
+#endif // PERSIMMONPOINT_INTERFACES_FLEET_STORE_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/platform/fleet_decoder.hpp
@@ -0,0 +1,35 @@
+#ifndef PERSIMMONPOINT_PLATFORM_FLEET_DECODER_HPP_INCLUDED
+#define PERSIMMONPOINT_PLATFORM_FLEET_DECODER_HPP_INCLUDED
+
+/// The platform's documents, decoded into the project's types.
+
+#include <optional>
+#include <persimmonpoint/core/catalog/database_directory.hpp>
+#include <persimmonpoint/core/catalog/fleet_configuration.hpp>
+#include <persimmonpoint/core/error.hpp>
+#include <persimmonpoint/interfaces/fleet_store.hpp>
+#include <string>
+#include <string_view>
+
+namespace persimmonpoint::platform {
+
+/// Fails if the body can't be read as a configuration.
+result<fleet_configuration> decode_configuration(std::string_view body);
+
+/// An entry of the databases' registry. Fails, and names what is wrong, if a field is
+/// missing or of another type: such an entry names no database to use.
+result<registered_database>
+decode_database(std::string_view id, std::string_view body);
+
+std::string encode_host(registered_host const& host);
+result<registered_host> decode_host(std::string_view name, std::string_view body);
+
+std::string encode_lease(leadership_lease const& lease);
+result<leadership_lease> decode_lease(std::string_view body);
+
+std::string encode_base64(std::string_view bytes);
+std::optional<std::string> decode_base64(std::string_view text);
+
+} // namespace persimmonpoint::platform
+
+#endif // PERSIMMONPOINT_PLATFORM_FLEET_DECODER_HPP_INCLUDED
--- a/src/persimmonpoint/platform/http_client.cpp
+++ b/src/persimmonpoint/platform/http_client.cpp
@@ -131,12 +131,19 @@
 http_client::~http_client() = default;
 
 void http_client::request(
-    std::string_view method, std::string_view target, std::string body, handler handler) {
+    std::string_view method,
+    std::string_view target,
+    std::string body,
+    handler handler,
+    std::span<http_header const> headers) {
     implementation::job job;
     job.request.method(http::string_to_verb(method));
     job.request.target(target);
     job.request.set(http::field::host, this->impl->address);
     job.request.set(http::field::content_type, "application/json");
+    for (http_header const& each : headers) {
+        job.request.set(each.name, each.value);
+    }
     job.request.body() = std::move(body);
     job.request.prepare_payload();
     job.done = std::move(handler);
@@ -144,4 +151,10 @@
     this->impl->start_next();
 }
 
+void http_client::reset() {
+    if (this->impl->stream) {
+        this->impl->stream->cancel();
+    }
+}
+
 } // namespace persimmonpoint::platform
--- a/src/persimmonpoint/platform/http_client.hpp
+++ b/src/persimmonpoint/platform/http_client.hpp
@@ -7,11 +7,17 @@
 #include <functional>
 #include <memory>
 #include <persimmonpoint/core/error.hpp>
+#include <span>
 #include <string>
 #include <string_view>
 
 namespace persimmonpoint::platform {
 
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
 struct http_reply {
     unsigned status = 0;
     std::string body;
@@ -29,12 +35,15 @@
         std::uint16_t port,
         std::chrono::milliseconds timeout);
     ~http_client();
-    /// `method`: GET, PUT or POST.
+    /// `method`: GET, PUT, POST or DELETE.
     void request(
         std::string_view method,
         std::string_view target,
         std::string body,
-        handler handler);
+        handler handler,
+        std::span<http_header const> headers = {});
+    /// Breaks the connection off; a request that is under way fails.
+    void reset();
 
 private:
     struct implementation;
--- /dev/null
+++ b/src/persimmonpoint/platform/line_listener.cpp
@@ -0,0 +1,264 @@
+#include <array>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <persimmonpoint/net/tcp_options.hpp>
+#include <persimmonpoint/platform/line_listener.hpp>
+#include <persimmonpoint/platform/line_reader.hpp>
+#include <utility>
+
+namespace persimmonpoint::platform {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto unacknowledged_limit = std::chrono::milliseconds(5000);
+constexpr auto accept_pause = std::chrono::milliseconds(20);
+constexpr std::size_t read_bytes = 2048;
+
+/// One caller.
+class line_channel final : public caller_channel,
+                           public std::enable_shared_from_this<line_channel> {
+public:
+    explicit line_channel(tcp::socket socket) : socket(std::move(socket)) {}
+
+    void start(std::shared_ptr<caller_observer> watcher) {
+        this->observer = std::move(watcher);
+        net::set_tcp_options(this->socket, unacknowledged_limit);
+        this->read();
+    }
+
+    void accept() override {
+        this->started = true;
+        this->send(format_ready(transaction_state::idle, std::nullopt));
+        this->request_done();
+    }
+
+    void refuse(statement_error error, std::string_view text) override {
+        this->send_error(error, text);
+        this->close_after_write = true;
+        this->observer.reset();
+    }
+
+    void answer(caller_answer const& answer) override {
+        this->send(format_answer(answer));
+        this->request_done();
+    }
+
+    void close() override {
+        this->observer.reset();
+        if (this->writing || !this->outgoing.empty()) {
+            this->close_after_write = true;
+            return;
+        }
+        this->shut();
+    }
+
+private:
+    void read() {
+        if (this->reading || this->closed) {
+            return;
+        }
+        this->reading = true;
+        this->socket.async_read_some(
+            asio::buffer(this->received),
+            [self = this->shared_from_this()](
+                boost::system::error_code failure, std::size_t size) {
+                self->reading = false;
+                if (failure) {
+                    self->gone();
+                    return;
+                }
+                self->lines.add(std::string_view(self->received.data(), size));
+                self->take_lines();
+                if (!self->lines.is_over_long()) {
+                    self->read();
+                } else if (!self->busy) {
+                    self->break_off("message is too long", statement_error::too_large);
+                }
+            });
+    }
+
+    void take_lines() {
+        while (!this->busy && !this->closed && this->observer) {
+            auto const line = this->lines.next();
+            if (!line) {
+                return;
+            }
+            this->take_line(*line);
+        }
+    }
+
+    void take_line(std::string_view line) {
+        std::string_view rest = line;
+        std::string_view const word = take_word(rest);
+        if (has_stray_control(line)) {
+            this->break_off("stray control character", statement_error::malformed);
+        } else if (!this->started && word == "START") {
+            std::string_view const database = take_word(rest);
+            this->busy = true;
+            this->observer_alive()->on_start(database, rest);
+        } else if (this->started && word == "QUERY") {
+            this->take_query(rest);
+        } else if (word == "TERMINATE") {
+            this->gone();
+        } else {
+            this->break_off("message is not known here", statement_error::malformed);
+        }
+    }
+
+    void take_query(std::string_view rest) {
+        std::string_view const id = take_word(rest);
+        auto const parsed = parse_statement(id, rest);
+        // A dash would pass for a statement of the system's own.
+        if (id.empty() || id == "-" || !parsed) {
+            this->break_off("statement can't be read", statement_error::malformed);
+            return;
+        }
+        this->busy = true;
+        this->observer_alive()->on_statement(*parsed);
+    }
+
+    /// Keeps the observer while it is called.
+    std::shared_ptr<caller_observer> observer_alive() const { return this->observer; }
+
+    void request_done() {
+        this->busy = false;
+        if (this->closed) {
+            return;
+        }
+        asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+            self->take_lines();
+            if (!self->busy) {
+                self->read();
+            }
+        });
+    }
+
+    void break_off(std::string_view text, statement_error error) {
+        this->send_error(error, text);
+        this->close_after_write = true;
+        if (auto const watcher = std::exchange(this->observer, nullptr)) {
+            watcher->on_closed();
+        }
+    }
+
+    void send_error(statement_error error, std::string_view text) {
+        std::string line = "ERROR ";
+        line.append(error_word(error)).append(" ").append(text).append("\r\n");
+        this->send(std::move(line));
+    }
+
+    void send(std::string bytes) {
+        this->outgoing += bytes;
+        this->write();
+    }
+
+    void write() {
+        if (this->writing || this->closed || this->outgoing.empty()) {
+            return;
+        }
+        this->writing = true;
+        this->in_flight = std::exchange(this->outgoing, {});
+        asio::async_write(
+            this->socket, asio::buffer(this->in_flight),
+            [self = this->shared_from_this()](
+                boost::system::error_code failure, std::size_t) {
+                self->writing = false;
+                if (failure) {
+                    self->gone();
+                    return;
+                }
+                self->write();
+                if (self->close_after_write && !self->writing) {
+                    self->shut();
+                }
+            });
+    }
+
+    void gone() {
+        this->shut();
+        if (auto const watcher = std::exchange(this->observer, nullptr)) {
+            watcher->on_closed();
+        }
+    }
+
+    void shut() {
+        if (std::exchange(this->closed, true)) {
+            return;
+        }
+        boost::system::error_code ignored;
+        this->socket.shutdown(tcp::socket::shutdown_both, ignored);
+        this->socket.close(ignored);
+    }
+
+    tcp::socket socket;
+    std::shared_ptr<caller_observer> observer;
+    std::array<char, read_bytes> received{};
+    line_reader lines;
+    std::string outgoing;
+    std::string in_flight;
+    bool started = false;
+    bool busy = false; ///< A request is outstanding.
+    bool reading = false;
+    bool writing = false;
+    bool closed = false;
+    bool close_after_write = false;
+};
+
+} // namespace
+
+struct line_listener::implementation : std::enable_shared_from_this<implementation> {
+    implementation(
+        asio::io_context& loop, tcp::endpoint const& address, caller_acceptor take)
+        : loop(loop), acceptor(loop, address), timer(loop), take(std::move(take)) {}
+
+    void accept() {
+        this->acceptor.async_accept(
+            [self = this->shared_from_this()](
+                boost::system::error_code failure, tcp::socket socket) {
+                self->accepted(failure, std::move(socket));
+            });
+    }
+
+    void accepted(boost::system::error_code failure, tcp::socket socket) {
+        if (failure == asio::error::operation_aborted || !this->acceptor.is_open()) {
+            return;
+        }
+        if (failure) {
+            // Out of descriptors, most likely: a pause gives others the time to close.
+            this->timer.expires_after(accept_pause);
+            this->timer.async_wait(
+                [self = this->shared_from_this()](boost::system::error_code stopped) {
+                    if (!stopped) {
+                        self->accept();
+                    }
+                });
+            return;
+        }
+        auto const channel = std::make_shared<line_channel>(std::move(socket));
+        channel->start(this->take(channel));
+        this->accept();
+    }
+
+    asio::io_context& loop;
+    tcp::acceptor acceptor;
+    asio::steady_timer timer;
+    caller_acceptor take;
+};
+
+line_listener::line_listener(
+    asio::io_context& loop, tcp::endpoint const& address, caller_acceptor acceptor)
+    : impl(std::make_shared<implementation>(loop, address, std::move(acceptor))) {
+    this->impl->accept();
+}
+
+line_listener::~line_listener() = default;
+
+void line_listener::stop() {
+    boost::system::error_code ignored;
+    this->impl->acceptor.close(ignored);
+}
+
+} // namespace persimmonpoint::platform
--- /dev/null
+++ b/src/persimmonpoint/platform/line_reader.hpp
@@ -0,0 +1,48 @@
+#ifndef PERSIMMONPOINT_PLATFORM_LINE_READER_HPP_INCLUDED
+#define PERSIMMONPOINT_PLATFORM_LINE_READER_HPP_INCLUDED
+
+#include <cstddef>
+#include <optional>
+#include <persimmonpoint/platform/line_codec.hpp>
+#include <string>
+#include <string_view>
+
+namespace persimmonpoint::platform {
+
+/// Cuts received bytes into lines.
+class line_reader {
+public:
+    void add(std::string_view bytes) { this->buffer.append(bytes); }
+
+    /// The next whole line without its end; valid until the next call. Nothing if none is
+    /// whole yet.
+    std::optional<std::string_view> next() {
+        this->buffer.erase(0, this->used);
+        this->used = 0;
+        std::size_t const end = this->buffer.find("\r\n", this->searched);
+        if (end == std::string::npos) {
+            this->searched = this->buffer.empty() ? 0 : this->buffer.size() - 1;
+            return std::nullopt;
+        }
+        this->searched = 0;
+        this->used = end + 2;
+        return std::string_view(this->buffer).substr(0, end);
+    }
+
+    /// True if no line can be so long.
+    bool is_over_long() const { return this->buffer.size() - this->used > most_message_bytes; }
+
+private:
+    std::string buffer;
+    std::size_t used = 0;     ///< Bytes of the line that was given out last.
+    std::size_t searched = 0; ///< No end of line begins before this place.
+};
+
+/// True if a line holds a character that could end or start another message.
+inline bool has_stray_control(std::string_view line) {
+    return line.find_first_of(std::string_view("\r\n\0", 3)) != std::string_view::npos;
+}
+
+} // namespace persimmonpoint::platform
+
+#endif // PERSIMMONPOINT_PLATFORM_LINE_READER_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/platform/store_client.hpp
@@ -0,0 +1,44 @@
+#ifndef PERSIMMONPOINT_PLATFORM_STORE_CLIENT_HPP_INCLUDED
+#define PERSIMMONPOINT_PLATFORM_STORE_CLIENT_HPP_INCLUDED
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <persimmonpoint/interfaces/fleet_store.hpp>
+#include <string>
+
+namespace persimmonpoint::platform {
+
+/// The platform's store, by its published calls.
+class store_client final : public fleet_store {
+public:
+    /// `address`: IP number and port.
+    store_client(boost::asio::io_context& loop, std::string const& address);
+    ~store_client() override;
+
+    void read_configuration(handler<stored_configuration> done) override;
+    void watch_configuration(
+        std::uint64_t version,
+        std::chrono::milliseconds wait,
+        handler<watch_result> done) override;
+    void read_databases(handler<database_directory> done) override;
+    void read_hosts(handler<stored_hosts> done) override;
+    void watch_hosts(
+        std::uint64_t version,
+        std::chrono::milliseconds wait,
+        handler<watch_result> done) override;
+    void register_host(registered_host const& host, handler<void> done) override;
+    void remove_host(std::string_view name, handler<void> done) override;
+    void read_lease(std::string_view group, handler<leadership_lease> done) override;
+    void take_lease(
+        std::string_view group,
+        leadership_lease const& lease,
+        handler<bool> done) override;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> impl;
+};
+
+} // namespace persimmonpoint::platform
+
+#endif // PERSIMMONPOINT_PLATFORM_STORE_CLIENT_HPP_INCLUDED
--- /dev/null
+++ b/src/persimmonpoint/settings/front_settings.cpp
@@ -0,0 +1,102 @@
+#include <fstream>
+#include <persimmonpoint/net/tcp_options.hpp>
+#include <persimmonpoint/settings/front_settings.hpp>
+#include <persimmonpoint/settings/table_reader.hpp>
+#include <sstream>
+
+namespace persimmonpoint::settings {
+
+namespace {
+
+constexpr duration least_grace = std::chrono::milliseconds(500);
+constexpr duration most_grace = std::chrono::minutes(10);
+
+/// Reads one table; an absent one is read as empty.
+class section {
+public:
+    section(
+        toml::table const& root,
+        std::string_view name,
+        std::string_view file,
+        std::vector<finding>& findings)
+        : table(root[name].is_table() ? *root[name].as_table() : toml::table()),
+          reader(this->table, std::string(name), std::string(file), findings) {}
+
+    void required_address(std::string_view key, std::string& value) {
+        this->reader.require(key);
+        this->address(key, value);
+    }
+
+    void address(std::string_view key, std::string& value) {
+        this->reader.text(key, value);
+        if (!value.empty() && !net::parse_endpoint(value)) {
+            this->reader.report(key, "takes an IP number and a port");
+        }
+    }
+
+    toml::table table;
+    table_reader reader;
+};
+
+/// A comma stands between addresses.
+std::vector<std::string> split_addresses(std::string const& text) {
+    std::vector<std::string> out;
+    std::istringstream in(text);
+    for (std::string each; std::getline(in, each, ',');) {
+        if (net::parse_endpoint(each)) {
+            out.push_back(each);
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+loaded_front_settings load_front(std::string_view file, std::string_view text) {
+    loaded_front_settings out;
+    toml::table root;
+    try {
+        root = toml::parse(text, file);
+    } catch (toml::parse_error const& failure) {
+        out.findings.push_back(finding{
+            std::string(file), failure.source().begin.line, failure.source().begin.column,
+            "", std::string(failure.description())});
+        return out;
+    }
+    front_settings& values = out.values;
+    section host(root, "host", file, out.findings);
+    host.reader.require("name");
+    host.reader.text("name", values.name);
+    host.reader.text("availability_zone", values.availability_zone);
+    section listen(root, "listen", file, out.findings);
+    listen.required_address("callers", values.callers);
+    listen.required_address("readiness", values.readiness);
+    listen.required_address("peers", values.peers);
+    listen.address("metrics", values.metrics);
+    section platform(root, "platform", file, out.findings);
+    platform.required_address("store", values.store);
+    platform.required_address("promotion", values.promotion);
+    section peers(root, "peers", file, out.findings);
+    std::string seeds;
+    peers.reader.text("seeds", seeds);
+    values.seeds = split_addresses(seeds);
+    section stop(root, "stop", file, out.findings);
+    duration grace = values.grace;
+    stop.reader.length_of_time("grace", grace, least_grace, most_grace);
+    values.grace = std::chrono::duration_cast<std::chrono::milliseconds>(grace);
+    return out;
+}
+
+loaded_front_settings load_front_file(std::string const& path) {
+    std::ifstream input(path, std::ios::binary);
+    std::ostringstream text;
+    text << input.rdbuf();
+    if (!input) {
+        loaded_front_settings out;
+        out.findings.push_back(finding{path, 0, 0, "", "can't be read"});
+        return out;
+    }
+    return load_front(path, text.str());
+}
+
+} // namespace persimmonpoint::settings
--- /dev/null
+++ b/src/persimmonpoint/settings/front_settings.hpp
@@ -0,0 +1,50 @@
+#ifndef PERSIMMONPOINT_SETTINGS_FRONT_SETTINGS_HPP_INCLUDED
+#define PERSIMMONPOINT_SETTINGS_FRONT_SETTINGS_HPP_INCLUDED
+
+/// Settings of one host on the users' platform.
+
+#include <chrono>
+#include <cstdint>
+#include <persimmonpoint/settings/finding.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace persimmonpoint::settings {
+
+struct front_settings {
+    // [host]
+    std::string name;
+    std::string availability_zone;
+
+    // [listen] Each is an IP number and a port.
+    std::string callers;
+    std::string readiness;
+    std::string peers;
+    std::string metrics;
+
+    // [platform] Each is an IP number and a port.
+    std::string store;
+    std::string promotion;
+
+    // [peers]
+    std::vector<std::string> seeds; ///< Addresses of hosts to learn a configuration from.
+
+    // [stop]
+    std::chrono::milliseconds grace{6000}; ///< From the signal to the end.
+};
+
+struct loaded_front_settings {
+    front_settings values;
+    std::vector<finding> findings; ///< Empty if the settings may be used.
+};
+
+/// Reads and checks a whole file's text. Keys that aren't known are ignored.
+loaded_front_settings load_front(std::string_view file, std::string_view text);
+
+/// Reads the file first; a file that can't be read is a finding too.
+loaded_front_settings load_front_file(std::string const& path);
+
+} // namespace persimmonpoint::settings
+
+#endif // PERSIMMONPOINT_SETTINGS_FRONT_SETTINGS_HPP_INCLUDED
