Quota: a host borrows what it needs beyond its fixed part, one operation at a time

Cause: equal-demand grants renewed every 200 ms refuse operations within a team's rate, since a team's callers vary from second to second on each host; 370 refusals of teams that were within their rate.

--- a/src/persimmonpoint/core/limits/quota_share.cpp
+++ b/src/persimmonpoint/core/limits/quota_share.cpp
@@ -1,69 +1,58 @@
 #include <algorithm>
-#include <cmath>
 #include <persimmonpoint/core/limits/quota_share.hpp>
 
 namespace persimmonpoint {
 
 namespace {
 
-/// Over this time a past operation loses its weight in the demand.
-constexpr duration demand_memory = std::chrono::milliseconds(1500);
-/// A team may always save up one operation, however small its part is.
+// The users allow a window of five seconds a tenth over rate and burst, and 20 operations.
+constexpr double fixed_rate_share = 0.25;
+constexpr double fixed_burst_share = 0.2;
+/// Operations that all hosts together may save up beyond the shares.
+constexpr double fixed_extra_burst = 8;
+constexpr double lent_rate_share = 0.8;
+constexpr double lent_burst_share = 0.75;
 constexpr double least_burst = 1;
+/// A team without a rate is told to come back after this time, in seconds.
+constexpr double longest_wait = 10;
 
 } // namespace
 
-quota_share::quota_share(instant now) : refilled(now), asked_at(now) {}
-
-quota_part quota_share::part_at(instant now) const {
-    if (now >= this->granted_until) {
-        return this->fixed;
-    }
+quota_part fixed_part(quota_part whole, std::size_t hosts) {
+    auto const count = static_cast<double>(std::max<std::size_t>(hosts, 1));
     return quota_part{
-        this->fixed.rate + this->granted.rate, this->fixed.burst + this->granted.burst};
+        whole.rate * fixed_rate_share / count,
+        (whole.burst * fixed_burst_share + fixed_extra_burst) / count};
 }
 
-void quota_share::refill(instant now) {
-    // A grant that ended since the last refill counts until its end.
-    instant const grant_end = std::min(now, this->granted_until);
-    if (grant_end > this->refilled) {
-        this->tokens += this->granted.rate * to_seconds(grant_end - this->refilled);
-    }
-    this->tokens += this->fixed.rate * to_seconds(now - this->refilled);
-    this->tokens =
-        std::min(this->tokens, std::max(least_burst, this->part_at(now).burst));
-    this->refilled = now;
+quota_part lent_part(quota_part whole) {
+    return quota_part{whole.rate * lent_rate_share, whole.burst * lent_burst_share};
 }
 
-void quota_share::set_fixed(quota_part part, instant now) {
+quota_bucket::quota_bucket(double tokens, instant now) : tokens(tokens), refilled(now) {}
+
+void quota_bucket::set_part(quota_part next, instant now) {
     this->refill(now);
-    this->fixed = part;
+    this->part = next;
     this->refill(now);
 }
 
-void quota_share::set_grant(quota_part part, instant valid_until, instant now) {
-    this->refill(now);
-    this->granted = part;
-    this->granted_until = valid_until;
-    this->refill(now);
+void quota_bucket::refill(instant now) {
+    this->tokens += this->part.rate * to_seconds(now - this->refilled);
+    this->tokens = std::min(this->tokens, std::max(least_burst, this->part.burst));
+    this->refilled = now;
 }
 
-duration quota_share::take(instant now) {
-    this->asked = this->demand(now) * to_seconds(demand_memory) + 1;
-    this->asked_at = now;
+duration quota_bucket::take(instant now) {
     this->refill(now);
     if (this->tokens >= 1) {
         this->tokens -= 1;
         return duration(0);
     }
-    double const rate = std::max(this->part_at(now).rate, 0.1);
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>((1 - this->tokens) / rate));
-}
-
-double quota_share::demand(instant now) const {
-    double const memory = to_seconds(demand_memory);
-    return this->asked * std::exp(-to_seconds(now - this->asked_at) / memory) / memory;
+    double const wait = this->part.rate > 0 ? (1 - this->tokens) / this->part.rate : longest_wait;
+    return std::max(
+        duration(1), std::chrono::duration_cast<duration>(
+                         std::chrono::duration<double>(std::min(wait, longest_wait))));
 }
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -135,32 +135,42 @@
             return;
         case statement_step::run_single:
         case statement_step::open:
-            if (this->refuse_over_quota()) {
-                return;
-            }
-            break;
+            this->run_within_quota(what, std::move(decision));
+            return;
         default:
-            break;
+            this->run(what, decision);
         }
-        this->run(what, decision);
     }
 
-    bool refuse_over_quota() {
+    /// An operation counts against the team's quota with its first statement.
+    void run_within_quota(statement const& what, caller_decision decision) {
         if (this->team == anonymous_team) {
-            return false;
-        }
-        duration const wait = this->context.quotas.take(this->team);
-        if (wait <= duration(0)) {
-            return false;
+            this->run(what, decision);
+            return;
         }
-        auto const ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+        this->context.quotas.take(
+            this->team, [self = this->shared_from_this(), what,
+                         decision = std::move(decision)](duration wait) {
+                if (self->closed) {
+                    return;
+                }
+                if (wait > duration(0)) {
+                    self->refuse_over_quota(wait);
+                } else {
+                    self->run(what, decision);
+                }
+            });
+    }
+
+    void refuse_over_quota(duration wait) {
+        auto const ms = std::max<std::int64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(wait).count(), 1);
         ++this->context.counts.refused_quota;
         this->state.failed();
         this->log_refusal("over_quota", ms);
         this->answer_error(
             statement_error::busy,
             "the team is over its rate; retry_after_ms=" + std::to_string(ms));
-        return true;
     }
 
     void log_refusal(std::string_view reason, std::int64_t retry_ms) {
--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -155,8 +155,10 @@
             this->offer_news(*alive, [this, source](peer_message const& news) {
                 this->reply(source, news);
             });
-        } else if (auto* const report = std::get_if<quota_report_message>(&message)) {
-            this->reply(source, this->observer.on_quota_report(from.host, *report));
+        } else if (auto* const backing = std::get_if<endorsement_message>(&message)) {
+            this->observer.on_endorsement(from.host, *backing);
+        } else if (auto* const borrow = std::get_if<borrow_message>(&message)) {
+            this->reply(source, this->observer.on_borrow(*borrow));
         } else if (auto* const query = std::get_if<reach_query_message>(&message)) {
             this->observer.on_reach_query(
                 query->database, [weak = this->weak_from_this(), source,
@@ -386,8 +388,8 @@
                     peer.link->send(news);
                 }
             });
-        } else if (auto* const grant = std::get_if<quota_grant_message>(&message)) {
-            this->observer.on_quota_grant(name, *grant);
+        } else if (auto* const loan = std::get_if<loan_message>(&message)) {
+            this->observer.on_loan(*loan);
         } else if (auto* const reach = std::get_if<reach_answer_message>(&message)) {
             auto const waiter = peer.reach.find(reach->number);
             if (waiter != peer.reach.end()) {
--- a/src/persimmonpoint/engine/peer_mesh.hpp
+++ b/src/persimmonpoint/engine/peer_mesh.hpp
@@ -25,10 +25,10 @@
     virtual void on_configuration(configuration_message message) = 0;
     virtual void on_directory(directory_message message) = 0;
     virtual void on_leader(leader_message const& message) = 0;
-    virtual quota_grant_message
-    on_quota_report(std::string const& host, quota_report_message const& message) = 0;
     virtual void
-    on_quota_grant(std::string const& host, quota_grant_message const& message) = 0;
+    on_endorsement(std::string const& host, endorsement_message const& message) = 0;
+    virtual loan_message on_borrow(borrow_message const& message) = 0;
+    virtual void on_loan(loan_message const& message) = 0;
     virtual void
     on_reach_query(std::string const& database, std::function<void(bool)> done) = 0;
     /// A host became usable, or is no longer.
--- a/src/persimmonpoint/engine/peer_messages.cpp
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -52,21 +52,6 @@
     archive(value.version, value.databases);
 }
 
-template <class Archive>
-void serialize(Archive& archive, quota_part& value) {
-    archive(value.rate, value.burst);
-}
-
-template <class Archive>
-void serialize(Archive& archive, team_demand& value) {
-    archive(value.team, value.demand);
-}
-
-template <class Archive>
-void serialize(Archive& archive, team_grant& value) {
-    archive(value.team, value.part);
-}
-
 } // namespace persimmonpoint
 
 namespace persimmonpoint::engine {
@@ -129,13 +114,18 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, quota_report_message& value) {
-    archive(value.number, value.confirmed, value.demands);
+void serialize(Archive& archive, endorsement_message& value) {
+    archive(value.shard);
+}
+
+template <class Archive>
+void serialize(Archive& archive, borrow_message& value) {
+    archive(value.number, value.team);
 }
 
 template <class Archive>
-void serialize(Archive& archive, quota_grant_message& value) {
-    archive(value.number, value.grants);
+void serialize(Archive& archive, loan_message& value) {
+    archive(value.number, value.wait_us);
 }
 
 template <class Archive>
--- a/src/persimmonpoint/engine/peer_messages.hpp
+++ b/src/persimmonpoint/engine/peer_messages.hpp
@@ -4,8 +4,8 @@
 /// Messages between the hosts of this system. Each is idempotent.
 
 #include <cstdint>
+#include <optional>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
-#include <persimmonpoint/core/limits/quota_divider.hpp>
 #include <persimmonpoint/core/statement/work_order.hpp>
 #include <string>
 #include <variant>
@@ -55,16 +55,21 @@
     std::uint64_t term = 0;
 };
 
-/// What a host asks of teams' quotas, for the divider of these teams.
-struct quota_report_message {
+/// The sender borrows the quotas of this part of the teams from the receiver, and from no
+/// other host, for the life of an endorsement.
+struct endorsement_message {
+    std::uint32_t shard = 0;
+};
+
+/// May one operation of the team run?
+struct borrow_message {
     std::uint64_t number = 0;
-    std::uint64_t confirmed = 0; ///< Newest report that was granted.
-    std::vector<team_demand> demands;
+    std::string team;
 };
 
-struct quota_grant_message {
-    std::uint64_t number = 0; ///< Of the report.
-    std::vector<team_grant> grants;
+struct loan_message {
+    std::uint64_t number = 0;
+    std::int64_t wait_us = 0; ///< 0: it may run; else the time until one may.
 };
 
 /// Can you reach this database?
@@ -86,8 +91,9 @@
     configuration_message,
     directory_message,
     leader_message,
-    quota_report_message,
-    quota_grant_message,
+    endorsement_message,
+    borrow_message,
+    loan_message,
     reach_query_message,
     reach_answer_message>;
 
--- a/src/persimmonpoint/engine/quota_keeper.cpp
+++ b/src/persimmonpoint/engine/quota_keeper.cpp
@@ -2,39 +2,42 @@
 #include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
-#include <persimmonpoint/core/limits/quota_divider.hpp>
+#include <persimmonpoint/core/limits/quota_lender.hpp>
 #include <persimmonpoint/core/routing/owner_ranking.hpp>
 #include <persimmonpoint/engine/peer_mesh.hpp>
 #include <persimmonpoint/engine/quota_keeper.hpp>
+#include <utility>
+#include <vector>
 
 namespace persimmonpoint::engine {
 
 namespace {
 
-constexpr auto report_interval = std::chrono::milliseconds(200);
-/// Teams are divided in this many parts, each with one divider.
+constexpr auto endorse_interval = std::chrono::milliseconds(100);
+/// Teams are lent in this many parts, each by one host.
 constexpr std::size_t shard_count = 4;
-/// Teams that ask for less than this aren't reported; their fixed part is enough.
-constexpr double least_demand = 0.02;
-/// A report without an answer may still be answered after this many more.
-constexpr std::size_t most_open_reports = 10;
-
-struct open_report {
-    std::uint64_t number = 0;
-    instant sent{};
-    std::string divider;
-};
-
-struct shard {
-    std::vector<open_report> open;
-    std::uint64_t confirmed = 0;
-    std::string divider;
-};
+/// A loan without an answer is given up.
+constexpr duration loan_limit = std::chrono::milliseconds(60);
+/// What a caller is told if no lender answered.
+constexpr duration no_answer_wait = std::chrono::milliseconds(300);
 
 std::size_t shard_of(std::string_view team) {
     return rendezvous_weight("team", team) % shard_count;
 }
 
+/// A team's quota as this host spends it.
+struct team_quota {
+    quota_bucket own;
+    /// Until then the lender has nothing; it isn't asked.
+    instant refused_until{};
+};
+
+struct open_loan {
+    std::string team;
+    quota_keeper::handler done;
+    instant asked{};
+};
+
 } // namespace
 
 struct quota_keeper::implementation : std::enable_shared_from_this<implementation> {
@@ -43,131 +46,172 @@
         clock const& time,
         fleet_view const& view,
         std::string self)
-        : time(time), view(view), self(std::move(self)), timer(loop), divider(time.now()) {}
+        : time(time), view(view), self(std::move(self)), timer(loop), loan_timer(loop) {}
 
     void tick() {
-        this->timer.expires_after(report_interval);
+        this->timer.expires_after(endorse_interval);
         this->timer.async_wait(
             [weak = this->weak_from_this()](boost::system::error_code failure) {
                 auto const keeper = weak.lock();
                 if (keeper && !failure) {
-                    keeper->report();
+                    keeper->endorse();
                     keeper->tick();
                 }
             });
     }
 
-    void report() {
+    void endorse() {
         std::vector<registered_host> const hosts = this->mesh->usable_hosts();
-        std::array<std::vector<team_demand>, shard_count> demands;
         instant const now = this->time.now();
-        for (auto const& [team, share] : this->shares) {
-            double const demand = share.demand(now);
-            if (demand >= least_demand) {
-                demands[shard_of(team)].push_back({team, demand});
+        for (std::size_t i = 0; i < shard_count; ++i) {
+            std::string const wanted =
+                rank_owners("quota " + std::to_string(i), {}, hosts).front();
+            std::string const& lender = this->choices[i].choose(wanted, now);
+            this->usable[i] = !lender.empty();
+            endorsement_message const message{static_cast<std::uint32_t>(i)};
+            if (lender == this->self) {
+                this->on_endorsement(this->self, message);
+            } else if (!lender.empty()) {
+                this->mesh->send(lender, message);
             }
         }
-        for (std::size_t i = 0; i < shard_count; ++i) {
-            this->report_shard(i, std::move(demands[i]), hosts, now);
+    }
+
+    void on_endorsement(std::string const& host, endorsement_message const& message) {
+        if (message.shard < shard_count) {
+            this->lenders[message.shard].endorsed(host, this->time.now());
         }
     }
 
-    void report_shard(
-        std::size_t index,
-        std::vector<team_demand> demands,
-        std::vector<registered_host> const& hosts,
-        instant now) {
-        shard& part = this->shards[index];
-        std::string const divider_name =
-            rank_owners("quota " + std::to_string(index), {}, hosts).front();
-        if (part.divider != divider_name) {
-            if (!this->may_change_divider(part, now)) {
-                return;
+    void refresh() {
+        instant const now = this->time.now();
+        std::size_t const hosts = this->view.hosts.size();
+        auto const& teams = this->view.configuration->teams;
+        std::erase_if(this->quotas, [&](auto const& each) {
+            bool const gone = teams.count(each.first) == 0;
+            if (gone) {
+                this->lenders[shard_of(each.first)].forget_team(each.first);
             }
-            part.divider = divider_name;
-            part.open.clear();
-            part.confirmed = 0;
+            return gone;
+        });
+        for (quota_lender& each : this->lenders) {
+            each.set_host_count(hosts);
         }
-        quota_report_message message{++this->last_number, part.confirmed, std::move(demands)};
-        part.open.push_back({message.number, now, divider_name});
-        if (part.open.size() > most_open_reports) {
-            part.open.erase(part.open.begin());
+        for (auto const& [name, team] : teams) {
+            quota_part const whole{team.rate, team.burst};
+            team_quota& quota =
+                this->quotas.try_emplace(name, team_quota{quota_bucket(0, now), {}}).first->second;
+            quota.own.set_part(fixed_part(whole, hosts), now);
+            quota.refused_until = instant();
+            this->lenders[shard_of(name)].set_limit(name, whole, now);
         }
-        if (divider_name == this->self) {
-            this->on_grant(this->self, this->on_report(this->self, message));
+    }
+
+    void take(std::string_view team, handler done) {
+        instant const now = this->time.now();
+        auto const found = this->quotas.find(team);
+        if (found == this->quotas.end()) {
+            done(no_answer_wait);
+            return;
+        }
+        duration const wait = found->second.own.take(now);
+        if (wait <= duration(0)) {
+            done(duration(0));
+            return;
+        }
+        std::size_t const shard = shard_of(team);
+        if (now < found->second.refused_until) {
+            done(std::min(wait, found->second.refused_until - now));
+        } else if (!this->usable[shard]) {
+            done(std::min(wait, no_answer_wait));
         } else {
-            this->mesh->send(divider_name, message);
+            this->borrow(found->first, shard, std::move(done));
         }
     }
 
-    /// A host spends the grants of one divider at a time.
-    bool may_change_divider(shard const& part, instant now) const {
-        return part.divider.empty() ||
-               std::all_of(part.open.begin(), part.open.end(), [now](open_report const& each) {
-                   return now - each.sent >= quota_grant_life;
-               });
+    void borrow(std::string const& team, std::size_t shard, handler done) {
+        borrow_message const message{++this->last_number, team};
+        std::string const lender = this->choices[shard].current();
+        this->loans.emplace(
+            message.number, open_loan{team, std::move(done), this->time.now()});
+        if (lender == this->self) {
+            this->on_loan(this->on_borrow(message));
+            return;
+        }
+        this->mesh->send(lender, message);
+        this->watch_loans();
     }
 
-    quota_grant_message
-    on_report(std::string const& host, quota_report_message const& message) {
-        return quota_grant_message{
+    loan_message on_borrow(borrow_message const& message) {
+        duration const wait =
+            this->lenders[shard_of(message.team)].borrow(message.team, this->time.now());
+        return loan_message{
             message.number,
-            this->divider.report(
-                host, message.confirmed, message.number, message.demands, this->time.now())};
+            std::chrono::duration_cast<std::chrono::microseconds>(wait).count()};
     }
 
-    void on_grant(std::string const& host, quota_grant_message const& message) {
-        instant const now = this->time.now();
-        for (shard& part : this->shards) {
-            auto const found = std::find_if(
-                part.open.begin(), part.open.end(), [&](open_report const& each) {
-                    return each.number == message.number && each.divider == host;
-                });
-            if (found == part.open.end() || message.number <= part.confirmed) {
-                continue;
-            }
-            part.confirmed = message.number;
-            for (team_grant const& each : message.grants) {
-                auto const share = this->shares.find(each.team);
-                if (share != this->shares.end()) {
-                    share->second.set_grant(each.part, found->sent + quota_grant_life, now);
-                }
-            }
+    void on_loan(loan_message const& message) {
+        auto const found = this->loans.find(message.number);
+        if (found == this->loans.end()) {
+            return;
+        }
+        open_loan loan = std::move(found->second);
+        this->loans.erase(found);
+        duration const wait = std::chrono::microseconds(message.wait_us);
+        auto const quota = this->quotas.find(loan.team);
+        if (wait > duration(0) && quota != this->quotas.end()) {
+            quota->second.refused_until = this->time.now() + std::min(wait, no_answer_wait);
         }
+        loan.done(wait);
     }
 
-    void refresh() {
-        instant const now = this->time.now();
-        double const hosts =
-            static_cast<double>(std::max<std::size_t>(this->view.hosts.size(), 1));
-        this->divider.set_host_count(this->view.hosts.size());
-        auto const& teams = this->view.configuration->teams;
-        std::erase_if(this->shares, [&](auto const& each) {
-            return teams.count(each.first) == 0;
-        });
-        for (auto const& [name, team] : teams) {
-            quota_share& share = this->shares.try_emplace(name, now).first->second;
-            share.set_fixed(
-                {team.rate * fixed_rate_share / hosts, team.burst * fixed_burst_share / hosts},
-                now);
-            this->divider.set_limit(name, {team.rate, team.burst});
+    void watch_loans() {
+        if (std::exchange(this->watching, true)) {
+            return;
         }
+        this->loan_timer.expires_after(loan_limit / 2);
+        this->loan_timer.async_wait(
+            [weak = this->weak_from_this()](boost::system::error_code failure) {
+                auto const keeper = weak.lock();
+                if (keeper && !failure) {
+                    keeper->watching = false;
+                    keeper->expire_loans();
+                }
+            });
     }
 
-    duration take(std::string_view team) {
-        auto const found = this->shares.find(team);
-        return found == this->shares.end() ? duration(0) : found->second.take(this->time.now());
+    void expire_loans() {
+        instant const now = this->time.now();
+        std::vector<open_loan> expired;
+        for (auto each = this->loans.begin(); each != this->loans.end();) {
+            if (now - each->second.asked >= loan_limit) {
+                expired.push_back(std::move(each->second));
+                each = this->loans.erase(each);
+            } else {
+                ++each;
+            }
+        }
+        for (open_loan& each : expired) {
+            each.done(no_answer_wait);
+        }
+        if (!this->loans.empty()) {
+            this->watch_loans();
+        }
     }
 
     clock const& time;
     fleet_view const& view;
     std::string self;
     boost::asio::steady_timer timer;
+    boost::asio::steady_timer loan_timer;
     peer_mesh* mesh = nullptr;
-    quota_divider divider;
-    std::map<std::string, quota_share, std::less<>> shares;
-    std::array<shard, shard_count> shards;
+    std::map<std::string, team_quota, std::less<>> quotas;
+    std::array<quota_lender, shard_count> lenders;
+    std::array<lender_choice, shard_count> choices;
+    std::array<bool, shard_count> usable{};
+    std::map<std::uint64_t, open_loan> loans;
     std::uint64_t last_number = 0;
+    bool watching = false;
 };
 
 quota_keeper::quota_keeper(
@@ -179,6 +223,7 @@
 
 quota_keeper::~quota_keeper() {
     this->impl->timer.cancel();
+    this->impl->loan_timer.cancel();
 }
 
 void quota_keeper::start(peer_mesh& mesh) {
@@ -190,18 +235,21 @@
     this->impl->refresh();
 }
 
-duration quota_keeper::take(std::string_view team) {
-    return this->impl->take(team);
+void quota_keeper::take(std::string_view team, handler done) {
+    this->impl->take(team, std::move(done));
+}
+
+void quota_keeper::on_endorsement(
+    std::string const& host, endorsement_message const& message) {
+    this->impl->on_endorsement(host, message);
 }
 
-quota_grant_message quota_keeper::on_report(
-    std::string const& host, quota_report_message const& message) {
-    return this->impl->on_report(host, message);
+loan_message quota_keeper::on_borrow(borrow_message const& message) {
+    return this->impl->on_borrow(message);
 }
 
-void quota_keeper::on_grant(
-    std::string const& host, quota_grant_message const& message) {
-    this->impl->on_grant(host, message);
+void quota_keeper::on_loan(loan_message const& message) {
+    this->impl->on_loan(message);
 }
 
 } // namespace persimmonpoint::engine
--- a/src/persimmonpoint/engine/quota_keeper.hpp
+++ b/src/persimmonpoint/engine/quota_keeper.hpp
@@ -2,20 +2,25 @@
 #define PERSIMMONPOINT_ENGINE_QUOTA_KEEPER_HPP_INCLUDED
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <persimmonpoint/engine/fleet_view.hpp>
 #include <persimmonpoint/engine/peer_messages.hpp>
 #include <persimmonpoint/interfaces/clock.hpp>
 #include <string>
+#include <string_view>
 
 namespace persimmonpoint::engine {
 
 class peer_mesh;
 
-/// The teams' quotas on this host: spends its part, asks the teams' dividers for more, and
-/// divides the quotas of the teams that are this host's to divide.
+/// The teams' quotas on this host: spends its own part of them, borrows what it needs
+/// beyond, and lends the quotas that are this host's to lend.
 class quota_keeper {
 public:
+    /// Zero if the operation may run, else the time until one may.
+    using handler = std::function<void(duration wait)>;
+
     quota_keeper(
         boost::asio::io_context& loop,
         clock const& clock,
@@ -26,12 +31,12 @@
     /// The configuration or the number of hosts changed.
     void refresh();
 
-    /// Takes one operation of a team. Zero if it may run, else the time until one may.
-    duration take(std::string_view team);
+    /// Takes one operation of a team. The handler may be called at once.
+    void take(std::string_view team, handler done);
 
-    quota_grant_message
-    on_report(std::string const& host, quota_report_message const& message);
-    void on_grant(std::string const& host, quota_grant_message const& message);
+    void on_endorsement(std::string const& host, endorsement_message const& message);
+    loan_message on_borrow(borrow_message const& message);
+    void on_loan(loan_message const& message);
 
 private:
     struct implementation;
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -273,14 +273,14 @@
     void on_leader(leader_message const& message) override {
         this->view.group(message.group).leader_proved(message.database, message.term);
     }
-    quota_grant_message on_quota_report(
-        std::string const& host, quota_report_message const& message) override {
-        return this->quotas.on_report(host, message);
+    void on_endorsement(
+        std::string const& host, endorsement_message const& message) override {
+        this->quotas.on_endorsement(host, message);
     }
-    void on_quota_grant(
-        std::string const& host, quota_grant_message const& message) override {
-        this->quotas.on_grant(host, message);
+    loan_message on_borrow(borrow_message const& message) override {
+        return this->quotas.on_borrow(message);
     }
+    void on_loan(loan_message const& message) override { this->quotas.on_loan(message); }
     void on_reach_query(
         std::string const& database, std::function<void(bool)> done) override {
         this->keeper.probe(database, std::move(done));
