Owners that stepped in give their connections back; waits for a slot are bounded

Now idle connections over the limit are closed, a crowded database isn't asked for more for 0.7 s, and an order that has not begun within its target latency is refused. STATUS is no longer asked back to back.

--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -269,12 +269,7 @@
         this->machine.fire(leadership_event::candidate_lost);
         return;
     }
-    copy_facts& candidate = this->copies[this->chosen];
-    if (candidate.fresh) {
-        candidate.fresh = false;
-        candidate.asked = now - ask_again + poll_interval;
-    }
-    this->ask(actions, this->chosen, change_action_kind::ask_state, now);
+    this->poll_candidate(actions, now);
 }
 
 void leadership_change::promote(std::vector<change_action>& actions, instant now) {
@@ -289,6 +284,15 @@
         actions.push_back(
             change_action{change_action_kind::promote, this->chosen, 0, this->token});
     }
+    this->poll_candidate(actions, now);
+}
+
+void leadership_change::poll_candidate(std::vector<change_action>& actions, instant now) {
+    copy_facts& candidate = this->copies[this->chosen];
+    if (candidate.fresh) {
+        candidate.fresh = false;
+        candidate.asked = now - ask_again + poll_interval;
+    }
     this->ask(actions, this->chosen, change_action_kind::ask_state, now);
 }
 
@@ -303,12 +307,7 @@
         this->machine.fire(leadership_event::lead_not_seen);
         return;
     }
-    copy_facts& candidate = this->copies[this->chosen];
-    if (candidate.fresh) {
-        candidate.fresh = false;
-        candidate.asked = now - ask_again + poll_interval;
-    }
-    this->ask(actions, this->chosen, change_action_kind::ask_state, now);
+    this->poll_candidate(actions, now);
 }
 
 void leadership_change::release(std::vector<change_action>& actions, instant now) {
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -101,6 +101,7 @@
     void confirm(std::vector<change_action>& actions, instant now);
     void release(std::vector<change_action>& actions, instant now);
 
+    void poll_candidate(std::vector<change_action>& actions, instant now);
     void choose_candidate();
     bool candidate_has_all() const;
     void ask(
--- a/src/persimmonpoint/core/routing/connection_budget.hpp
+++ b/src/persimmonpoint/core/routing/connection_budget.hpp
@@ -8,6 +8,9 @@
 
 namespace persimmonpoint {
 
+/// How long an owner that stepped in keeps connections that it does not use.
+inline constexpr duration stand_in_idle_life = std::chrono::seconds(2);
+
 /// Connections and statements at a time of the owner at `rank`, out of what a database
 /// takes from all hosts. The first owner has most of them; the rest is kept for owners that
 /// step in, since the connections of a host that died linger.
@@ -21,6 +24,7 @@
     // One more than the database runs at a time covers the way there and back.
     limits.running = rank == 0 ? slots + 1 : slots;
     limits.per_team = slots;
+    limits.idle_life = rank == 0 ? duration(0) : stand_in_idle_life;
     return limits;
 }
 
--- a/src/persimmonpoint/core/routing/lane_choice.cpp
+++ b/src/persimmonpoint/core/routing/lane_choice.cpp
@@ -68,6 +68,32 @@
     return {};
 }
 
+std::vector<std::uint64_t> surplus_lanes(
+    std::span<lane_view const* const> lanes, lane_limits const& limits, instant now) {
+    std::vector<lane_view const*> idle;
+    for (lane_view const* const each : lanes) {
+        if (each->state == lane_state::idle) {
+            idle.push_back(each);
+        }
+    }
+    std::sort(idle.begin(), idle.end(), [](lane_view const* left, lane_view const* right) {
+        return left->last_used < right->last_used;
+    });
+    std::size_t excess =
+        lanes.size() > limits.connections ? lanes.size() - limits.connections : 0;
+    std::vector<std::uint64_t> surplus;
+    for (lane_view const* const each : idle) {
+        bool const stale =
+            limits.idle_life > duration(0) && now - each->last_used > limits.idle_life;
+        if (excess == 0 && !stale) {
+            break;
+        }
+        excess -= excess > 0 ? 1 : 0;
+        surplus.push_back(each->id);
+    }
+    return surplus;
+}
+
 std::vector<setup_step> plan_setup(work_order const& order, lane_view const& lane) {
     std::vector<setup_step> steps;
     bool const in_transaction = lane.state == lane_state::in_transaction;
--- a/src/persimmonpoint/core/routing/lane_choice.hpp
+++ b/src/persimmonpoint/core/routing/lane_choice.hpp
@@ -30,6 +30,8 @@
     std::uint32_t running = 1;
     /// Connections of one team that aren't held by open transactions.
     std::uint32_t per_team = 1;
+    /// Idle connections are closed after this time; 0: never.
+    duration idle_life{0};
 };
 
 struct lane_decision {
@@ -50,6 +52,11 @@
 lane_decision choose_lane(
     work_order const& order, std::span<lane_view const* const> lanes, lane_limits const& limits);
 
+/// Idle connections that are to be closed: what is over the limit, the one that was idle
+/// longest first, and what has been idle for too long.
+std::vector<std::uint64_t> surplus_lanes(
+    std::span<lane_view const* const> lanes, lane_limits const& limits, instant now);
+
 /// Commands that bring a lane's session into the state that an order needs, in order.
 enum class setup_kind { reset, set, prepare };
 struct setup_step {
--- a/src/persimmonpoint/core/statement/work_order.hpp
+++ b/src/persimmonpoint/core/statement/work_order.hpp
@@ -40,6 +40,7 @@
     std::optional<log_position> floor; ///< The database's log must reach it.
     session_values values;             ///< To be in force on the connection.
     std::uint32_t budget_ms = 0;       ///< Time left for the whole order.
+    std::uint32_t wait_ms = 0; ///< Longest wait for a connection and a slot; 0: the budget.
     std::uint32_t priority = 0;        ///< 0 is the highest.
     std::uint64_t term = 0;            ///< For `hold`.
 };
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t most_waiting = 400;
 /// After a failed connection attempt, the next one waits this long.
 constexpr duration reopen_pause = std::chrono::milliseconds(60);
+/// After a database took no further connection, none beyond those at hand is tried.
+constexpr duration crowded_time = std::chrono::milliseconds(700);
 /// Time that an order of the system's own may take if it names none.
 constexpr duration default_budget = std::chrono::milliseconds(500);
 
@@ -42,6 +44,7 @@
     order_source source = 0;
     answer_handler handler;
     instant deadline{};
+    instant start_by{}; ///< If it has not begun to run by then, it is refused.
     std::uint64_t arrival = 0;
 };
 
@@ -102,8 +105,12 @@
         duration const budget = order.budget_ms > 0
                                     ? duration(std::chrono::milliseconds(order.budget_ms))
                                     : default_budget;
+        duration const wait = order.wait_ms > 0
+                                  ? duration(std::chrono::milliseconds(order.wait_ms))
+                                  : budget;
         pending_order pending{
-            std::move(order), source, std::move(handler), now + budget, ++this->arrivals};
+            std::move(order),          source,         std::move(handler), now + budget,
+            now + std::min(wait, budget), ++this->arrivals};
         if (this->closed) {
             this->reply(pending, not_run(order_refusal::unreachable));
             return;
@@ -179,9 +186,26 @@
         return all;
     }
 
+    /// The limits, less what the database refused of late.
+    lane_limits present_limits() const {
+        lane_limits present = this->limits;
+        if (this->time.now() < this->crowded_until) {
+            present.connections =
+                std::min(present.connections, static_cast<std::uint32_t>(this->lanes.size()));
+        }
+        return present;
+    }
+
+    void trim() {
+        auto const all = this->views();
+        for (std::uint64_t const id : surplus_lanes(all, this->limits, this->time.now())) {
+            this->drop(id);
+        }
+    }
+
     lane* lane_for(work_order const& order) {
         auto const all = this->views();
-        lane_decision const decision = choose_lane(order, all, this->limits);
+        lane_decision const decision = choose_lane(order, all, this->present_limits());
         switch (decision.next) {
         case lane_decision::step::use:
             return &this->lanes.find(decision.lane)->second;
@@ -251,7 +275,9 @@
         }
         this->lanes.erase(found);
         this->open_again = this->time.now() + reopen_pause;
-        if (result == open_result::refused) {
+        if (result == open_result::crowded) {
+            this->crowded_until = this->time.now() + crowded_time;
+        } else if (result == open_result::refused) {
             this->observer.on_refused(this->database.id);
         } else if (result == open_result::silent) {
             this->observer.on_silent(this->database.id);
@@ -578,7 +604,7 @@
         std::list<pending_order> expired;
         for (auto each = this->waiting.begin(); each != this->waiting.end();) {
             auto const next = std::next(each);
-            if (each->deadline <= now) {
+            if (each->start_by <= now) {
                 expired.splice(expired.end(), this->waiting, each);
             }
             each = next;
@@ -668,6 +694,7 @@
     std::uint64_t opened_count = 0;
     std::uint32_t running = 0;
     instant open_again{};
+    instant crowded_until{};
     bool sweeping = false;
     bool closed = false;
 };
@@ -700,9 +727,14 @@
 
 void database_owner::set_limits(lane_limits limits) {
     this->impl->limits = limits;
+    this->impl->trim();
     this->impl->pump();
 }
 
+void database_owner::trim() {
+    this->impl->trim();
+}
+
 void database_owner::close() {
     this->impl->close();
 }
--- a/src/persimmonpoint/engine/database_owner.hpp
+++ b/src/persimmonpoint/engine/database_owner.hpp
@@ -47,6 +47,8 @@
     void forget(order_source source);
     void set_database(registered_database const& database);
     void set_limits(lane_limits limits);
+    /// Closes connections that are over the limits or idle for too long.
+    void trim();
     /// Ends everything; waiting orders are answered as not run.
     void close();
 
--- a/src/persimmonpoint/engine/dispatcher.cpp
+++ b/src/persimmonpoint/engine/dispatcher.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <limits>
 #include <map>
 #include <persimmonpoint/core/routing/connection_budget.hpp>
@@ -14,6 +15,7 @@
 constexpr order_source local_source = std::numeric_limits<order_source>::max();
 /// Owners that are tried for one order.
 constexpr std::size_t most_owners = 3;
+constexpr auto trim_interval = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -26,7 +28,7 @@
         fleet_view const& view,
         std::string self)
         : loop(loop), connector(connector), time(time), observer(observer), view(view),
-          self(std::move(self)) {}
+          self(std::move(self)), trimmer(loop) {}
 
     database_owner* owner(std::string const& id) {
         auto const found = this->owners.find(id);
@@ -106,6 +108,20 @@
         target->submit(std::move(order), source, std::move(done));
     }
 
+    void trim_later() {
+        this->trimmer.expires_after(trim_interval);
+        this->trimmer.async_wait(
+            [weak = this->weak_from_this()](boost::system::error_code failure) {
+                auto const self = weak.lock();
+                if (self && !failure) {
+                    for (auto& each : self->owners) {
+                        each.second->trim();
+                    }
+                    self->trim_later();
+                }
+            });
+    }
+
     void refresh() {
         for (auto each = this->owners.begin(); each != this->owners.end();) {
             registered_database const* const entry = this->view.find_database(each->first);
@@ -127,6 +143,7 @@
     owner_observer& observer;
     fleet_view const& view;
     std::string self;
+    boost::asio::steady_timer trimmer;
     peer_mesh* mesh = nullptr;
     std::map<std::string, std::unique_ptr<database_owner>, std::less<>> owners;
 };
@@ -139,9 +156,13 @@
     fleet_view const& view,
     std::string self)
     : impl(std::make_shared<implementation>(
-          loop, connector, clock, observer, view, std::move(self))) {}
+          loop, connector, clock, observer, view, std::move(self))) {
+    this->impl->trim_later();
+}
 
-dispatcher::~dispatcher() = default;
+dispatcher::~dispatcher() {
+    this->impl->trimmer.cancel();
+}
 
 void dispatcher::use(peer_mesh& mesh) {
     this->impl->mesh = &mesh;
--- a/src/persimmonpoint/engine/peer_messages.cpp
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -26,7 +26,8 @@
 void serialize(Archive& archive, work_order& value) {
     archive(value.kind, value.lane, value.group, value.database, value.team, value.id);
     archive(value.text, value.prepared, value.writes, value.read_only_transaction);
-    archive(value.floor, value.values, value.budget_ms, value.priority, value.term);
+    archive(value.floor, value.values, value.budget_ms, value.wait_ms);
+    archive(value.priority, value.term);
 }
 
 template <class Archive>
--- a/src/persimmonpoint/engine/statement_run.cpp
+++ b/src/persimmonpoint/engine/statement_run.cpp
@@ -16,6 +16,10 @@
 constexpr duration answer_margin = std::chrono::milliseconds(10);
 /// A leader check takes no slot; one that takes longer is lost.
 constexpr std::uint32_t leader_check_budget_ms = 250;
+/// A statement may wait for a slot for its target latency, but at least this long.
+constexpr duration least_wait = std::chrono::milliseconds(60);
+/// Time that a database has for a read before another is asked, at least.
+constexpr duration least_read_attempt = std::chrono::milliseconds(150);
 /// Share of the target latency that a statement may wait for a database to be there.
 constexpr int patience_divisor = 4;
 
@@ -174,6 +178,17 @@
         });
 }
 
+duration statement_run::attempt_limit(instant now) const {
+    run_request const& request = this->impl->request;
+    duration const remaining = this->impl->plan.remaining(now);
+    if (request.keeps_effect || request.order.lane != 0 ||
+        request.order.kind == order_kind::open_transaction) {
+        return remaining;
+    }
+    // A read whose answer is lost can be had elsewhere.
+    return std::min(remaining, std::max(request.route.target_latency, least_read_attempt));
+}
+
 void statement_run::send(
     std::string const& database, std::optional<log_position> floor) {
     run_request const& request = this->impl->request;
@@ -181,7 +196,8 @@
     work_order order = request.order;
     order.database = database;
     order.floor = floor;
-    order.budget_ms = to_budget(this->impl->plan.remaining(now));
+    order.budget_ms = to_budget(this->attempt_limit(now));
+    order.wait_ms = to_budget(std::max(request.route.target_latency, least_wait));
     this->impl->context.view.group(request.route.group).sent(database);
     this->impl->outstanding = true;
     auto done = [self = this->shared_from_this(), database,
--- a/src/persimmonpoint/engine/statement_run.hpp
+++ b/src/persimmonpoint/engine/statement_run.hpp
@@ -52,6 +52,7 @@
     void begin();
     void attempt();
     void attempt_inside();
+    duration attempt_limit(instant now) const;
     void send(std::string const& database, std::optional<log_position> floor);
     void answered(std::string const& database, instant sent, work_answer answer, std::string const& owner);
     void learn(std::string const& database, instant sent, work_answer const& answer);
--- a/src/persimmonpoint/platform/line_connection.cpp
+++ b/src/persimmonpoint/platform/line_connection.cpp
@@ -206,7 +206,8 @@
             return;
         }
         if (this->opened) {
-            this->finish_open(open_result::silent, std::nullopt);
+            // A database that has too many connections breaks a new one off.
+            this->finish_open(open_result::crowded, std::nullopt);
             return;
         }
         this->shut();
