--- a/src/persimmonpoint/core/limits/quota_lender.cpp
+++ b/src/persimmonpoint/core/limits/quota_lender.cpp
@@ -7,6 +7,8 @@
 
 /// An endorsement may be on its way for this long.
 constexpr duration transit_time = std::chrono::milliseconds(150);
+/// Part of the burst that a new lender starts with.
+constexpr double starting_share = 0.15;
 /// What a borrower is told while there is no lender.
 constexpr duration no_lender_wait = std::chrono::milliseconds(500);
 
@@ -35,11 +37,26 @@
     this->endorsements[std::string(host)] = now;
 }
 
+void quota_lender::withdrawn(std::string_view host) {
+    auto const found = this->endorsements.find(host);
+    if (found != this->endorsements.end()) {
+        this->endorsements.erase(found);
+    }
+}
+
 bool quota_lender::may_lend(instant now) {
     std::erase_if(this->endorsements, [now](auto const& each) {
         return now - each.second > endorsement_life;
     });
-    return this->endorsements.size() * 2 > this->host_count;
+    bool const endorsed = this->endorsements.size() * 2 > this->host_count;
+    if (endorsed && !this->lending) {
+        // The lender before has lent what was saved up.
+        for (auto& each : this->teams) {
+            each.second.drain_to(starting_share, now);
+        }
+    }
+    this->lending = endorsed;
+    return endorsed && !this->retired;
 }
 
 duration quota_lender::borrow(std::string_view team, instant now) {
@@ -50,15 +67,35 @@
     return found->second.take(now);
 }
 
-std::string const& lender_choice::choose(std::string_view wanted, instant now) {
+lender_choice::step lender_choice::choose(
+    std::string_view wanted, bool ended, bool heard, instant now) {
     bool const over = now - this->last_endorsed > endorsement_life + transit_time;
-    if (this->endorsed != wanted && !this->endorsed.empty() && !over) {
-        static std::string const none;
-        return none;
+    if (this->endorsed.empty() || ended || over) {
+        this->endorsed = wanted;
+        this->leaving = false;
+        this->last_endorsed = now;
+        return step::endorse;
+    }
+    if (this->endorsed != wanted) {
+        this->leaving = true;
+        return step::withdraw;
+    }
+    if (this->leaving) {
+        // Withdrawn but wanted again: only once that is settled.
+        return step::withdraw;
+    }
+    if (!heard) {
+        return step::wait;
     }
-    this->endorsed = wanted;
     this->last_endorsed = now;
-    return this->endorsed;
+    return step::endorse;
+}
+
+void lender_choice::released() {
+    if (this->leaving) {
+        this->endorsed.clear();
+        this->leaving = false;
+    }
 }
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/core/limits/quota_lender.hpp
+++ b/src/persimmonpoint/core/limits/quota_lender.hpp
@@ -29,7 +29,11 @@
     void forget_team(std::string_view team);
 
     void endorsed(std::string_view host, instant now);
+    /// The host no longer endorses this lender.
+    void withdrawn(std::string_view host);
     bool may_lend(instant now);
+    /// This host stops: it lends nothing any more.
+    void retire() { this->retired = true; }
 
     /// Lends one operation. Zero if it may run, else the time until one may.
     duration borrow(std::string_view team, instant now);
@@ -38,17 +42,28 @@
     std::size_t host_count = 1;
     std::map<std::string, quota_bucket, std::less<>> teams;
     std::map<std::string, instant, std::less<>> endorsements;
+    bool lending = false;
+    bool retired = false;
 };
 
-/// Which lender a host endorses. It keeps to the one before until its endorsement is over.
+/// Which lender a host endorses. It keeps to the one before until that has confirmed the
+/// withdrawal, is known to have ended, or the endorsement is over.
 class lender_choice {
 public:
-    /// The lender to endorse and to borrow from now; empty while none may be.
-    std::string const& choose(std::string_view wanted, instant now);
+    enum class step { endorse, withdraw, wait };
+
+    /// What to do now. `ended`: the current lender has certainly stopped to lend.
+    /// `heard`: the current lender said something just now.
+    step choose(std::string_view wanted, bool ended, bool heard, instant now);
+    /// The current lender confirmed the withdrawal.
+    void released();
+    /// Empty while none may be borrowed from.
     std::string const& current() const { return this->endorsed; }
+    bool may_borrow() const { return !this->endorsed.empty() && !this->leaving; }
 
 private:
     std::string endorsed;
+    bool leaving = false;
     instant last_endorsed{};
 };
 
--- a/src/persimmonpoint/core/limits/quota_share.cpp
+++ b/src/persimmonpoint/core/limits/quota_share.cpp
@@ -5,28 +5,47 @@
 
 namespace {
 
-// The users allow a window of five seconds a tenth over rate and burst, and 20 operations.
-constexpr double fixed_rate_share = 0.25;
+/// The users allow a window to be over rate and burst by these.
+constexpr double window_seconds = 5;
+constexpr double window_overrun = 0.1;
+constexpr double window_slack = 20; ///< Operations.
+/// Part of the allowed window that is never used.
+constexpr double window_reserve = 0.04;
+
 constexpr double fixed_burst_share = 0.2;
+constexpr double lent_burst_share = 0.4;
 /// Operations that all hosts together may save up beyond the shares.
 constexpr double fixed_extra_burst = 8;
-constexpr double lent_rate_share = 0.8;
-constexpr double lent_burst_share = 0.75;
 constexpr double least_burst = 1;
+/// All hosts' rates together, at most.
+constexpr double most_rate_share = 1.12;
+/// Part of the rate that needs no lender: what hosts cut off from the lender can serve.
+constexpr double fixed_rate_part = 0.42;
 /// A team without a rate is told to come back after this time, in seconds.
 constexpr double longest_wait = 10;
 
+/// The rate of all hosts together that keeps within the allowed window.
+double total_rate(quota_part whole) {
+    double const allowed =
+        (whole.rate * window_seconds + whole.burst) * (1 + window_overrun) + window_slack;
+    double const saved_up =
+        whole.burst * (fixed_burst_share + lent_burst_share) + 2 * fixed_extra_burst;
+    double const rate = (allowed * (1 - window_reserve) - saved_up) / window_seconds;
+    return std::clamp(rate, 0.0, whole.rate * most_rate_share);
+}
+
 } // namespace
 
 quota_part fixed_part(quota_part whole, std::size_t hosts) {
     auto const count = static_cast<double>(std::max<std::size_t>(hosts, 1));
     return quota_part{
-        whole.rate * fixed_rate_share / count,
+        total_rate(whole) * fixed_rate_part / count,
         (whole.burst * fixed_burst_share + fixed_extra_burst) / count};
 }
 
 quota_part lent_part(quota_part whole) {
-    return quota_part{whole.rate * lent_rate_share, whole.burst * lent_burst_share};
+    return quota_part{
+        total_rate(whole) * (1 - fixed_rate_part), whole.burst * lent_burst_share};
 }
 
 quota_bucket::quota_bucket(double tokens, instant now) : tokens(tokens), refilled(now) {}
@@ -43,6 +62,11 @@
     this->refilled = now;
 }
 
+void quota_bucket::drain_to(double share, instant now) {
+    this->refill(now);
+    this->tokens = std::min(this->tokens, this->part.burst * share);
+}
+
 duration quota_bucket::take(instant now) {
     this->refill(now);
     if (this->tokens >= 1) {
--- a/src/persimmonpoint/core/limits/quota_share.hpp
+++ b/src/persimmonpoint/core/limits/quota_share.hpp
@@ -23,6 +23,8 @@
 public:
     quota_bucket(double tokens, instant now);
     void set_part(quota_part part, instant now);
+    /// Drops all but a share of the burst.
+    void drain_to(double share, instant now);
     /// Takes one operation. Zero if it was there, else the time until it will be.
     duration take(instant now);
 
--- a/src/persimmonpoint/core/membership/peer_health.cpp
+++ b/src/persimmonpoint/core/membership/peer_health.cpp
@@ -20,6 +20,7 @@
 
 void peer_health::heard(instant now) {
     this->current = state::connected;
+    this->is_ended = false;
     this->reconnecting = false;
     this->since = now;
 }
--- a/src/persimmonpoint/core/membership/peer_health.hpp
+++ b/src/persimmonpoint/core/membership/peer_health.hpp
@@ -15,9 +15,16 @@
     void connecting(instant now);
     void heard(instant now);
     void lost(instant now);
+    /// Nothing listens at its address: the process has stopped.
+    void ended() { this->is_ended = true; }
     void leaving(bool value) { this->is_leaving = value; }
 
     bool usable() const { return !this->is_leaving && this->current != state::lost; }
+    /// True if it has certainly stopped, or takes no more work.
+    bool has_ended() const { return this->is_ended || this->is_leaving; }
+    bool heard_within(duration age, instant now) const {
+        return this->current == state::connected && now - this->since <= age;
+    }
     bool connected() const { return this->current == state::connected; }
     /// True if a link has been silent for so long that it must be given up.
     bool overdue(instant now) const;
@@ -28,6 +35,7 @@
     enum class state { untried, connecting, connected, lost };
     state current = state::untried;
     bool is_leaving = false;
+    bool is_ended = false;
     bool reconnecting = false;
     instant since{}; ///< Last heard, or when the attempt began, or when it was lost.
 };
--- a/src/persimmonpoint/core/recovery/primary_suspicion.cpp
+++ b/src/persimmonpoint/core/recovery/primary_suspicion.cpp
@@ -6,8 +6,8 @@
 
 /// A single refusal can be a restart of the listener; two in this order are not.
 constexpr unsigned refusals_that_prove = 2;
-constexpr duration silence_limit = std::chrono::milliseconds(600);
-constexpr duration commit_limit = std::chrono::milliseconds(900);
+constexpr duration silence_limit = std::chrono::milliseconds(400);
+constexpr duration commit_limit = std::chrono::milliseconds(600);
 
 } // namespace
 
--- a/src/persimmonpoint/engine/fleet_view.hpp
+++ b/src/persimmonpoint/engine/fleet_view.hpp
@@ -1,6 +1,8 @@
 #ifndef PERSIMMONPOINT_ENGINE_FLEET_VIEW_HPP_INCLUDED
 #define PERSIMMONPOINT_ENGINE_FLEET_VIEW_HPP_INCLUDED
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -14,12 +16,16 @@
 /// All that the traffic thread knows of the fleet.
 class fleet_view {
 public:
+    /// Hosts that are reckoned with while the store has not told their number.
+    static constexpr std::size_t assumed_hosts = 16;
+
     std::shared_ptr<fleet_configuration const> configuration =
         std::make_shared<fleet_configuration>();
     std::uint64_t configuration_row = 0; ///< 0 until one has been read.
     std::string configuration_body;      ///< As it lies in the store, for other hosts.
     directory_tracker directory;
     host_directory hosts;
+    std::uint64_t hosts_version = 0; ///< 0 until they have been read.
 
     /// What is known of a group; made when it is asked for first.
     group_routing& group(std::string_view name) {
@@ -53,6 +59,11 @@
     bool is_ready() const {
         return this->configuration_row > 0 && this->directory.current().version > 0;
     }
+    /// Number of hosts that share quotas; a guess on the safe side until it is known.
+    std::size_t host_count() const {
+        return this->hosts_version > 0 ? std::max<std::size_t>(this->hosts.size(), 1)
+                                       : assumed_hosts;
+    }
 
 private:
     std::map<std::string, group_routing, std::less<>> groups;
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -14,14 +14,14 @@
 
 constexpr auto tick_interval = std::chrono::milliseconds(30);
 /// A primary that says nothing for so long is asked whether it leads.
-constexpr duration probe_interval = std::chrono::milliseconds(250);
-constexpr std::uint32_t probe_budget_ms = 300;
+constexpr duration probe_interval = std::chrono::milliseconds(150);
+constexpr std::uint32_t probe_budget_ms = 200;
 /// A database that answered so recently is reached.
 constexpr duration reached_lately = std::chrono::milliseconds(300);
 /// Other hosts that are asked whether they reach a silent primary.
 constexpr std::size_t most_asked = 3;
 /// After others reached it, a silent primary is left alone for this time.
-constexpr duration leave_alone = std::chrono::milliseconds(1000);
+constexpr duration leave_alone = std::chrono::milliseconds(700);
 /// A change follows the one before in the same group no sooner than this.
 constexpr duration between_changes = std::chrono::milliseconds(1500);
 /// Owners of a group's primary that have been so for this long prepare for a change.
--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -28,7 +28,7 @@
 constexpr std::size_t neighbours = 3;
 /// A link without orders is given up after this time in a large fleet.
 constexpr duration unused_limit = std::chrono::seconds(20);
-constexpr duration reach_limit = std::chrono::milliseconds(350);
+constexpr duration reach_limit = std::chrono::milliseconds(250);
 
 work_answer link_lost() {
     work_answer answer;
@@ -157,6 +157,9 @@
             });
         } else if (auto* const backing = std::get_if<endorsement_message>(&message)) {
             this->observer.on_endorsement(from.host, *backing);
+            if (backing->withdrawn) {
+                this->reply(source, release_message{backing->shard});
+            }
         } else if (auto* const borrow = std::get_if<borrow_message>(&message)) {
             this->reply(source, this->observer.on_borrow(*borrow));
         } else if (auto* const query = std::get_if<reach_query_message>(&message)) {
@@ -188,6 +191,8 @@
             this->observer.on_configuration(std::move(*configuration));
         } else if (auto* const directory = std::get_if<directory_message>(&message)) {
             this->observer.on_directory(std::move(*directory));
+        } else if (auto* const hosts = std::get_if<hosts_message>(&message)) {
+            this->observer.on_hosts(std::move(*hosts));
         } else if (auto* const leader = std::get_if<leader_message>(&message)) {
             this->observer.on_leader(*leader);
         }
@@ -202,6 +207,9 @@
         if (mine.directory_version > theirs.directory_version) {
             send(this->observer.own_directory());
         }
+        if (mine.hosts_version > theirs.hosts_version) {
+            send(this->observer.own_hosts());
+        }
     }
 
     // Outgoing links
@@ -345,6 +353,9 @@
         peer.dialling.reset();
         if (failure) {
             this->lose(peer, failure.message());
+            if (failure == asio::error::connection_refused) {
+                peer.health.ended();
+            }
             return;
         }
         peer.link = std::make_unique<peer_link>(std::move(*socket));
@@ -356,6 +367,8 @@
                 auto const broken = this->peers.find(name);
                 if (broken != this->peers.end()) {
                     this->lose(broken->second, "closed by the other side");
+                    // Whether the process is gone shows at once.
+                    this->dial(broken->second, this->time.now());
                 }
             });
         peer.link->send(hello_message{peer_protocol_version, this->self.name});
@@ -390,6 +403,8 @@
             });
         } else if (auto* const loan = std::get_if<loan_message>(&message)) {
             this->observer.on_loan(*loan);
+        } else if (auto* const release = std::get_if<release_message>(&message)) {
+            this->observer.on_release(name, *release);
         } else if (auto* const reach = std::get_if<reach_answer_message>(&message)) {
             auto const waiter = peer.reach.find(reach->number);
             if (waiter != peer.reach.end()) {
@@ -533,6 +548,23 @@
            (found != this->impl->peers.end() && found->second.health.usable());
 }
 
+bool peer_mesh::has_ended(std::string_view host) const {
+    if (host == this->impl->self.name) {
+        return false;
+    }
+    auto const found = this->impl->peers.find(host);
+    return found == this->impl->peers.end() || found->second.health.has_ended();
+}
+
+bool peer_mesh::heard_within(std::string_view host, duration age) const {
+    if (host == this->impl->self.name) {
+        return true;
+    }
+    auto const found = this->impl->peers.find(host);
+    return found != this->impl->peers.end() &&
+           found->second.health.heard_within(age, this->impl->time.now());
+}
+
 std::vector<std::string> peer_mesh::connected_hosts() const {
     std::vector<std::string> names;
     for (auto const& each : this->impl->peers) {
--- a/src/persimmonpoint/engine/peer_mesh.hpp
+++ b/src/persimmonpoint/engine/peer_mesh.hpp
@@ -27,6 +27,8 @@
     virtual void on_leader(leader_message const& message) = 0;
     virtual void
     on_endorsement(std::string const& host, endorsement_message const& message) = 0;
+    virtual void
+    on_release(std::string const& host, release_message const& message) = 0;
     virtual loan_message on_borrow(borrow_message const& message) = 0;
     virtual void on_loan(loan_message const& message) = 0;
     virtual void
@@ -37,6 +39,8 @@
     virtual alive_message own_state() = 0;
     virtual configuration_message own_configuration() = 0;
     virtual directory_message own_directory() = 0;
+    virtual void on_hosts(hosts_message message) = 0;
+    virtual hosts_message own_hosts() = 0;
 };
 
 /// The links of this host to the other hosts, and which of these may be given work.
@@ -58,6 +62,10 @@
     /// This host and the others that may be given work, by name.
     std::vector<registered_host> usable_hosts() const;
     bool is_usable(std::string_view host) const;
+    /// True if a process of that name has certainly stopped, or takes no more work.
+    bool has_ended(std::string_view host) const;
+    /// True if the host said something within `age`; always true for this one.
+    bool heard_within(std::string_view host, duration age) const;
     /// Hosts that are linked at present.
     std::vector<std::string> connected_hosts() const;
 
--- a/src/persimmonpoint/engine/peer_messages.cpp
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -48,6 +48,11 @@
     archive(value.leaving, value.claims_primary, value.started_ms);
 }
 
+template <class Archive>
+void serialize(Archive& archive, registered_host& value) {
+    archive(value.name, value.address, value.availability_zone);
+}
+
 template <class Archive>
 void serialize(Archive& archive, database_directory& value) {
     archive(value.version, value.databases);
@@ -97,6 +102,7 @@
 template <class Archive>
 void serialize(Archive& archive, alive_message& value) {
     archive(value.leaving, value.configuration_row, value.directory_version);
+    archive(value.hosts_version);
 }
 
 template <class Archive>
@@ -116,9 +122,19 @@
 
 template <class Archive>
 void serialize(Archive& archive, endorsement_message& value) {
+    archive(value.shard, value.withdrawn);
+}
+
+template <class Archive>
+void serialize(Archive& archive, release_message& value) {
     archive(value.shard);
 }
 
+template <class Archive>
+void serialize(Archive& archive, hosts_message& value) {
+    archive(value.version, value.hosts);
+}
+
 template <class Archive>
 void serialize(Archive& archive, borrow_message& value) {
     archive(value.number, value.team);
--- a/src/persimmonpoint/engine/peer_messages.hpp
+++ b/src/persimmonpoint/engine/peer_messages.hpp
@@ -37,6 +37,7 @@
     bool leaving = false; ///< Takes no further orders.
     std::uint64_t configuration_row = 0; ///< Store's version of the row.
     std::uint64_t directory_version = 0;
+    std::uint64_t hosts_version = 0;
 };
 
 /// The operator's configuration as it lies in the store.
@@ -49,6 +50,11 @@
     database_directory directory;
 };
 
+struct hosts_message {
+    std::uint64_t version = 0;
+    host_directory hosts;
+};
+
 struct leader_message {
     std::string group;
     std::string database;
@@ -59,6 +65,12 @@
 /// other host, for the life of an endorsement.
 struct endorsement_message {
     std::uint32_t shard = 0;
+    bool withdrawn = false; ///< Or no longer.
+};
+
+/// The sender no longer counts the receiver's endorsement.
+struct release_message {
+    std::uint32_t shard = 0;
 };
 
 /// May one operation of the team run?
@@ -92,6 +104,8 @@
     directory_message,
     leader_message,
     endorsement_message,
+    release_message,
+    hosts_message,
     borrow_message,
     loan_message,
     reach_query_message,
--- a/src/persimmonpoint/engine/quota_keeper.cpp
+++ b/src/persimmonpoint/engine/quota_keeper.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+/// A lender that said nothing for so long is not endorsed further.
+constexpr duration lender_silence = std::chrono::milliseconds(250);
 constexpr auto endorse_interval = std::chrono::milliseconds(100);
 /// Teams are lent in this many parts, each by one host.
 constexpr std::size_t shard_count = 4;
@@ -66,26 +68,57 @@
         for (std::size_t i = 0; i < shard_count; ++i) {
             std::string const wanted =
                 rank_owners("quota " + std::to_string(i), {}, hosts).front();
-            std::string const& lender = this->choices[i].choose(wanted, now);
-            this->usable[i] = !lender.empty();
-            endorsement_message const message{static_cast<std::uint32_t>(i)};
-            if (lender == this->self) {
-                this->on_endorsement(this->self, message);
-            } else if (!lender.empty()) {
-                this->mesh->send(lender, message);
-            }
+            this->endorse_shard(static_cast<std::uint32_t>(i), wanted, now);
+        }
+    }
+
+    void endorse_shard(std::uint32_t index, std::string const& wanted, instant now) {
+        lender_choice& choice = this->choices[index];
+        std::string const before = choice.current();
+        auto const next = choice.choose(
+            wanted, this->mesh->has_ended(before),
+            this->mesh->heard_within(before, lender_silence), now);
+        if (next == lender_choice::step::wait) {
+            return;
+        }
+        endorsement_message const message{index, next == lender_choice::step::withdraw};
+        std::string const lender = choice.current();
+        if (lender != this->self) {
+            this->mesh->send(lender, message);
+            return;
+        }
+        this->on_endorsement(this->self, message);
+        if (message.withdrawn) {
+            choice.released();
+            this->endorse_shard(index, wanted, now);
         }
     }
 
     void on_endorsement(std::string const& host, endorsement_message const& message) {
-        if (message.shard < shard_count) {
-            this->lenders[message.shard].endorsed(host, this->time.now());
+        if (message.shard >= shard_count) {
+            return;
+        }
+        quota_lender& lender = this->lenders[message.shard];
+        if (message.withdrawn) {
+            lender.withdrawn(host);
+        } else {
+            lender.endorsed(host, this->time.now());
+        }
+    }
+
+    void on_release(std::string const& host, release_message const& message) {
+        bool const known =
+            message.shard < shard_count && this->choices[message.shard].current() == host;
+        if (!known) {
+            return;
         }
+        this->choices[message.shard].released();
+        this->endorse();
     }
 
     void refresh() {
         instant const now = this->time.now();
-        std::size_t const hosts = this->view.hosts.size();
+        std::size_t const hosts = this->view.host_count();
         auto const& teams = this->view.configuration->teams;
         std::erase_if(this->quotas, [&](auto const& each) {
             bool const gone = teams.count(each.first) == 0;
@@ -122,7 +155,7 @@
         std::size_t const shard = shard_of(team);
         if (now < found->second.refused_until) {
             done(std::min(wait, found->second.refused_until - now));
-        } else if (!this->usable[shard]) {
+        } else if (!this->choices[shard].may_borrow()) {
             done(std::min(wait, no_answer_wait));
         } else {
             this->borrow(found->first, shard, std::move(done));
@@ -208,7 +241,6 @@
     std::map<std::string, team_quota, std::less<>> quotas;
     std::array<quota_lender, shard_count> lenders;
     std::array<lender_choice, shard_count> choices;
-    std::array<bool, shard_count> usable{};
     std::map<std::uint64_t, open_loan> loans;
     std::uint64_t last_number = 0;
     bool watching = false;
@@ -244,6 +276,17 @@
     this->impl->on_endorsement(host, message);
 }
 
+void quota_keeper::on_release(
+    std::string const& host, release_message const& message) {
+    this->impl->on_release(host, message);
+}
+
+void quota_keeper::retire() {
+    for (quota_lender& each : this->impl->lenders) {
+        each.retire();
+    }
+}
+
 loan_message quota_keeper::on_borrow(borrow_message const& message) {
     return this->impl->on_borrow(message);
 }
--- a/src/persimmonpoint/engine/quota_keeper.hpp
+++ b/src/persimmonpoint/engine/quota_keeper.hpp
@@ -34,7 +34,11 @@
     /// Takes one operation of a team. The handler may be called at once.
     void take(std::string_view team, handler done);
 
+    /// This host takes no more work; it lends nothing from now on.
+    void retire();
+
     void on_endorsement(std::string const& host, endorsement_message const& message);
+    void on_release(std::string const& host, release_message const& message);
     loan_message on_borrow(borrow_message const& message);
     void on_loan(loan_message const& message);
 
--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -158,7 +158,7 @@
                 return;
             }
             watch->hosts_version = read.value().version;
-            watch->observer.on_stored_hosts(std::move(read.value().hosts));
+            watch->observer.on_stored_hosts(std::move(read.value()));
             watch->watch_hosts();
         });
     }
--- a/src/persimmonpoint/engine/store_watch.hpp
+++ b/src/persimmonpoint/engine/store_watch.hpp
@@ -18,7 +18,7 @@
     virtual ~store_observer() = default;
     virtual void on_stored_configuration(stored_configuration configuration) = 0;
     virtual void on_stored_databases(database_directory directory) = 0;
-    virtual void on_stored_hosts(host_directory hosts) = 0;
+    virtual void on_stored_hosts(stored_hosts hosts) = 0;
 };
 
 /// Follows the store: the operator's configuration, the databases, the hosts. Registers
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -37,6 +37,8 @@
 constexpr std::size_t leading_readers = 2;
 /// The platform takes a host out after two questions a second apart.
 constexpr auto rotation_time = std::chrono::milliseconds(2300);
+/// How long a host that is otherwise ready waits to learn of the others.
+constexpr auto hosts_patience = std::chrono::milliseconds(300);
 constexpr auto drain_tick = std::chrono::milliseconds(50);
 /// Before the end of the grace, the process is gone.
 constexpr auto end_margin = std::chrono::milliseconds(500);
@@ -63,7 +65,7 @@
           runs{traffic_loop, time, view, orders, settings.availability_zone},
           quotas(traffic_loop, time, view, settings.name), keeper(runs, *this),
           mesh(traffic_loop, time, *this, self), sessions_context{runs, quotas, counts},
-          drain_timer(traffic_loop), signals(control_loop, SIGTERM, SIGINT, SIGHUP) {
+          hosts_timer(traffic_loop), drain_timer(traffic_loop), signals(control_loop, SIGTERM, SIGINT, SIGHUP) {
         this->orders.use(this->mesh);
         this->quotas.start(this->mesh);
         this->keeper.start(this->mesh);
@@ -144,6 +146,10 @@
         if (this->listener || !this->view.is_ready()) {
             return;
         }
+        if (this->view.hosts_version == 0 && !this->waited_for_hosts) {
+            this->wait_for_hosts();
+            return;
+        }
         this->listener = std::make_unique<platform::line_listener>(
             this->traffic_loop, endpoint_of(this->settings.callers),
             [this](std::shared_ptr<caller_channel> channel) {
@@ -161,12 +167,25 @@
              {"hosts", this->view.hosts.size()}});
     }
 
+    /// Without the other hosts this one would take all databases for its own; but they may
+    /// not come to be known for as long as the store is away.
+    void wait_for_hosts() {
+        this->hosts_timer.expires_after(hosts_patience);
+        this->hosts_timer.async_wait([this](boost::system::error_code failure) {
+            if (!failure) {
+                this->waited_for_hosts = true;
+                this->open_for_callers();
+            }
+        });
+    }
+
     void begin_drain() {
         if (this->draining) {
             return;
         }
         this->draining = true;
         this->drain_began = std::chrono::steady_clock::now();
+        this->quotas.retire();
         this->mesh.announce();
         this->drain();
     }
@@ -248,12 +267,17 @@
         this->open_for_callers();
     }
 
-    void use_hosts(host_directory hosts) {
+    void use_hosts(std::uint64_t version, host_directory hosts) {
+        if (version <= this->view.hosts_version) {
+            return;
+        }
+        this->view.hosts_version = version;
         this->view.hosts = std::move(hosts);
         observe::log_event(
             observe::log_level::info, "hosts_changed", {{"hosts", this->view.hosts.size()}});
         this->mesh.set_hosts(this->view.hosts);
         this->quotas.refresh();
+        this->open_for_callers();
     }
 
     // mesh_observer
@@ -277,6 +301,9 @@
         std::string const& host, endorsement_message const& message) override {
         this->quotas.on_endorsement(host, message);
     }
+    void on_release(std::string const& host, release_message const& message) override {
+        this->quotas.on_release(host, message);
+    }
     loan_message on_borrow(borrow_message const& message) override {
         return this->quotas.on_borrow(message);
     }
@@ -295,7 +322,7 @@
     alive_message own_state() override {
         return alive_message{
             this->leaving, this->view.configuration_row,
-            this->view.directory.current().version};
+            this->view.directory.current().version, this->view.hosts_version};
     }
     configuration_message own_configuration() override {
         return configuration_message{
@@ -305,6 +332,13 @@
         return directory_message{this->view.directory.current()};
     }
 
+    void on_hosts(hosts_message message) override {
+        this->use_hosts(message.version, std::move(message.hosts));
+    }
+    hosts_message own_hosts() override {
+        return hosts_message{this->view.hosts_version, this->view.hosts};
+    }
+
     // leadership_authority, called on the traffic thread
 
     void ask_token(
@@ -353,9 +387,9 @@
             }
         });
     }
-    void on_stored_hosts(host_directory hosts) override {
-        asio::post(this->traffic_loop, [this, hosts = std::move(hosts)]() mutable {
-            this->use_hosts(std::move(hosts));
+    void on_stored_hosts(stored_hosts read) override {
+        asio::post(this->traffic_loop, [this, read = std::move(read)]() mutable {
+            this->use_hosts(read.version, std::move(read.hosts));
         });
     }
 
@@ -393,9 +427,11 @@
     session_context sessions_context;
     std::map<caller_session*, std::shared_ptr<caller_session>> sessions;
     std::unique_ptr<platform::line_listener> listener;
+    asio::steady_timer hosts_timer;
     asio::steady_timer drain_timer;
     asio::signal_set signals;
     std::chrono::steady_clock::time_point drain_began;
+    bool waited_for_hosts = false;
     bool draining = false;
     std::atomic<bool> ready{false};
     std::atomic<bool> leaving{false};
--- a/src/persimmonpoint/platform/line_connection.cpp
+++ b/src/persimmonpoint/platform/line_connection.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 /// From the first packet to the database's greeting.
-constexpr auto open_limit = std::chrono::milliseconds(700);
+constexpr auto open_limit = std::chrono::milliseconds(400);
 constexpr auto unacknowledged_limit = std::chrono::milliseconds(1500);
 constexpr std::size_t read_bytes = 4096;
 
