--- a/src/persimmonpoint/core/limits/quota_share.cpp
+++ b/src/persimmonpoint/core/limits/quota_share.cpp
@@ -17,6 +17,8 @@
 /// Operations that all hosts together may save up beyond the shares.
 constexpr double fixed_extra_burst = 8;
 constexpr double least_burst = 1;
+/// Operators' changes are to be in force within three seconds.
+constexpr duration lower_limit_delay = std::chrono::milliseconds(2000);
 /// All hosts' rates together, at most.
 constexpr double most_rate_share = 1.12;
 /// Part of the rate that needs no lender: what hosts cut off from the lender can serve.
@@ -52,14 +54,30 @@
 
 void quota_bucket::set_part(quota_part next, instant now) {
     this->refill(now);
-    this->part = next;
-    this->refill(now);
+    if (next.rate >= this->part.rate) {
+        this->part = next;
+        this->lower.reset();
+        return;
+    }
+    if (!this->lower) {
+        this->lower_from = now + lower_limit_delay;
+    }
+    this->lower = next;
 }
 
-void quota_bucket::refill(instant now) {
-    this->tokens += this->part.rate * to_seconds(now - this->refilled);
+void quota_bucket::fill_until(instant time) {
+    this->tokens += this->part.rate * to_seconds(time - this->refilled);
     this->tokens = std::min(this->tokens, std::max(least_burst, this->part.burst));
-    this->refilled = now;
+    this->refilled = time;
+}
+
+void quota_bucket::refill(instant now) {
+    if (this->lower && now >= this->lower_from) {
+        this->fill_until(std::max(this->lower_from, this->refilled));
+        this->part = *this->lower;
+        this->lower.reset();
+    }
+    this->fill_until(now);
 }
 
 void quota_bucket::drain_to(double share, instant now) {
--- a/src/persimmonpoint/core/limits/quota_share.hpp
+++ b/src/persimmonpoint/core/limits/quota_share.hpp
@@ -2,6 +2,7 @@
 #define PERSIMMONPOINT_CORE_LIMITS_QUOTA_SHARE_HPP_INCLUDED
 
 #include <cstddef>
+#include <optional>
 #include <persimmonpoint/core/time.hpp>
 
 namespace persimmonpoint {
@@ -22,6 +23,8 @@
 class quota_bucket {
 public:
     quota_bucket(double tokens, instant now);
+    /// A higher rate applies at once, a lower one after a while: callers have time to slow
+    /// down, and all hosts change within the time that the operator allows.
     void set_part(quota_part part, instant now);
     /// Drops all but a share of the burst.
     void drain_to(double share, instant now);
@@ -31,7 +34,11 @@
 private:
     void refill(instant now);
 
+    void fill_until(instant time);
+
     quota_part part;
+    std::optional<quota_part> lower; ///< Applies from `lower_from` on.
+    instant lower_from{};
     double tokens;
     instant refilled;
 };
