--- a/src/persimmonpoint/core/catalog/fleet_configuration.hpp
+++ b/src/persimmonpoint/core/catalog/fleet_configuration.hpp
@@ -40,7 +40,8 @@
 struct served_group {
     std::string name;
     std::uint32_t max_connections = 0; ///< To each database, over all hosts.
-    std::uint32_t sync_replicas = 0;   ///< Copies that must have a commit before its answer.
+    std::uint32_t sync_replicas =
+        0; ///< Copies that must have a commit before its answer.
 };
 
 /// One version of the configuration; not changed once it is in use.
--- a/src/persimmonpoint/core/limits/quota_lender.cpp
+++ b/src/persimmonpoint/core/limits/quota_lender.cpp
@@ -67,8 +67,8 @@
     return found->second.take(now);
 }
 
-lender_choice::step lender_choice::choose(
-    std::string_view wanted, bool ended, bool heard, instant now) {
+lender_choice::step
+lender_choice::choose(std::string_view wanted, bool ended, bool heard, instant now) {
     bool const over = now - this->last_endorsed > endorsement_life + transit_time;
     if (this->endorsed.empty() || ended || over) {
         this->endorsed = wanted;
--- a/src/persimmonpoint/core/limits/quota_lender.hpp
+++ b/src/persimmonpoint/core/limits/quota_lender.hpp
@@ -15,9 +15,9 @@
 
 /// Lends some teams' quotas to hosts, one operation at a time.
 ///
-/// Only one host can lend a team's quota at a time: a lender needs the endorsement of more
-/// than half of the registered hosts, and a host endorses another lender only once its
-/// endorsement of the one before is over.
+/// Only one host can lend a team's quota at a time: a lender needs the endorsement of
+/// more than half of the registered hosts, and a host endorses another lender only once
+/// its endorsement of the one before is over.
 ///
 /// Load it answers: a team's callers are spread unevenly over the hosts and change from
 /// second to second, so that equal shares refuse operations within the team's rate.
--- a/src/persimmonpoint/core/limits/quota_share.cpp
+++ b/src/persimmonpoint/core/limits/quota_share.cpp
@@ -91,7 +91,8 @@
         this->tokens -= 1;
         return duration(0);
     }
-    double const wait = this->part.rate > 0 ? (1 - this->tokens) / this->part.rate : longest_wait;
+    double const wait =
+        this->part.rate > 0 ? (1 - this->tokens) / this->part.rate : longest_wait;
     return std::max(
         duration(1), std::chrono::duration_cast<duration>(
                          std::chrono::duration<double>(std::min(wait, longest_wait))));
--- a/src/persimmonpoint/core/limits/quota_share.hpp
+++ b/src/persimmonpoint/core/limits/quota_share.hpp
@@ -15,16 +15,17 @@
 
 /// The part of a team's quota that a host may spend without asking anybody.
 quota_part fixed_part(quota_part whole, std::size_t hosts);
-/// The part of a team's quota that its lender hands out, one operation at a time. Together
-/// with all fixed parts it stays within what the users allow a window to be over.
+/// The part of a team's quota that its lender hands out, one operation at a time.
+/// Together with all fixed parts it stays within what the users allow a window to be
+/// over.
 quota_part lent_part(quota_part whole);
 
 /// A bucket that fills with time.
 class quota_bucket {
 public:
     quota_bucket(double tokens, instant now);
-    /// A higher rate applies at once, a lower one after a while: callers have time to slow
-    /// down, and all hosts change within the time that the operator allows.
+    /// A higher rate applies at once, a lower one after a while: callers have time to
+    /// slow down, and all hosts change within the time that the operator allows.
     void set_part(quota_part part, instant now);
     /// Drops all but a share of the burst.
     void drain_to(double share, instant now);
--- a/src/persimmonpoint/core/recovery/attempt_plan.cpp
+++ b/src/persimmonpoint/core/recovery/attempt_plan.cpp
@@ -32,7 +32,8 @@
     }
     if (answer.outcome == order_outcome::unknown && this->what.keeps_effect) {
         return refuse(
-            statement_error::in_doubt, "the database's answer to " + database + " was lost");
+            statement_error::in_doubt,
+            "the database's answer to " + database + " was lost");
     }
     if (this->what.in_transaction) {
         return refuse(
@@ -47,9 +48,9 @@
 
 attempt_decision attempt_plan::answered_error(
     work_answer const& answer, std::string const& database, instant now) {
-    bool const may_run_again = proves_not_run(answer.error) ||
-                               (answer.error == statement_error::failed &&
-                                !this->what.keeps_effect);
+    bool const may_run_again =
+        proves_not_run(answer.error) ||
+        (answer.error == statement_error::failed && !this->what.keeps_effect);
     if (this->what.in_transaction || !may_run_again) {
         return attempt_decision{};
     }
--- a/src/persimmonpoint/core/recovery/attempt_plan.hpp
+++ b/src/persimmonpoint/core/recovery/attempt_plan.hpp
@@ -19,10 +19,10 @@
 };
 
 enum class attempt_step {
-    deliver,     ///< The database's own answer goes to the caller.
-    try_again,   ///< At once, at a database not tried yet.
-    try_later,   ///< Behind a pause; all databases may be tried again.
-    refuse       ///< The caller gets the decision's error.
+    deliver,   ///< The database's own answer goes to the caller.
+    try_again, ///< At once, at a database not tried yet.
+    try_later, ///< Behind a pause; all databases may be tried again.
+    refuse     ///< The caller gets the decision's error.
 };
 
 struct attempt_decision {
@@ -41,7 +41,8 @@
     explicit attempt_plan(attempt_subject subject);
 
     /// What follows on the answer of a database.
-    attempt_decision answered(work_answer const& answer, std::string const& database, instant now);
+    attempt_decision
+    answered(work_answer const& answer, std::string const& database, instant now);
     /// What follows if no database can take the statement now.
     attempt_decision no_database(instant now);
 
@@ -52,8 +53,10 @@
     attempt_subject const& subject() const { return this->what; }
 
 private:
-    attempt_decision answered_error(work_answer const& answer, std::string const& database, instant now);
-    attempt_decision next(std::string const& database, statement_error last, std::string text, instant now);
+    attempt_decision
+    answered_error(work_answer const& answer, std::string const& database, instant now);
+    attempt_decision next(
+        std::string const& database, statement_error last, std::string text, instant now);
 
     attempt_subject what;
     std::vector<std::string> excluded;
--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -41,7 +41,10 @@
     std::uint64_t term,
     change_reason reason,
     instant now)
-    : old_primary(std::move(old_primary)), term(term), reason(reason), machine(rules()),
+    : old_primary(std::move(old_primary)),
+      term(term),
+      reason(reason),
+      machine(rules()),
       entered(now) {
     this->set_copies(std::move(copies));
 }
@@ -178,9 +181,8 @@
     copy_facts const* best = nullptr;
     for (auto const& [id, facts] : this->copies) {
         bool const better =
-            best == nullptr ||
-            std::make_pair(!facts.leaving, facts.report->received) >
-                std::make_pair(!best->leaving, best->report->received);
+            best == nullptr || std::make_pair(!facts.leaving, facts.report->received) >
+                                   std::make_pair(!best->leaving, best->report->received);
         if (better) {
             this->chosen = id;
             best = &facts;
@@ -206,8 +208,8 @@
     }
     this->unsettled = false;
     this->choose_candidate();
-    this->hold_candidate = this->reason != change_reason::primary_leaving &&
-                           this->copies[this->chosen].held;
+    this->hold_candidate =
+        this->reason != change_reason::primary_leaving && this->copies[this->chosen].held;
     this->machine.fire(leadership_event::candidate_chosen);
 }
 
@@ -324,8 +326,9 @@
     }
     this->machine.fire(leadership_event::all_resumed);
     actions.push_back(
-        this->promoted ? change_action{change_action_kind::finished, this->chosen, this->new_term}
-                       : change_action{change_action_kind::abandoned, {}});
+        this->promoted
+            ? change_action{change_action_kind::finished, this->chosen, this->new_term}
+            : change_action{change_action_kind::abandoned, {}});
 }
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -44,18 +44,18 @@
 
 enum class promotion_result {
     accepted,
-    conflict,   ///< The token is too old, or the database is not running.
-    not_done,   ///< Throttled or unavailable.
-    unanswered  ///< It may be carried out at any later time.
+    conflict,  ///< The token is too old, or the database is not running.
+    not_done,  ///< Throttled or unavailable.
+    unanswered ///< It may be carried out at any later time.
 };
 
 /// One replacement of a group's primary, from the decision to the new one's lead.
 ///
-/// No acknowledged commit may be left behind. A commit is acknowledged once one copy beside
-/// the primary has it. So all copies but the candidate are held, after which the primary
-/// can acknowledge only what the candidate has; then their positions are read, and the
-/// candidate is promoted only once it has reached them all. If the primary no longer feeds
-/// the candidate, that is held too, and the furthest copy is promoted.
+/// No acknowledged commit may be left behind. A commit is acknowledged once one copy
+/// beside the primary has it. So all copies but the candidate are held, after which the
+/// primary can acknowledge only what the candidate has; then their positions are read,
+/// and the candidate is promoted only once it has reached them all. If the primary no
+/// longer feeds the candidate, that is held too, and the furthest copy is promoted.
 ///
 /// A promotion without an answer may be carried out much later. Until it is settled the
 /// other copies stay held and only the same candidate is promoted again.
@@ -75,7 +75,8 @@
     void token_granted(std::uint64_t token);
     void token_refused(instant now);
     /// Answer to ask_state, hold or resume; nothing if the database did not answer.
-    void reported(std::string const& id, std::optional<database_state> report, instant now);
+    void
+    reported(std::string const& id, std::optional<database_state> report, instant now);
     void promotion_answered(promotion_result result, instant now);
 
     /// Actions that are due. Call it after each event and at least every 50 ms.
@@ -104,8 +105,8 @@
     void poll_candidate(std::vector<change_action>& actions, instant now);
     void choose_candidate();
     bool candidate_has_all() const;
-    void ask(
-        std::vector<change_action>& actions,
+    void
+    ask(std::vector<change_action>& actions,
         std::string const& id,
         change_action_kind kind,
         instant now);
--- a/src/persimmonpoint/core/recovery/leadership_chart.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_chart.hpp
@@ -38,7 +38,7 @@
     "securing",  "surveying",  "holding",   "comparing",
     "promoting", "confirming", "releasing", "over"};
 inline constexpr std::array<std::string_view, 11> leadership_events = {
-    "token_granted",  "candidate_chosen", "others_held",    "positions_covered",
+    "token_granted",  "candidate_chosen", "others_held",     "positions_covered",
     "call_accepted",  "token_outdated",   "candidate_leads", "lead_not_seen",
     "candidate_lost", "called_off",       "all_resumed"};
 
--- a/src/persimmonpoint/core/recovery/lease_rule.hpp
+++ b/src/persimmonpoint/core/recovery/lease_rule.hpp
@@ -11,8 +11,8 @@
 inline constexpr std::uint64_t lease_hold_ms = 3000;
 
 /// May `host` take the lease now? `holder_lives`: as far as this host can tell.
-inline bool may_take_lease(
-    leadership_lease const& lease, std::string_view host, bool holder_lives) {
+inline bool
+may_take_lease(leadership_lease const& lease, std::string_view host, bool holder_lives) {
     if (lease.row_version == 0 || lease.holder == host || !holder_lives) {
         return true;
     }
@@ -20,8 +20,7 @@
 }
 
 /// The lease that `host` writes in place of `lease`. The token grows with each taking.
-inline leadership_lease
-next_lease(leadership_lease const& lease, std::string_view host) {
+inline leadership_lease next_lease(leadership_lease const& lease, std::string_view host) {
     return leadership_lease{
         std::string(host), lease.token + 1, lease.store_now_ms, lease.row_version,
         lease.store_now_ms};
--- a/src/persimmonpoint/core/recovery/primary_suspicion.hpp
+++ b/src/persimmonpoint/core/recovery/primary_suspicion.hpp
@@ -8,8 +8,8 @@
 
 enum class primary_verdict {
     healthy,
-    silent, ///< Not heard of by this host; other hosts may still reach it.
-    gone,   ///< Its address refuses connections: the process has ended.
+    silent,       ///< Not heard of by this host; other hosts may still reach it.
+    gone,         ///< Its address refuses connections: the process has ended.
     cannot_commit ///< It answers reads, but no write has been acknowledged for long.
 };
 
--- a/src/persimmonpoint/core/routing/connection_budget.hpp
+++ b/src/persimmonpoint/core/routing/connection_budget.hpp
@@ -12,8 +12,8 @@
 inline constexpr duration stand_in_idle_life = std::chrono::seconds(2);
 
 /// Connections and statements at a time of the owner at `rank`, out of what a database
-/// takes from all hosts. The first owner has most of them; the rest is kept for owners that
-/// step in, since the connections of a host that died linger.
+/// takes from all hosts. The first owner has most of them; the rest is kept for owners
+/// that step in, since the connections of a host that died linger.
 inline lane_limits
 owner_limits(std::size_t rank, std::uint32_t max_connections, std::uint32_t slots) {
     std::uint32_t const part = rank == 0   ? max_connections - max_connections / 4
--- a/src/persimmonpoint/core/routing/floor_book.hpp
+++ b/src/persimmonpoint/core/routing/floor_book.hpp
@@ -11,8 +11,8 @@
 /// Log positions of one group's primary, and since when each covers everything.
 ///
 /// A primary that proves to lead answers with a position which covers every commit that
-/// was acknowledged before the request was sent. A read that accepts data of an age may use
-/// the oldest position that was asked for within that age: replicas reach it soonest.
+/// was acknowledged before the request was sent. A read that accepts data of an age may
+/// use the oldest position that was asked for within that age: replicas reach it soonest.
 class floor_book {
 public:
     /// `asked`: when the request was sent that the primary answered with the position.
--- a/src/persimmonpoint/core/routing/group_routing.hpp
+++ b/src/persimmonpoint/core/routing/group_routing.hpp
@@ -41,8 +41,8 @@
     void leader_denied(std::string_view id);
     std::optional<leader_belief> const& leader() const { return this->belief; }
 
-    /// The best database for a read whose floor is given; none of `excluded`. Nothing if no
-    /// database may be asked now.
+    /// The best database for a read whose floor is given; none of `excluded`. Nothing if
+    /// no database may be asked now.
     std::optional<std::string> choose_for_read(
         std::optional<log_position> floor,
         std::string_view availability_zone,
--- a/src/persimmonpoint/core/routing/lane_choice.cpp
+++ b/src/persimmonpoint/core/routing/lane_choice.cpp
@@ -76,9 +76,10 @@
             idle.push_back(each);
         }
     }
-    std::sort(idle.begin(), idle.end(), [](lane_view const* left, lane_view const* right) {
-        return left->last_used < right->last_used;
-    });
+    std::sort(
+        idle.begin(), idle.end(), [](lane_view const* left, lane_view const* right) {
+            return left->last_used < right->last_used;
+        });
     std::size_t excess =
         lanes.size() > limits.connections ? lanes.size() - limits.connections : 0;
     std::vector<std::uint64_t> surplus;
@@ -98,8 +99,7 @@
     std::vector<setup_step> steps;
     bool const in_transaction = lane.state == lane_state::in_transaction;
     bool const drop_prepared = !in_transaction && lane.prepared.size() > most_prepared;
-    bool const reset =
-        drop_prepared || has_foreign_values(lane.values, order.values);
+    bool const reset = drop_prepared || has_foreign_values(lane.values, order.values);
     if (reset) {
         steps.push_back({setup_kind::reset, {}, {}});
     }
--- a/src/persimmonpoint/core/routing/lane_choice.hpp
+++ b/src/persimmonpoint/core/routing/lane_choice.hpp
@@ -50,7 +50,9 @@
 /// Load it answers: connections are few and dear to open, and each is good for one team
 /// only. One with the session's values in force comes first, since others need a reset.
 lane_decision choose_lane(
-    work_order const& order, std::span<lane_view const* const> lanes, lane_limits const& limits);
+    work_order const& order,
+    std::span<lane_view const* const> lanes,
+    lane_limits const& limits);
 
 /// Idle connections that are to be closed: what is over the limit, the one that was idle
 /// longest first, and what has been idle for too long.
--- a/src/persimmonpoint/core/session/caller_state.cpp
+++ b/src/persimmonpoint/core/session/caller_state.cpp
@@ -85,7 +85,8 @@
         return done();
     case statement_verb::commit:
         this->ended();
-        return refused(statement_error::aborted, "the transaction failed and rolled back");
+        return refused(
+            statement_error::aborted, "the transaction failed and rolled back");
     default:
         return refused(
             statement_error::malformed, "the transaction failed; only its end is taken");
@@ -93,8 +94,7 @@
 }
 
 std::optional<caller_decision> caller_state::decide_session(statement const& what) {
-    bool const full =
-        this->session.size() + this->prepared.size() >= most_names;
+    bool const full = this->session.size() + this->prepared.size() >= most_names;
     switch (what.verb) {
     case statement_verb::set:
         if (full && this->session.count(what.name) == 0) {
@@ -107,19 +107,21 @@
         if (full && this->prepared.count(what.name) == 0) {
             return refused(statement_error::too_large, "too many prepared statements");
         }
-        this->prepared[what.name] = prepared_shape{
-            what.argument, what.verb == statement_verb::prepare_write};
+        this->prepared[what.name] =
+            prepared_shape{what.argument, what.verb == statement_verb::prepare_write};
         return done();
     case statement_verb::deallocate:
         if (this->prepared.erase(what.name) == 0) {
             return refused(
-                statement_error::unknown_statement, "nothing is prepared as " + what.name);
+                statement_error::unknown_statement,
+                "nothing is prepared as " + what.name);
         }
         return done();
     case statement_verb::execute:
         if (this->prepared.count(what.name) == 0) {
             return refused(
-                statement_error::unknown_statement, "nothing is prepared as " + what.name);
+                statement_error::unknown_statement,
+                "nothing is prepared as " + what.name);
         }
         return std::nullopt;
     default:
@@ -127,8 +129,7 @@
     }
 }
 
-caller_decision
-caller_state::to_run(statement const& what, statement_step step) const {
+caller_decision caller_state::to_run(statement const& what, statement_step step) const {
     caller_decision decision;
     decision.step = step;
     decision.writes = this->is_write(what);
@@ -138,8 +139,7 @@
     } else {
         decision.text = what.text;
     }
-    if (decision.writes && this->reads_only &&
-        this->current == transaction_state::open) {
+    if (decision.writes && this->reads_only && this->current == transaction_state::open) {
         return refused(statement_error::read_only, "the transaction only reads");
     }
     return decision;
--- a/src/persimmonpoint/core/session/caller_state.hpp
+++ b/src/persimmonpoint/core/session/caller_state.hpp
@@ -38,8 +38,8 @@
 /// caller that pauses behind BEGIN holds no connection.
 class caller_state {
 public:
-    /// Decides a statement and takes it into account. The outcome of what is to run must be
-    /// told by one of the members below before the next statement.
+    /// Decides a statement and takes it into account. The outcome of what is to run must
+    /// be told by one of the members below before the next statement.
     caller_decision decide(statement const& what);
 
     /// The transaction now is open at a database, on a connection of its owner.
--- a/src/persimmonpoint/core/statement/work_order.hpp
+++ b/src/persimmonpoint/core/statement/work_order.hpp
@@ -14,8 +14,8 @@
 namespace persimmonpoint {
 
 enum class order_kind {
-    single,           ///< One statement outside a transaction.
-    leader_read,      ///< A read inside a transaction of its own, which a primary only runs.
+    single,      ///< One statement outside a transaction.
+    leader_read, ///< A read inside a transaction of its own, which a primary only runs.
     open_transaction, ///< Opens a transaction and runs its first statement.
     in_transaction,
     commit,
@@ -40,9 +40,10 @@
     std::optional<log_position> floor; ///< The database's log must reach it.
     session_values values;             ///< To be in force on the connection.
     std::uint32_t budget_ms = 0;       ///< Time left for the whole order.
-    std::uint32_t wait_ms = 0; ///< Longest wait for a connection and a slot; 0: the budget.
-    std::uint32_t priority = 0;        ///< 0 is the highest.
-    std::uint64_t term = 0;            ///< For `hold`.
+    std::uint32_t wait_ms =
+        0; ///< Longest wait for a connection and a slot; 0: the budget.
+    std::uint32_t priority = 0; ///< 0 is the highest.
+    std::uint64_t term = 0;     ///< For `hold`.
 };
 
 /// What a database says of its own role and log.
--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -19,7 +19,9 @@
         session_context& context,
         std::shared_ptr<caller_channel> channel,
         ended_handler on_ended)
-        : context(context), channel(std::move(channel)), on_ended(std::move(on_ended)),
+        : context(context),
+          channel(std::move(channel)),
+          on_ended(std::move(on_ended)),
           idle_timer(context.runs.loop) {}
 
     fleet_configuration const& configuration() const {
@@ -97,7 +99,8 @@
     /// A key that was withdrawn ends its transactions too; a changed route does not.
     bool refuse_inadmissible(statement_error refusal, std::string const& holder) {
         bool const inside = this->state.state() != transaction_state::idle;
-        bool const other_team = inside && refusal == statement_error::none && holder != this->team;
+        bool const other_team =
+            inside && refusal == statement_error::none && holder != this->team;
         bool const matters = inside ? refusal == statement_error::denied || other_team
                                     : refusal != statement_error::none;
         if (!matters) {
@@ -112,7 +115,8 @@
 
     bool tell_of_idle_end(statement const& what) {
         this->was_idle_too_long = false;
-        if (what.verb == statement_verb::rollback || what.verb == statement_verb::commit) {
+        if (what.verb == statement_verb::rollback ||
+            what.verb == statement_verb::commit) {
             return false;
         }
         this->answer_error(
@@ -202,8 +206,9 @@
         order.read_only_transaction =
             first_read_only && this->route.kind != route_kind::primary;
         request.route = this->route;
-        request.keeps_effect = what.verb == statement_verb::commit ||
-                               (decision.step == statement_step::run_single && decision.writes);
+        request.keeps_effect =
+            what.verb == statement_verb::commit ||
+            (decision.step == statement_step::run_single && decision.writes);
         if (what.verb == statement_verb::commit) {
             order.writes = this->wrote;
         }
@@ -227,13 +232,14 @@
         this->running = true;
         statement_run::start(
             this->context.runs, std::move(request),
-            [self = this->shared_from_this(), verb = what.verb,
-             step = decision.step, writes = decision.writes](run_outcome outcome) {
+            [self = this->shared_from_this(), verb = what.verb, step = decision.step,
+             writes = decision.writes](run_outcome outcome) {
                 self->finished(verb, step, writes, std::move(outcome));
             });
     }
 
-    order_kind order_kind_of(statement const& what, caller_decision const& decision) const {
+    order_kind
+    order_kind_of(statement const& what, caller_decision const& decision) const {
         if (what.verb == statement_verb::commit) {
             return order_kind::commit;
         }
@@ -249,8 +255,8 @@
 
     // Outcomes
 
-    void finished(
-        statement_verb verb, statement_step step, bool writes, run_outcome outcome) {
+    void
+    finished(statement_verb verb, statement_step step, bool writes, run_outcome outcome) {
         this->running = false;
         work_answer& answer = outcome.answer;
         bool const good = answer.error == statement_error::none;
@@ -306,7 +312,8 @@
         counts.retries += outcome.attempts > 1 ? outcome.attempts - 1 : 0;
         if (good) {
             ++counts.succeeded;
-            auto const& leader = this->context.runs.view.group(this->route.group).leader();
+            auto const& leader =
+                this->context.runs.view.group(this->route.group).leader();
             bool const on_primary = leader && leader->database == outcome.database;
             if (!writes && verb != statement_verb::commit) {
                 ++(on_primary ? counts.reads_on_primaries : counts.reads_on_replicas);
@@ -352,9 +359,7 @@
 
     // Answers
 
-    void answer_done() {
-        this->reply({});
-    }
+    void answer_done() { this->reply({}); }
 
     void answer_error(statement_error code, std::string text) {
         caller_answer reply;
@@ -395,7 +400,9 @@
     void end_idle_transaction() {
         observe::log_event(
             observe::log_level::info, "transaction_idle_ended",
-            {{"id", this->current_id}, {"team", this->team}, {"route", this->route.name}});
+            {{"id", this->current_id},
+             {"team", this->team},
+             {"route", this->route.name}});
         this->drop_lane();
         this->state.failed();
         this->was_idle_too_long = true;
@@ -412,7 +419,8 @@
         order.database = this->lane_database;
         order.group = this->route.group;
         this->context.runs.orders.submit_to(
-            this->lane_owner, std::move(order), [](work_answer const&, std::string const&) {});
+            this->lane_owner, std::move(order),
+            [](work_answer const&, std::string const&) {});
     }
 
     void end() {
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -95,8 +95,12 @@
         clock const& time,
         owner_observer& observer,
         registered_database database)
-        : connector(connector), time(time), observer(observer),
-          database(std::move(database)), sweeper(loop), loop(loop) {}
+        : connector(connector),
+          time(time),
+          observer(observer),
+          database(std::move(database)),
+          sweeper(loop),
+          loop(loop) {}
 
     // Orders
 
@@ -108,9 +112,12 @@
         duration const wait = order.wait_ms > 0
                                   ? duration(std::chrono::milliseconds(order.wait_ms))
                                   : budget;
-        pending_order pending{
-            std::move(order),          source,         std::move(handler), now + budget,
-            now + std::min(wait, budget), ++this->arrivals};
+        pending_order pending{std::move(order),
+                              source,
+                              std::move(handler),
+                              now + budget,
+                              now + std::min(wait, budget),
+                              ++this->arrivals};
         if (this->closed) {
             this->reply(pending, not_run(order_refusal::unreachable));
             return;
@@ -156,8 +163,11 @@
     /// Starts what can be started. Higher priority first, then by arrival.
     void pump() {
         this->waiting.sort([](pending_order const& left, pending_order const& right) {
-            return std::make_tuple(!is_control(left.order.kind), left.order.priority, left.arrival) <
-                   std::make_tuple(!is_control(right.order.kind), right.order.priority, right.arrival);
+            return std::make_tuple(
+                       !is_control(left.order.kind), left.order.priority, left.arrival) <
+                   std::make_tuple(
+                       !is_control(right.order.kind), right.order.priority,
+                       right.arrival);
         });
         for (auto each = this->waiting.begin(); each != this->waiting.end();) {
             bool const control = is_control(each->order.kind);
@@ -190,15 +200,16 @@
     lane_limits present_limits() const {
         lane_limits present = this->limits;
         if (this->time.now() < this->crowded_until) {
-            present.connections =
-                std::min(present.connections, static_cast<std::uint32_t>(this->lanes.size()));
+            present.connections = std::min(
+                present.connections, static_cast<std::uint32_t>(this->lanes.size()));
         }
         return present;
     }
 
     void trim() {
         auto const all = this->views();
-        for (std::uint64_t const id : surplus_lanes(all, this->limits, this->time.now())) {
+        for (std::uint64_t const id :
+             surplus_lanes(all, this->limits, this->time.now())) {
             this->drop(id);
         }
     }
@@ -347,8 +358,8 @@
             steps.push_back({begin, false});
         }
         upstream_command main;
-        main.action = order.prepared ? upstream_action::execute_prepared
-                                     : upstream_action::forward;
+        main.action =
+            order.prepared ? upstream_action::execute_prepared : upstream_action::forward;
         if (order.kind == order_kind::rollback) {
             main.action = upstream_action::rollback;
         }
@@ -465,8 +476,9 @@
     void setup_failed(lane& on, upstream_answer answer) {
         pending_order pending = this->take_current(on);
         work_answer out;
-        bool const was_begin = on.steps[on.next_step].command.action == upstream_action::begin ||
-                               on.steps[on.next_step].command.action == upstream_action::begin_read;
+        bool const was_begin =
+            on.steps[on.next_step].command.action == upstream_action::begin ||
+            on.steps[on.next_step].command.action == upstream_action::begin_read;
         if (was_begin && proves_not_run(answer.error)) {
             out.outcome = order_outcome::answered;
             out.error = answer.error;
@@ -475,8 +487,7 @@
         } else {
             out.refusal = order_refusal::unreachable;
         }
-        bool const reusable =
-            was_begin && answer.state == transaction_state::idle;
+        bool const reusable = was_begin && answer.state == transaction_state::idle;
         std::uint64_t const id = on.view.id;
         if (reusable) {
             on.view.state = lane_state::idle;
@@ -506,10 +517,9 @@
         out.state = answer.state;
         bool const good = out.error == statement_error::none;
         out.leader_confirmed = good && proves_lead(order);
-        bool const stays_open =
-            (order.kind == order_kind::open_transaction ||
-             order.kind == order_kind::in_transaction) &&
-            answer.state == transaction_state::open;
+        bool const stays_open = (order.kind == order_kind::open_transaction ||
+                                 order.kind == order_kind::in_transaction) &&
+                                answer.state == transaction_state::open;
         pending_order pending = this->take_current(on);
         if (stays_open) {
             on.view.state = lane_state::in_transaction;
--- a/src/persimmonpoint/engine/dispatcher.cpp
+++ b/src/persimmonpoint/engine/dispatcher.cpp
@@ -27,8 +27,13 @@
         owner_observer& observer,
         fleet_view const& view,
         std::string self)
-        : loop(loop), connector(connector), time(time), observer(observer), view(view),
-          self(std::move(self)), trimmer(loop) {}
+        : loop(loop),
+          connector(connector),
+          time(time),
+          observer(observer),
+          view(view),
+          self(std::move(self)),
+          trimmer(loop) {}
 
     database_owner* owner(std::string const& id) {
         auto const found = this->owners.find(id);
@@ -86,7 +91,8 @@
     void submit_to(std::string const& host, work_order order, handler done) {
         if (host == this->self) {
             this->run_here(
-                std::move(order), local_source, [host, done = std::move(done)](work_answer answer) {
+                std::move(order), local_source,
+                [host, done = std::move(done)](work_answer answer) {
                     done(std::move(answer), host);
                 });
             return;
@@ -124,7 +130,8 @@
 
     void refresh() {
         for (auto each = this->owners.begin(); each != this->owners.end();) {
-            registered_database const* const entry = this->view.find_database(each->first);
+            registered_database const* const entry =
+                this->view.find_database(each->first);
             if (entry == nullptr) {
                 // Its handlers run while it still is in the map.
                 each->second->close();
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -168,11 +168,13 @@
         group_routing& routing = this->context.view.group(name);
         routing.sent(primary);
         this->context.orders.run_here(
-            std::move(order), 0, [weak = this->weak_from_this(), name, primary, sent](work_answer answer) {
+            std::move(order), 0,
+            [weak = this->weak_from_this(), name, primary, sent](work_answer answer) {
                 auto const keeper = weak.lock();
                 if (keeper) {
                     learn_from_answer(
-                        keeper->context.view.group(name), primary, sent, answer, keeper->now());
+                        keeper->context.view.group(name), primary, sent, answer,
+                        keeper->now());
                 }
             });
     }
@@ -190,7 +192,8 @@
         auto const ranked = this->context.orders.owners_of(*primary);
         std::vector<std::string> asked;
         for (std::string const& each : ranked) {
-            bool const linked = std::find(hosts.begin(), hosts.end(), each) != hosts.end();
+            bool const linked =
+                std::find(hosts.begin(), hosts.end(), each) != hosts.end();
             if (linked && asked.size() < most_asked) {
                 asked.push_back(each);
             }
@@ -216,8 +219,8 @@
         }
     }
 
-    void others_answered(
-        std::string const& name, std::string const& primary, bool reached) {
+    void
+    others_answered(std::string const& name, std::string const& primary, bool reached) {
         watched_group& group = this->groups[name];
         group.asking = false;
         observe::log_event(
@@ -227,8 +230,9 @@
             group.leave_alone_until = this->now() + leave_alone;
             return;
         }
-        bool const still = group.suspicion && !group.change && group.primary == primary &&
-                           group.suspicion->judge(this->now()) != primary_verdict::healthy;
+        bool const still =
+            group.suspicion && !group.change && group.primary == primary &&
+            group.suspicion->judge(this->now()) != primary_verdict::healthy;
         if (still) {
             this->begin(name, group, change_reason::primary_lost);
         }
@@ -236,9 +240,11 @@
 
     // A change of leadership
 
-    std::vector<group_copy> copies_of(std::string const& name, std::string const& primary) {
+    std::vector<group_copy>
+    copies_of(std::string const& name, std::string const& primary) {
         std::vector<group_copy> copies;
-        for (registered_database const& each : this->context.view.group(name).databases()) {
+        for (registered_database const& each :
+             this->context.view.group(name).databases()) {
             if (each.id != primary) {
                 copies.push_back(group_copy{each.id, each.leaving});
             }
@@ -344,9 +350,9 @@
         order.term = action.term;
         order.budget_ms = probe_budget_ms;
         this->context.orders.submit(
-            std::move(order), [weak = this->weak_from_this(), name,
-                               database = action.database,
-                               kind](work_answer answer, std::string const&) {
+            std::move(order),
+            [weak = this->weak_from_this(), name, database = action.database,
+             kind](work_answer answer, std::string const&) {
                 auto const keeper = weak.lock();
                 leadership_change* const change =
                     keeper ? keeper->change_of(name) : nullptr;
@@ -359,8 +365,9 @@
                      {"database", database},
                      {"order", static_cast<int>(kind)},
                      {"answered", answer.report.has_value()},
-                     {"position",
-                      answer.report ? static_cast<std::int64_t>(answer.report->received.offset) : -1},
+                     {"position", answer.report ? static_cast<std::int64_t>(
+                                                      answer.report->received.offset)
+                                                : -1},
                      {"error", to_string(answer.error)},
                      {"state", change->state_name()}});
                 change->reported(database, answer.report, keeper->now());
@@ -391,8 +398,8 @@
             });
     }
 
-    void finish(
-        std::string const& name, watched_group& group, change_action const& action) {
+    void
+    finish(std::string const& name, watched_group& group, change_action const& action) {
         instant const time = this->now();
         bool const promoted = action.kind == change_action_kind::finished;
         observe::log_event(
--- a/src/persimmonpoint/engine/leadership_keeper.hpp
+++ b/src/persimmonpoint/engine/leadership_keeper.hpp
@@ -16,8 +16,8 @@
 class leadership_authority {
 public:
     virtual ~leadership_authority() = default;
-    /// A fencing token for the group; nothing if it can't be had now. `renew`: a token that
-    /// is greater than all before, even if one is held.
+    /// A fencing token for the group; nothing if it can't be had now. `renew`: a token
+    /// that is greater than all before, even if one is held.
     virtual void ask_token(
         std::string const& group,
         bool renew,
@@ -29,8 +29,8 @@
         std::function<void(promotion_result)> done) = 0;
 };
 
-/// Watches the primaries whose connections this host owns, and replaces those that died or
-/// are leaving.
+/// Watches the primaries whose connections this host owns, and replaces those that died
+/// or are leaving.
 class leadership_keeper final : public owner_observer {
 public:
     leadership_keeper(run_context& context, leadership_authority& authority);
--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -22,8 +22,8 @@
 constexpr duration alive_interval = std::chrono::milliseconds(150);
 /// An incoming link that is silent for so long is closed.
 constexpr duration incoming_silence_limit = std::chrono::milliseconds(1500);
-/// Up to this many hosts, each is linked to all; beyond it only where there is work, and to
-/// a few neighbours that pass news on.
+/// Up to this many hosts, each is linked to all; beyond it only where there is work, and
+/// to a few neighbours that pass news on.
 constexpr std::size_t fully_linked_hosts = 16;
 constexpr std::size_t neighbours = 3;
 /// A link without orders is given up after this time in a large fleet.
@@ -74,13 +74,18 @@
         clock const& time,
         mesh_observer& observer,
         registered_host self)
-        : loop(loop), time(time), observer(observer), self(std::move(self)), ticker(loop),
+        : loop(loop),
+          time(time),
+          observer(observer),
+          self(std::move(self)),
+          ticker(loop),
           acceptor(loop) {}
 
     void listen() {
         auto const endpoint = net::parse_endpoint(this->self.address);
         if (!endpoint) {
-            throw std::invalid_argument("peers.address is no address: " + this->self.address);
+            throw std::invalid_argument(
+                "peers.address is no address: " + this->self.address);
         }
         this->acceptor.open(endpoint->protocol());
         this->acceptor.set_option(tcp::acceptor::reuse_address(true));
@@ -222,7 +227,8 @@
             }
             names.insert(each.name);
             auto const found = this->peers.find(each.name);
-            if (found != this->peers.end() && found->second.host.address != each.address) {
+            if (found != this->peers.end() &&
+                found->second.host.address != each.address) {
                 this->give_up(found->second);
                 this->peers.erase(found);
             }
@@ -296,8 +302,8 @@
             this->lose(peer, "silent");
             return;
         }
-        bool const wanted = this->is_neighbour(peer.host.name) ||
-                            now - peer.last_used < unused_limit;
+        bool const wanted =
+            this->is_neighbour(peer.host.name) || now - peer.last_used < unused_limit;
         if (wanted && peer.health.may_connect(now)) {
             this->dial(peer, now);
             return;
@@ -606,7 +612,9 @@
 }
 
 void peer_mesh::ask_reach(
-    std::string const& host, std::string const& database, std::function<void(bool)> done) {
+    std::string const& host,
+    std::string const& database,
+    std::function<void(bool)> done) {
     auto const found = this->impl->peers.find(host);
     if (found == this->impl->peers.end()) {
         done(false);
--- a/src/persimmonpoint/engine/peer_mesh.hpp
+++ b/src/persimmonpoint/engine/peer_mesh.hpp
@@ -27,8 +27,7 @@
     virtual void on_leader(leader_message const& message) = 0;
     virtual void
     on_endorsement(std::string const& host, endorsement_message const& message) = 0;
-    virtual void
-    on_release(std::string const& host, release_message const& message) = 0;
+    virtual void on_release(std::string const& host, release_message const& message) = 0;
     virtual loan_message on_borrow(borrow_message const& message) = 0;
     virtual void on_loan(loan_message const& message) = 0;
     virtual void
@@ -76,7 +75,9 @@
     void broadcast(peer_message const& message);
     /// Asks whether a host reaches a database; false also if it does not answer.
     void ask_reach(
-        std::string const& host, std::string const& database, std::function<void(bool)> done);
+        std::string const& host,
+        std::string const& database,
+        std::function<void(bool)> done);
     /// Tells all at once that this host takes no further orders, or what else changed.
     void announce();
     void close();
--- a/src/persimmonpoint/engine/peer_messages.cpp
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -71,7 +71,8 @@
 std::size_t read_length(std::string_view bytes) {
     std::size_t length = 0;
     for (std::size_t i = 0; i < length_bytes; ++i) {
-        length |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[i])) << (8 * i);
+        length |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[i]))
+                  << (8 * i);
     }
     return length;
 }
--- a/src/persimmonpoint/engine/peer_messages.hpp
+++ b/src/persimmonpoint/engine/peer_messages.hpp
@@ -34,7 +34,7 @@
 
 /// Sent at intervals, and answered by the same.
 struct alive_message {
-    bool leaving = false; ///< Takes no further orders.
+    bool leaving = false;                ///< Takes no further orders.
     std::uint64_t configuration_row = 0; ///< Store's version of the row.
     std::uint64_t directory_version = 0;
     std::uint64_t hosts_version = 0;
--- a/src/persimmonpoint/engine/quota_keeper.cpp
+++ b/src/persimmonpoint/engine/quota_keeper.cpp
@@ -133,7 +133,8 @@
         for (auto const& [name, team] : teams) {
             quota_part const whole{team.rate, team.burst};
             team_quota& quota =
-                this->quotas.try_emplace(name, team_quota{quota_bucket(0, now), {}}).first->second;
+                this->quotas.try_emplace(name, team_quota{quota_bucket(0, now), {}})
+                    .first->second;
             quota.own.set_part(fixed_part(whole, hosts), now);
             quota.refused_until = instant();
             this->lenders[shard_of(name)].set_limit(name, whole, now);
@@ -193,7 +194,8 @@
         duration const wait = std::chrono::microseconds(message.wait_us);
         auto const quota = this->quotas.find(loan.team);
         if (wait > duration(0) && quota != this->quotas.end()) {
-            quota->second.refused_until = this->time.now() + std::min(wait, no_answer_wait);
+            quota->second.refused_until =
+                this->time.now() + std::min(wait, no_answer_wait);
         }
         loan.done(wait);
     }
@@ -276,8 +278,7 @@
     this->impl->on_endorsement(host, message);
 }
 
-void quota_keeper::on_release(
-    std::string const& host, release_message const& message) {
+void quota_keeper::on_release(std::string const& host, release_message const& message) {
     this->impl->on_release(host, message);
 }
 
--- a/src/persimmonpoint/engine/statement_run.cpp
+++ b/src/persimmonpoint/engine/statement_run.cpp
@@ -25,7 +25,8 @@
 
 std::uint32_t to_budget(duration left) {
     auto const ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(left - answer_margin).count();
+        std::chrono::duration_cast<std::chrono::milliseconds>(left - answer_margin)
+            .count();
     return static_cast<std::uint32_t>(std::max<std::int64_t>(ms, 1));
 }
 
@@ -50,7 +51,9 @@
     instant now) {
     group.answered(
         database, answer.position,
-        answer.outcome == order_outcome::answered ? std::optional(answer.load) : std::nullopt, now);
+        answer.outcome == order_outcome::answered ? std::optional(answer.load)
+                                                  : std::nullopt,
+        now);
     if (answer.refusal == order_refusal::unreachable) {
         group.unreachable(database, now);
     }
@@ -72,7 +75,7 @@
     run_request request;
     handler done;
     attempt_plan plan;
-    boost::asio::steady_timer timer;    ///< Of the whole statement.
+    boost::asio::steady_timer timer; ///< Of the whole statement.
     boost::asio::steady_timer pause;
     bool checked_leader = false;
     bool outstanding = false;
@@ -89,7 +92,8 @@
     attempt_subject const subject = make_subject(request, context.time.now());
     this->impl = std::make_unique<implementation>(implementation{
         context, std::move(request), std::move(done), attempt_plan(subject),
-        boost::asio::steady_timer(context.loop), boost::asio::steady_timer(context.loop)});
+        boost::asio::steady_timer(context.loop),
+        boost::asio::steady_timer(context.loop)});
 }
 
 statement_run::~statement_run() = default;
@@ -120,7 +124,8 @@
     run_request const& request = this->impl->request;
     group_routing& group = this->impl->context.view.group(request.route.group);
     floor = group.floors.floor_for(
-        request.route.max_staleness - staleness_margin, this->impl->plan.subject().started);
+        request.route.max_staleness - staleness_margin,
+        this->impl->plan.subject().started);
     if (!floor) {
         return false;
     }
@@ -186,11 +191,11 @@
         return remaining;
     }
     // A read whose answer is lost can be had elsewhere.
-    return std::min(remaining, std::max(request.route.target_latency, least_read_attempt));
+    return std::min(
+        remaining, std::max(request.route.target_latency, least_read_attempt));
 }
 
-void statement_run::send(
-    std::string const& database, std::optional<log_position> floor) {
+void statement_run::send(std::string const& database, std::optional<log_position> floor) {
     run_request const& request = this->impl->request;
     instant const now = this->impl->context.time.now();
     work_order order = request.order;
--- a/src/persimmonpoint/engine/statement_run.hpp
+++ b/src/persimmonpoint/engine/statement_run.hpp
@@ -54,7 +54,11 @@
     void attempt_inside();
     duration attempt_limit(instant now) const;
     void send(std::string const& database, std::optional<log_position> floor);
-    void answered(std::string const& database, instant sent, work_answer answer, std::string const& owner);
+    void answered(
+        std::string const& database,
+        instant sent,
+        work_answer answer,
+        std::string const& owner);
     void learn(std::string const& database, instant sent, work_answer const& answer);
     void check_leader();
     void follow(attempt_decision decision, run_outcome outcome);
--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -26,20 +26,26 @@
         fleet_store& store,
         store_observer& observer,
         registered_host self)
-        : time(time), store(store), observer(observer), self(std::move(self)),
-          configuration_timer(loop), databases_timer(loop), hosts_timer(loop),
+        : time(time),
+          store(store),
+          observer(observer),
+          self(std::move(self)),
+          configuration_timer(loop),
+          databases_timer(loop),
+          hosts_timer(loop),
           register_timer(loop) {}
 
     template <class Next>
-    void after(boost::asio::steady_timer& timer, std::chrono::milliseconds pause, Next next) {
+    void
+    after(boost::asio::steady_timer& timer, std::chrono::milliseconds pause, Next next) {
         timer.expires_after(pause);
-        timer.async_wait([weak = this->weak_from_this(),
-                          next](boost::system::error_code failure) {
-            auto const watch = weak.lock();
-            if (watch && !failure && !watch->stopped) {
-                next(*watch);
-            }
-        });
+        timer.async_wait(
+            [weak = this->weak_from_this(), next](boost::system::error_code failure) {
+                auto const watch = weak.lock();
+                if (watch && !failure && !watch->stopped) {
+                    next(*watch);
+                }
+            });
     }
 
     /// One line when the store is lost, and one when it is there again.
@@ -56,26 +62,26 @@
     // Configuration
 
     void read_configuration() {
-        this->store.read_configuration([weak = this->weak_from_this()](
-                                           result<stored_configuration> read) {
-            auto const watch = weak.lock();
-            if (!watch || watch->stopped) {
-                return;
-            }
-            if (!read || read.value().row_version == 0) {
-                watch->note_store(
-                    static_cast<bool>(read), read ? "" : read.error().message);
-                watch->after(
-                    watch->configuration_timer, retry_interval,
-                    [](implementation& self) { self.read_configuration(); });
-                return;
-            }
-            watch->note_store(true, "configuration read");
-            watch->configuration_row =
-                std::max(watch->configuration_row, read.value().row_version);
-            watch->observer.on_stored_configuration(std::move(read.value()));
-            watch->watch_configuration();
-        });
+        this->store.read_configuration(
+            [weak = this->weak_from_this()](result<stored_configuration> read) {
+                auto const watch = weak.lock();
+                if (!watch || watch->stopped) {
+                    return;
+                }
+                if (!read || read.value().row_version == 0) {
+                    watch->note_store(
+                        static_cast<bool>(read), read ? "" : read.error().message);
+                    watch->after(
+                        watch->configuration_timer, retry_interval,
+                        [](implementation& self) { self.read_configuration(); });
+                    return;
+                }
+                watch->note_store(true, "configuration read");
+                watch->configuration_row =
+                    std::max(watch->configuration_row, read.value().row_version);
+                watch->observer.on_stored_configuration(std::move(read.value()));
+                watch->watch_configuration();
+            });
     }
 
     void watch_configuration() {
@@ -146,21 +152,22 @@
     }
 
     void read_hosts() {
-        this->store.read_hosts([weak = this->weak_from_this()](result<stored_hosts> read) {
-            auto const watch = weak.lock();
-            if (!watch || watch->stopped) {
-                return;
-            }
-            if (!read) {
-                watch->after(watch->hosts_timer, retry_interval, [](implementation& self) {
-                    self.read_hosts();
-                });
-                return;
-            }
-            watch->hosts_version = read.value().version;
-            watch->observer.on_stored_hosts(std::move(read.value()));
-            watch->watch_hosts();
-        });
+        this->store.read_hosts(
+            [weak = this->weak_from_this()](result<stored_hosts> read) {
+                auto const watch = weak.lock();
+                if (!watch || watch->stopped) {
+                    return;
+                }
+                if (!read) {
+                    watch->after(
+                        watch->hosts_timer, retry_interval,
+                        [](implementation& self) { self.read_hosts(); });
+                    return;
+                }
+                watch->hosts_version = read.value().version;
+                watch->observer.on_stored_hosts(std::move(read.value()));
+                watch->watch_hosts();
+            });
     }
 
     void watch_hosts() {
@@ -203,8 +210,9 @@
                 if (!watch) {
                     return;
                 }
-                if (!read || !may_take_lease(
-                                 read.value(), watch->self.name, lives(read.value().holder))) {
+                if (!read ||
+                    !may_take_lease(
+                        read.value(), watch->self.name, lives(read.value().holder))) {
                     observe::log_event(
                         observe::log_level::info, "lease_not_taken",
                         {{"group", group},
@@ -213,12 +221,15 @@
                     done(std::nullopt);
                     return;
                 }
-                watch->take_lease(group, next_lease(read.value(), watch->self.name), done);
+                watch->take_lease(
+                    group, next_lease(read.value(), watch->self.name), done);
             });
     }
 
     void take_lease(
-        std::string const& group, leadership_lease const& wanted, token_handler const& done) {
+        std::string const& group,
+        leadership_lease const& wanted,
+        token_handler const& done) {
         this->store.take_lease(
             group, wanted,
             [weak = this->weak_from_this(), group, token = wanted.token,
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -58,14 +58,20 @@
     explicit implementation(settings::front_settings given)
         : settings(std::move(given)),
           self{settings.name, settings.peers, settings.availability_zone},
-          connector(traffic_loop), store(control_loop, settings.store),
+          connector(traffic_loop),
+          store(control_loop, settings.store),
           promotion(control_loop, settings.promotion, settings.name),
           watch(control_loop, time, store, *this, self),
-          evidence(*this), orders(traffic_loop, connector, time, evidence, view, settings.name),
+          evidence(*this),
+          orders(traffic_loop, connector, time, evidence, view, settings.name),
           runs{traffic_loop, time, view, orders, settings.availability_zone},
-          quotas(traffic_loop, time, view, settings.name), keeper(runs, *this),
-          mesh(traffic_loop, time, *this, self), sessions_context{runs, quotas, counts},
-          hosts_timer(traffic_loop), drain_timer(traffic_loop), signals(control_loop, SIGTERM, SIGINT, SIGHUP) {
+          quotas(traffic_loop, time, view, settings.name),
+          keeper(runs, *this),
+          mesh(traffic_loop, time, *this, self),
+          sessions_context{runs, quotas, counts},
+          hosts_timer(traffic_loop),
+          drain_timer(traffic_loop),
+          signals(control_loop, SIGTERM, SIGINT, SIGHUP) {
         this->orders.use(this->mesh);
         this->quotas.start(this->mesh);
         this->keeper.start(this->mesh);
@@ -167,8 +173,8 @@
              {"hosts", this->view.hosts.size()}});
     }
 
-    /// Without the other hosts this one would take all databases for its own; but they may
-    /// not come to be known for as long as the store is away.
+    /// Without the other hosts this one would take all databases for its own; but they
+    /// may not come to be known for as long as the store is away.
     void wait_for_hosts() {
         this->hosts_timer.expires_after(hosts_patience);
         this->hosts_timer.async_wait([this](boost::system::error_code failure) {
@@ -196,8 +202,8 @@
             this->close_idle_sessions();
         }
         bool const over = passed >= this->settings.grace - end_margin;
-        bool const done = this->sessions.empty() && this->orders.load() == 0 &&
-                          passed >= rotation_time;
+        bool const done =
+            this->sessions.empty() && this->orders.load() == 0 && passed >= rotation_time;
         if (over || done || !this->listener) {
             this->end();
             return;
@@ -274,7 +280,8 @@
         this->view.hosts_version = version;
         this->view.hosts = std::move(hosts);
         observe::log_event(
-            observe::log_level::info, "hosts_changed", {{"hosts", this->view.hosts.size()}});
+            observe::log_level::info, "hosts_changed",
+            {{"hosts", this->view.hosts.size()}});
         this->mesh.set_hosts(this->view.hosts);
         this->quotas.refresh();
         this->open_for_callers();
@@ -297,8 +304,8 @@
     void on_leader(leader_message const& message) override {
         this->view.group(message.group).leader_proved(message.database, message.term);
     }
-    void on_endorsement(
-        std::string const& host, endorsement_message const& message) override {
+    void
+    on_endorsement(std::string const& host, endorsement_message const& message) override {
         this->quotas.on_endorsement(host, message);
     }
     void on_release(std::string const& host, release_message const& message) override {
@@ -308,8 +315,8 @@
         return this->quotas.on_borrow(message);
     }
     void on_loan(loan_message const& message) override { this->quotas.on_loan(message); }
-    void on_reach_query(
-        std::string const& database, std::function<void(bool)> done) override {
+    void
+    on_reach_query(std::string const& database, std::function<void(bool)> done) override {
         this->keeper.probe(database, std::move(done));
     }
     void on_peers_changed() override {
@@ -349,15 +356,16 @@
         for (registered_host const& each : this->mesh.usable_hosts()) {
             alive.insert(each.name);
         }
-        asio::post(this->control_loop, [this, group, renew, alive = std::move(alive),
-                                        done = std::move(done)] {
-            this->watch.ask_token(
-                group, renew,
-                [alive](std::string const& host) { return alive.count(host) > 0; },
-                [this, done](std::optional<std::uint64_t> token) {
-                    asio::post(this->traffic_loop, [done, token] { done(token); });
-                });
-        });
+        asio::post(
+            this->control_loop,
+            [this, group, renew, alive = std::move(alive), done = std::move(done)] {
+                this->watch.ask_token(
+                    group, renew,
+                    [alive](std::string const& host) { return alive.count(host) > 0; },
+                    [this, done](std::optional<std::uint64_t> token) {
+                        asio::post(this->traffic_loop, [done, token] { done(token); });
+                    });
+            });
     }
 
     void promote(
@@ -365,12 +373,13 @@
         std::string const& database,
         std::uint64_t token,
         std::function<void(promotion_result)> done) override {
-        asio::post(this->control_loop, [this, group, database, token, done = std::move(done)] {
-            this->promotion.promote(
-                group, database, token, [this, done](promotion_result result) {
-                    asio::post(this->traffic_loop, [done, result] { done(result); });
-                });
-        });
+        asio::post(
+            this->control_loop, [this, group, database, token, done = std::move(done)] {
+                this->promotion.promote(
+                    group, database, token, [this, done](promotion_result result) {
+                        asio::post(this->traffic_loop, [done, result] { done(result); });
+                    });
+            });
     }
 
     // store_observer, called on the control thread
--- a/src/persimmonpoint/host/front_host.hpp
+++ b/src/persimmonpoint/host/front_host.hpp
@@ -6,8 +6,8 @@
 
 namespace persimmonpoint::host {
 
-/// One host on the users' platform: a control thread that follows the store, and a traffic
-/// thread that serves callers, databases and other hosts.
+/// One host on the users' platform: a control thread that follows the store, and a
+/// traffic thread that serves callers, databases and other hosts.
 class front_host {
 public:
     explicit front_host(settings::front_settings settings);
--- a/src/persimmonpoint/interfaces/fleet_store.hpp
+++ b/src/persimmonpoint/interfaces/fleet_store.hpp
@@ -1,7 +1,8 @@
 #ifndef PERSIMMONPOINT_INTERFACES_FLEET_STORE_HPP_INCLUDED
 #define PERSIMMONPOINT_INTERFACES_FLEET_STORE_HPP_INCLUDED
 
-/// What a fleet keeps outside itself, and where its configuration and its databases stand.
+/// What a fleet keeps outside itself, and where its configuration and its databases
+/// stand.
 
 #include <cstdint>
 #include <functional>
@@ -51,11 +52,15 @@
     virtual void read_configuration(handler<stored_configuration> done) = 0;
     /// Ends when the configuration has changed after `version`, or after `wait`.
     virtual void watch_configuration(
-        std::uint64_t version, std::chrono::milliseconds wait, handler<watch_result> done) = 0;
+        std::uint64_t version,
+        std::chrono::milliseconds wait,
+        handler<watch_result> done) = 0;
     virtual void read_databases(handler<database_directory> done) = 0;
     virtual void read_hosts(handler<stored_hosts> done) = 0;
     virtual void watch_hosts(
-        std::uint64_t version, std::chrono::milliseconds wait, handler<watch_result> done) = 0;
+        std::uint64_t version,
+        std::chrono::milliseconds wait,
+        handler<watch_result> done) = 0;
     virtual void register_host(registered_host const& host, handler<void> done) = 0;
     virtual void remove_host(std::string_view name, handler<void> done) = 0;
     virtual void read_lease(std::string_view group, handler<leadership_lease> done) = 0;
--- a/src/persimmonpoint/net/tcp_options.cpp
+++ b/src/persimmonpoint/net/tcp_options.cpp
@@ -29,7 +29,8 @@
     std::uint16_t port = 0;
     auto const [end, number_failure] =
         std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    if (failure || number_failure != std::errc() || end != digits.data() + digits.size()) {
+    if (failure || number_failure != std::errc() ||
+        end != digits.data() + digits.size()) {
         return std::nullopt;
     }
     return boost::asio::ip::tcp::endpoint(address, port);
--- a/src/persimmonpoint/observe/event_log.hpp
+++ b/src/persimmonpoint/observe/event_log.hpp
@@ -26,8 +26,7 @@
     log_field(std::string_view name, bool flag) : name(name), value(flag) {}
     log_field(std::string_view name, double number) : name(name), value(number) {}
     template <class Number>
-    requires std::is_integral_v<Number>
-    log_field(std::string_view name, Number number)
+    requires std::is_integral_v<Number> log_field(std::string_view name, Number number)
         : name(name), value(static_cast<std::int64_t>(number)) {}
 };
 
@@ -38,7 +37,9 @@
 void stop_event_log();
 
 void log_event(
-    log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
+    log_level level,
+    std::string_view event,
+    std::initializer_list<log_field> fields = {});
 
 /// Lines dropped since the start, for a full queue or over the rate of lines.
 std::uint64_t dropped_log_lines();
--- a/src/persimmonpoint/platform/fleet_decoder.cpp
+++ b/src/persimmonpoint/platform/fleet_decoder.cpp
@@ -83,7 +83,8 @@
 
     void fail(std::string_view name) {
         if (this->problem.empty()) {
-            this->problem = "field " + std::string(name) + " is missing or of another type";
+            this->problem =
+                "field " + std::string(name) + " is missing or of another type";
         }
     }
 
@@ -204,8 +205,7 @@
     return out;
 }
 
-result<registered_database>
-decode_database(std::string_view id, std::string_view body) {
+result<registered_database> decode_database(std::string_view id, std::string_view body) {
     auto const object = parse_object(body);
     if (!object) {
         return unreadable("entry is not a JSON object");
@@ -216,7 +216,8 @@
     out.group = fields.text("service");
     out.address = fields.text("address");
     out.availability_zone = fields.text("zone");
-    out.slots = static_cast<std::uint32_t>(std::max<std::uint64_t>(fields.number("slots"), 1));
+    out.slots =
+        static_cast<std::uint32_t>(std::max<std::uint64_t>(fields.number("slots"), 1));
     std::string const state = fields.text("state");
     out.leaving = state == "draining";
     if (state != "ready" && state != "draining") {
--- a/src/persimmonpoint/platform/fleet_decoder.hpp
+++ b/src/persimmonpoint/platform/fleet_decoder.hpp
@@ -18,8 +18,7 @@
 
 /// An entry of the databases' registry. Fails, and names what is wrong, if a field is
 /// missing or of another type: such an entry names no database to use.
-result<registered_database>
-decode_database(std::string_view id, std::string_view body);
+result<registered_database> decode_database(std::string_view id, std::string_view body);
 
 std::string encode_host(registered_host const& host);
 result<registered_host> decode_host(std::string_view name, std::string_view body);
--- a/src/persimmonpoint/platform/line_codec.cpp
+++ b/src/persimmonpoint/platform/line_codec.cpp
@@ -61,7 +61,10 @@
 }
 
 std::optional<statement> parse_named(
-    std::string_view id, std::string_view text, std::string_view word, std::string_view rest) {
+    std::string_view id,
+    std::string_view text,
+    std::string_view word,
+    std::string_view rest) {
     statement parsed = make(id, text, statement_verb::set);
     parsed.name = take_word(rest);
     if (parsed.name.empty()) {
@@ -239,7 +242,8 @@
 }
 
 std::string format_start(upstream_target const& target) {
-    std::string line = "START " + target.group + " " + target.team + " " + target.database;
+    std::string line =
+        "START " + target.group + " " + target.team + " " + target.database;
     line += end_of_line;
     return line;
 }
--- a/src/persimmonpoint/platform/line_reader.hpp
+++ b/src/persimmonpoint/platform/line_reader.hpp
@@ -30,7 +30,9 @@
     }
 
     /// True if no line can be so long.
-    bool is_over_long() const { return this->buffer.size() - this->used > most_message_bytes; }
+    bool is_over_long() const {
+        return this->buffer.size() - this->used > most_message_bytes;
+    }
 
 private:
     std::string buffer;
--- a/src/persimmonpoint/platform/operator_client.cpp
+++ b/src/persimmonpoint/platform/operator_client.cpp
@@ -51,7 +51,10 @@
 operator_client::~operator_client() = default;
 
 void operator_client::promote(
-    std::string_view group, std::string_view database, std::uint64_t token, handler done) {
+    std::string_view group,
+    std::string_view database,
+    std::uint64_t token,
+    handler done) {
     boost::json::object body;
     body["service"] = group;
     body["id"] = database;
--- a/src/persimmonpoint/platform/store_client.cpp
+++ b/src/persimmonpoint/platform/store_client.cpp
@@ -108,7 +108,8 @@
             throw std::invalid_argument("platform.store is no address: " + address);
         }
         std::string const ip = endpoint->address().to_string();
-        this->calls = std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
+        this->calls =
+            std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
         this->databases =
             std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
         this->configuration_watch =
@@ -118,7 +119,10 @@
     }
 
     static void read(
-        http_client& on, std::string_view table, std::string_view part, handler<row_page> done) {
+        http_client& on,
+        std::string_view table,
+        std::string_view part,
+        handler<row_page> done) {
         on.request("GET", read_target(table, part), {}, [done](result<http_reply> reply) {
             if (!reply) {
                 done(reply.error());
@@ -189,7 +193,8 @@
 
 namespace {
 
-json::object row_name(std::string_view table, std::string_view part, std::string_view key) {
+json::object
+row_name(std::string_view table, std::string_view part, std::string_view key) {
     json::object row;
     row["table"] = table;
     row["part"] = part;
@@ -306,8 +311,7 @@
         });
 }
 
-void store_client::read_lease(
-    std::string_view group, handler<leadership_lease> done) {
+void store_client::read_lease(std::string_view group, handler<leadership_lease> done) {
     implementation::read(
         *this->impl->calls, leases_table, group, [done](result<row_page> page) {
             if (!page) {
