--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -309,6 +309,8 @@
 
     void count(run_outcome const& outcome, bool good, statement_verb verb, bool writes) {
         traffic_counts& counts = this->context.counts;
+        counts.latencies[this->route.name].add(
+            this->context.runs.time.now() - this->received);
         counts.retries += outcome.attempts > 1 ? outcome.attempts - 1 : 0;
         if (good) {
             ++counts.succeeded;
--- a/src/persimmonpoint/engine/caller_session.hpp
+++ b/src/persimmonpoint/engine/caller_session.hpp
@@ -4,26 +4,11 @@
 #include <memory>
 #include <persimmonpoint/engine/quota_keeper.hpp>
 #include <persimmonpoint/engine/statement_run.hpp>
+#include <persimmonpoint/engine/traffic_counts.hpp>
 #include <persimmonpoint/interfaces/caller_channel.hpp>
 
 namespace persimmonpoint::engine {
 
-/// Counts of what callers got; read by the metrics.
-struct traffic_counts {
-    std::uint64_t sessions_opened = 0;
-    std::uint64_t statements = 0;
-    std::uint64_t succeeded = 0;
-    std::uint64_t refused_quota = 0;
-    std::uint64_t refused_busy = 0;
-    std::uint64_t in_doubt = 0;
-    std::uint64_t timeouts = 0;
-    std::uint64_t aborted = 0;
-    std::uint64_t other_errors = 0;
-    std::uint64_t retries = 0;
-    std::uint64_t reads_on_replicas = 0;
-    std::uint64_t reads_on_primaries = 0;
-};
-
 /// What sessions need of their host.
 struct session_context {
     run_context& runs;
--- /dev/null
+++ b/src/persimmonpoint/engine/traffic_counts.cpp
@@ -0,0 +1,50 @@
+#include <persimmonpoint/engine/traffic_counts.hpp>
+#include <string_view>
+
+namespace persimmonpoint::engine {
+
+namespace {
+
+void line(std::string& out, std::string_view name, std::uint64_t value) {
+    out.append("persimmonpoint_").append(name).append(" ");
+    out.append(std::to_string(value)).append("\n");
+}
+
+void outcome(std::string& out, std::string_view name, std::uint64_t value) {
+    out.append("persimmonpoint_statements_total{outcome=\"").append(name).append("\"} ");
+    out.append(std::to_string(value)).append("\n");
+}
+
+} // namespace
+
+std::string format_metrics(traffic_counts const& counts, host_gauges const& gauges) {
+    std::string out;
+    line(out, "sessions_opened_total", counts.sessions_opened);
+    line(out, "statements_received_total", counts.statements);
+    outcome(out, "succeeded", counts.succeeded);
+    outcome(out, "over_quota", counts.refused_quota);
+    outcome(out, "busy", counts.refused_busy);
+    outcome(out, "in_doubt", counts.in_doubt);
+    outcome(out, "timeout", counts.timeouts);
+    outcome(out, "aborted", counts.aborted);
+    outcome(out, "other_error", counts.other_errors);
+    line(out, "retries_total", counts.retries);
+    line(out, "reads_total{on=\"replica\"}", counts.reads_on_replicas);
+    line(out, "reads_total{on=\"primary\"}", counts.reads_on_primaries);
+    line(out, "configuration_version", gauges.configuration);
+    line(out, "directory_version", gauges.directory);
+    line(out, "sessions", gauges.sessions);
+    line(out, "peers_connected", gauges.peers_connected);
+    line(out, "database_connections", gauges.database_connections);
+    line(out, "database_connections_opened_total", gauges.database_connections_opened);
+    line(out, "orders_open", gauges.orders_open);
+    line(out, "leadership_changes_total", gauges.leadership_changes);
+    line(out, "log_lines_dropped_total", gauges.log_lines_dropped);
+    for (auto const& [route, histogram] : counts.latencies) {
+        histogram.write(
+            out, "persimmonpoint_statement_seconds", "route=\"" + route + "\"");
+    }
+    return out;
+}
+
+} // namespace persimmonpoint::engine
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <filesystem>
 #include <persimmonpoint/core/routing/owner_ranking.hpp>
 #include <persimmonpoint/engine/boot_clock.hpp>
 #include <persimmonpoint/engine/caller_session.hpp>
@@ -39,6 +40,7 @@
 constexpr auto rotation_time = std::chrono::milliseconds(2300);
 /// How long a host that is otherwise ready waits to learn of the others.
 constexpr auto hosts_patience = std::chrono::milliseconds(300);
+constexpr auto settings_interval = std::chrono::seconds(2);
 constexpr auto drain_tick = std::chrono::milliseconds(50);
 /// Before the end of the grace, the process is gone.
 constexpr auto end_margin = std::chrono::milliseconds(500);
@@ -57,6 +59,7 @@
                                           store_observer {
     explicit implementation(settings::front_settings given)
         : settings(std::move(given)),
+          grace(settings.grace),
           self{settings.name, settings.peers, settings.availability_zone},
           connector(traffic_loop),
           store(control_loop, settings.store),
@@ -71,6 +74,7 @@
           sessions_context{runs, quotas, counts},
           hosts_timer(traffic_loop),
           drain_timer(traffic_loop),
+          settings_timer(control_loop),
           signals(control_loop, SIGTERM, SIGINT, SIGHUP) {
         this->orders.use(this->mesh);
         this->quotas.start(this->mesh);
@@ -109,14 +113,24 @@
              {"peers", this->settings.peers}});
         net::http_responder readiness(
             this->control_loop, endpoint_of(this->settings.readiness),
-            [this](std::string_view) { return this->answer_readiness(); });
+            [this](net::http_question const&, net::http_responder::reply reply) {
+                reply(this->answer_readiness());
+            });
         std::unique_ptr<net::http_responder> metrics;
         if (!this->settings.metrics.empty()) {
             metrics = std::make_unique<net::http_responder>(
                 this->control_loop, endpoint_of(this->settings.metrics),
-                [this](std::string_view) { return this->answer_metrics(); });
+                [this](net::http_question const&, net::http_responder::reply reply) {
+                    this->answer_metrics(std::move(reply));
+                });
         }
         this->wait_for_signal();
+        if (!this->settings.file.empty()) {
+            std::error_code missing;
+            this->settings_written =
+                std::filesystem::last_write_time(this->settings.file, missing);
+            this->watch_settings();
+        }
         this->watch.start();
         auto const keep_traffic = asio::make_work_guard(this->traffic_loop);
         auto const keep_control = asio::make_work_guard(this->control_loop);
@@ -132,20 +146,67 @@
                 return;
             }
             if (signal == SIGHUP) {
-                // No setting can change while the process runs: addresses need a restart.
-                observe::log_event(observe::log_level::info, "settings_reread", {});
+                this->reread_settings();
                 this->wait_for_signal();
                 return;
             }
-            this->leaving = true;
-            observe::log_event(
-                observe::log_level::info, "stopping",
-                {{"grace_ms", this->settings.grace.count()}});
+            this->stop();
+        });
+    }
+
+    void stop() {
+        asio::post(this->control_loop, [this] {
+            if (this->leaving.exchange(true)) {
+                return;
+            }
+            observe::log_event(observe::log_level::info, "stopping", {});
             this->watch.leave();
             asio::post(this->traffic_loop, [this] { this->begin_drain(); });
         });
     }
 
+    /// Takes over what can change while the process runs: the grace and the seeds. An
+    /// address needs a restart.
+    void reread_settings() {
+        if (this->settings.file.empty()) {
+            return;
+        }
+        auto const loaded = settings::load_front_file(this->settings.file);
+        if (!loaded.findings.empty()) {
+            observe::log_event(
+                observe::log_level::error, "settings_unusable",
+                {{"finding", to_string(loaded.findings.front())}});
+            return;
+        }
+        observe::log_event(
+            observe::log_level::info, "settings_reread",
+            {{"grace_ms", loaded.values.grace.count()}});
+        asio::post(this->traffic_loop, [this, values = loaded.values] {
+            this->grace = values.grace;
+            if (this->view.hosts_version == 0) {
+                this->mesh.set_seeds(values.seeds);
+            }
+        });
+    }
+
+    /// The file may change without a signal.
+    void watch_settings() {
+        this->settings_timer.expires_after(settings_interval);
+        this->settings_timer.async_wait([this](boost::system::error_code failure) {
+            if (failure) {
+                return;
+            }
+            std::error_code missing;
+            auto const written =
+                std::filesystem::last_write_time(this->settings.file, missing);
+            if (!missing && written != this->settings_written) {
+                this->settings_written = written;
+                this->reread_settings();
+            }
+            this->watch_settings();
+        });
+    }
+
     // Traffic thread: callers
 
     void open_for_callers() {
@@ -159,7 +220,7 @@
         this->listener = std::make_unique<platform::line_listener>(
             this->traffic_loop, endpoint_of(this->settings.callers),
             [this](std::shared_ptr<caller_channel> channel) {
-                auto const session = std::make_shared<caller_session>(
+                auto session = std::make_shared<caller_session>(
                     this->sessions_context, std::move(channel),
                     [this](caller_session* ended) { this->sessions.erase(ended); });
                 this->sessions.emplace(session.get(), session);
@@ -201,7 +262,7 @@
         if (passed >= rotation_time || !this->listener) {
             this->close_idle_sessions();
         }
-        bool const over = passed >= this->settings.grace - end_margin;
+        bool const over = passed >= this->grace - end_margin;
         bool const done =
             this->sessions.empty() && this->orders.load() == 0 && passed >= rotation_time;
         if (over || done || !this->listener) {
@@ -410,13 +471,33 @@
             yes ? status_ok : status_unavailable, "text/plain", yes ? "ready\n" : "no\n"};
     }
 
-    net::http_response answer_metrics() const {
-        net::http_response response;
-        response.body = "# not collected yet\n";
-        return response;
+    /// The figures belong to the traffic thread.
+    void answer_metrics(net::http_responder::reply reply) {
+        asio::post(this->traffic_loop, [this, reply = std::move(reply)] {
+            net::http_response response;
+            response.body = format_metrics(this->counts, this->gauges());
+            asio::post(
+                this->control_loop,
+                [reply, response = std::move(response)] { reply(response); });
+        });
+    }
+
+    host_gauges gauges() const {
+        host_gauges now;
+        now.configuration = this->view.configuration->version;
+        now.directory = this->view.directory.current().version;
+        now.sessions = this->sessions.size();
+        now.peers_connected = this->mesh.connected_hosts().size();
+        now.database_connections = this->orders.connections();
+        now.database_connections_opened = this->orders.connections_opened();
+        now.orders_open = this->orders.load();
+        now.leadership_changes = this->keeper.changes_finished();
+        now.log_lines_dropped = observe::dropped_log_lines();
+        return now;
     }
 
     settings::front_settings settings;
+    std::chrono::milliseconds grace; ///< Of the traffic thread.
     registered_host self;
     boot_clock time;
     asio::io_context control_loop{1};
@@ -438,6 +519,8 @@
     std::unique_ptr<platform::line_listener> listener;
     asio::steady_timer hosts_timer;
     asio::steady_timer drain_timer;
+    asio::steady_timer settings_timer;
+    std::filesystem::file_time_type settings_written{};
     asio::signal_set signals;
     std::chrono::steady_clock::time_point drain_began;
     bool waited_for_hosts = false;
@@ -455,4 +538,8 @@
     this->impl->run();
 }
 
+void front_host::stop() {
+    this->impl->stop();
+}
+
 } // namespace persimmonpoint::host
--- a/src/persimmonpoint/host/front_host.hpp
+++ b/src/persimmonpoint/host/front_host.hpp
@@ -16,6 +16,8 @@
     /// Serves until a signal asks it to stop, and then until its callers are done or the
     /// grace is over.
     void run();
+    /// As the signal does. Any thread.
+    void stop();
 
 private:
     struct implementation;
--- a/src/persimmonpoint/net/http_responder.cpp
+++ b/src/persimmonpoint/net/http_responder.cpp
@@ -37,14 +37,32 @@
 private:
     void respond() {
         auto const& request = this->parser->get();
-        http_response const made = this->answer(request.target());
+        http_question question;
+        question.method = std::string(request.method_string());
+        question.target = std::string(request.target());
+        question.body = request.body();
+        question.header = [self = this->shared_from_this()](std::string_view name) {
+            auto const found = self->parser->get().find(name);
+            return found == self->parser->get().end() ? std::string()
+                                                      : std::string(found->value());
+        };
+        // A request may be held for as long as its answer takes.
+        this->stream.expires_never();
+        this->answer(question, [self = this->shared_from_this()](http_response made) {
+            self->send(std::move(made));
+        });
+    }
+
+    void send(http_response made) {
+        auto const& request = this->parser->get();
         this->response = {};
         this->response.version(request.version());
         this->response.keep_alive(request.keep_alive());
         this->response.result(made.status);
         this->response.set(http::field::content_type, made.content_type);
-        this->response.body() = made.body;
+        this->response.body() = std::move(made.body);
         this->response.prepare_payload();
+        this->stream.expires_after(idle_limit);
         http::async_write(
             this->stream, this->response,
             [self = this->shared_from_this()](beast::error_code failure, std::size_t) {
@@ -55,7 +73,7 @@
     }
 
     beast::tcp_stream stream;
-    http_responder::handler const& answer;
+    http_responder::handler answer;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> response;
@@ -104,6 +122,10 @@
     this->impl->accept();
 }
 
+std::uint16_t http_responder::port() const {
+    return this->impl->acceptor.local_endpoint().port();
+}
+
 http_responder::~http_responder() {
     boost::system::error_code ignored;
     this->impl->acceptor.close(ignored);
--- a/src/persimmonpoint/net/http_responder.hpp
+++ b/src/persimmonpoint/net/http_responder.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -16,10 +17,21 @@
     std::string body;
 };
 
-/// Answers small GET requests over HTTP/1.1.
+struct http_question {
+    std::string method;
+    std::string target;
+    std::string body;
+    /// Value of a header, by its name; empty if it is absent.
+    std::function<std::string(std::string_view)> header;
+};
+
+/// Answers small requests over HTTP/1.1.
 class http_responder {
 public:
-    using handler = std::function<http_response(std::string_view target)>;
+    /// Sends the response; may be called later, on the loop's thread. A dropped callback
+    /// leaves the request without an answer.
+    using reply = std::function<void(http_response)>;
+    using handler = std::function<void(http_question const&, reply)>;
 
     /// Throws boost::system::system_error if the address can't be bound.
     http_responder(
@@ -27,6 +39,8 @@
         boost::asio::ip::tcp::endpoint const& address,
         handler handler);
     ~http_responder();
+    /// The port that is listened on.
+    std::uint16_t port() const;
 
 private:
     struct implementation;
--- a/src/persimmonpoint/settings/front_settings.cpp
+++ b/src/persimmonpoint/settings/front_settings.cpp
@@ -96,7 +96,9 @@
         out.findings.push_back(finding{path, 0, 0, "", "can't be read"});
         return out;
     }
-    return load_front(path, text.str());
+    loaded_front_settings out = load_front(path, text.str());
+    out.values.file = path;
+    return out;
 }
 
 } // namespace persimmonpoint::settings
--- a/src/persimmonpoint/settings/front_settings.hpp
+++ b/src/persimmonpoint/settings/front_settings.hpp
@@ -13,6 +13,8 @@
 namespace persimmonpoint::settings {
 
 struct front_settings {
+    std::string file; ///< Where they were read from; empty if they weren't.
+
     // [host]
     std::string name;
     std::string availability_zone;
