--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -36,8 +36,6 @@
 
 /// Hosts that read the store often and pass its news on.
 constexpr std::size_t leading_readers = 2;
-/// The platform takes a host out after two questions a second apart.
-constexpr auto rotation_time = std::chrono::milliseconds(2300);
 /// How long a host that is otherwise ready waits to learn of the others.
 constexpr auto hosts_patience = std::chrono::milliseconds(300);
 constexpr auto settings_interval = std::chrono::seconds(2);
@@ -259,12 +257,12 @@
 
     void drain() {
         auto const passed = std::chrono::steady_clock::now() - this->drain_began;
-        if (passed >= rotation_time || !this->listener) {
+        if (passed >= this->settings.rotation || !this->listener) {
             this->close_idle_sessions();
         }
         bool const over = passed >= this->grace - end_margin;
-        bool const done =
-            this->sessions.empty() && this->orders.load() == 0 && passed >= rotation_time;
+        bool const done = this->sessions.empty() && this->orders.load() == 0 &&
+                          passed >= this->settings.rotation;
         if (over || done || !this->listener) {
             this->end();
             return;
@@ -476,9 +474,9 @@
         asio::post(this->traffic_loop, [this, reply = std::move(reply)] {
             net::http_response response;
             response.body = format_metrics(this->counts, this->gauges());
-            asio::post(
-                this->control_loop,
-                [reply, response = std::move(response)] { reply(response); });
+            asio::post(this->control_loop, [reply, response = std::move(response)] {
+                reply(response);
+            });
         });
     }
 
--- a/src/persimmonpoint/settings/front_settings.cpp
+++ b/src/persimmonpoint/settings/front_settings.cpp
@@ -84,6 +84,9 @@
     duration grace = values.grace;
     stop.reader.length_of_time("grace", grace, least_grace, most_grace);
     values.grace = std::chrono::duration_cast<std::chrono::milliseconds>(grace);
+    duration rotation = values.rotation;
+    stop.reader.length_of_time("rotation", rotation, duration(0), most_grace);
+    values.rotation = std::chrono::duration_cast<std::chrono::milliseconds>(rotation);
     return out;
 }
 
--- a/src/persimmonpoint/settings/front_settings.hpp
+++ b/src/persimmonpoint/settings/front_settings.hpp
@@ -34,6 +34,8 @@
 
     // [stop]
     std::chrono::milliseconds grace{6000}; ///< From the signal to the end.
+    /// Until the platform sends no more callers to a host that is not ready.
+    std::chrono::milliseconds rotation{2300};
 };
 
 struct loaded_front_settings {
--- /dev/null
+++ b/src/persimmonpoint/standin/line_group.cpp
@@ -0,0 +1,523 @@
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <list>
+#include <persimmonpoint/platform/line_codec.hpp>
+#include <persimmonpoint/platform/line_reader.hpp>
+#include <persimmonpoint/standin/line_group.hpp>
+#include <set>
+#include <utility>
+
+namespace persimmonpoint::standin {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using platform::take_word;
+
+namespace {
+
+struct log_entry {
+    std::uint64_t term = 0;
+    std::vector<std::pair<std::string, std::string>> writes;
+};
+
+class session;
+
+/// One database of the group.
+struct member {
+    std::string id;
+    std::unique_ptr<tcp::acceptor> acceptor;
+    std::uint16_t port = 0;
+    std::vector<log_entry> log;
+    std::uint64_t held_term = 0;
+    bool alive = true;
+    bool deaf = false;
+    bool silent = false;
+    bool lose_write = false;
+    bool lose_read = false;
+    std::set<std::shared_ptr<session>> sessions;
+};
+
+/// A commit that waits for its first copy.
+struct waiting_commit {
+    std::uint64_t number = 0;
+    std::function<void()> done;
+};
+
+} // namespace
+
+struct line_group::implementation
+    : std::enable_shared_from_this<line_group::implementation> {
+    implementation(asio::io_context& loop, std::string name)
+        : loop(loop), name(std::move(name)) {}
+
+    void accept(member& on);
+    void deliver();
+
+    log_position position(member const& of) const {
+        bool const has_all = of.log.size() == this->primary->log.size() && !of.deaf;
+        std::uint64_t const last = of.log.empty() ? 1 : of.log.back().term;
+        return {has_all ? this->current_term : last, of.log.size()};
+    }
+
+    void commit(
+        std::vector<std::pair<std::string, std::string>> writes,
+        std::function<void()> done) {
+        this->primary->log.push_back({this->current_term, std::move(writes)});
+        this->commits.push_back({this->primary->log.size(), std::move(done)});
+        this->deliver();
+    }
+
+    member& at(std::string const& id) { return *this->members.at(id); }
+
+    asio::io_context& loop;
+    std::string name;
+    std::map<std::string, std::unique_ptr<member>> members;
+    member* primary = nullptr;
+    std::uint64_t current_term = 1;
+    std::list<waiting_commit> commits;
+    std::map<std::string, std::size_t> teams;
+    std::uint64_t signatures = 0;
+};
+
+namespace {
+
+class session : public std::enable_shared_from_this<session> {
+public:
+    session(line_group::implementation& group, member& home, tcp::socket socket)
+        : group(group), home(home), socket(std::move(socket)) {}
+
+    void read() {
+        this->socket.async_read_some(
+            asio::buffer(this->received),
+            [self = this->shared_from_this()](
+                boost::system::error_code failure, std::size_t size) {
+                if (failure) {
+                    self->shut();
+                    return;
+                }
+                self->lines.add(std::string_view(self->received.data(), size));
+                self->take_lines();
+                if (!self->closed) {
+                    self->read();
+                }
+            });
+    }
+
+    void shut() {
+        if (std::exchange(this->closed, true)) {
+            return;
+        }
+        boost::system::error_code ignored;
+        this->socket.close(ignored);
+        this->home.sessions.erase(this->shared_from_this());
+    }
+
+private:
+    bool leads() const { return this->group.primary == &this->home; }
+
+    void take_lines() {
+        while (!this->closed && !this->busy) {
+            auto const line = this->lines.next();
+            if (!line) {
+                return;
+            }
+            this->take_line(*line);
+        }
+    }
+
+    void take_line(std::string_view line) {
+        std::string_view rest = line;
+        std::string_view const word = take_word(rest);
+        if (this->home.silent) {
+            return;
+        }
+        if (word == "START") {
+            this->start(rest);
+        } else if (word == "QUERY") {
+            take_word(rest);
+            this->query(rest);
+        } else {
+            this->shut();
+        }
+    }
+
+    void start(std::string_view rest) {
+        std::string_view const service = take_word(rest);
+        std::string const team(take_word(rest));
+        if (service != this->group.name || rest != this->home.id) {
+            this->send("ERROR MISROUTED " + this->home.id + "\r\n");
+            return;
+        }
+        ++this->group.teams[team];
+        this->ready();
+    }
+
+    void query(std::string_view text) {
+        std::optional<log_position> floor;
+        std::string_view rest = text;
+        if (rest.rfind("AFTER ", 0) == 0) {
+            take_word(rest);
+            floor = platform::parse_position(take_word(rest));
+        }
+        if (floor && this->group.position(this->home) < *floor) {
+            this->fail("LAGGING");
+            return;
+        }
+        std::string_view arguments = rest;
+        std::string const word(take_word(arguments));
+        if (word == "STATUS" || word == "PAUSE" || word == "RESUME") {
+            this->control(word, arguments);
+        } else if (word == "BEGIN") {
+            this->begin(arguments == "READ");
+        } else if (word == "ROLLBACK") {
+            this->end();
+            this->complete("-");
+        } else if (word == "COMMIT") {
+            this->commit();
+        } else if (word == "SET") {
+            std::string const name(take_word(arguments));
+            this->values[name] = arguments;
+            this->complete("-");
+        } else if (word == "RESET") {
+            this->values.clear();
+            this->prepared.clear();
+            this->complete("-");
+        } else if (word == "PREPARE") {
+            std::string const name(take_word(arguments));
+            this->prepared[name] = std::string(take_word(arguments));
+            this->complete("-");
+        } else {
+            this->run(word, arguments);
+        }
+    }
+
+    void control(std::string const& word, std::string_view arguments) {
+        if (word == "PAUSE") {
+            this->home.held_term = std::stoull(std::string(arguments));
+        } else if (word == "RESUME") {
+            this->home.held_term = 0;
+            this->group.deliver();
+        }
+        std::string const role = this->leads() ? "primary" : "replica";
+        this->send(
+            "ROW " + role + " " + std::to_string(this->group.current_term) + " " +
+            platform::format_position(this->group.position(this->home)) + " " +
+            std::to_string(this->home.held_term) + " 0 0 1\r\n");
+        this->complete("-");
+    }
+
+    void begin(bool only_reads) {
+        if (!only_reads && !this->leads()) {
+            this->fail("READONLY");
+            return;
+        }
+        this->open = true;
+        this->plain = !only_reads;
+        this->complete("-");
+    }
+
+    void run(std::string word, std::string_view arguments) {
+        if (word == "EXECUTE") {
+            std::string const name(take_word(arguments));
+            auto const found = this->prepared.find(name);
+            if (found == this->prepared.end()) {
+                this->fail("UNKNOWN");
+                return;
+            }
+            word = found->second;
+        }
+        bool const lost_lead =
+            !this->leads() && (word == "WRITE" || (this->open && this->plain));
+        if (lost_lead) {
+            this->broken = this->open;
+            this->fail("READONLY");
+            return;
+        }
+        std::string const item(take_word(arguments));
+        if (word == "READ") {
+            this->read_item(item);
+            return;
+        }
+        this->writes.emplace_back(item, std::string(arguments));
+        if (this->open) {
+            this->complete(this->signature());
+        } else {
+            this->commit();
+        }
+    }
+
+    void read_item(std::string const& item) {
+        std::string data = "-";
+        for (log_entry const& each : this->home.log) {
+            for (auto const& [name, value] : each.writes) {
+                data = name == item ? value : data;
+            }
+        }
+        for (auto const& [name, value] : this->writes) {
+            data = name == item ? value : data;
+        }
+        if (std::exchange(this->home.lose_read, false)) {
+            this->shut();
+            return;
+        }
+        std::string text = "values";
+        for (auto const& [name, value] : this->values) {
+            text += " " + name + "=" + value;
+        }
+        this->send("ROW " + data + "\r\nROW " + text + "\r\n");
+        this->complete(this->signature());
+    }
+
+    void commit() {
+        bool const changes = !this->writes.empty();
+        if (changes && !this->leads()) {
+            this->end();
+            this->fail("READONLY");
+            return;
+        }
+        auto writes = std::exchange(this->writes, {});
+        this->end();
+        if (!changes) {
+            this->complete(this->signature());
+            return;
+        }
+        this->busy = true;
+        this->group.commit(std::move(writes), [weak = this->weak_from_this()] {
+            auto const self = weak.lock();
+            if (!self || self->closed) {
+                return;
+            }
+            self->busy = false;
+            if (std::exchange(self->home.lose_write, false)) {
+                self->shut();
+                return;
+            }
+            self->complete(self->signature());
+            self->take_lines();
+        });
+    }
+
+    void end() {
+        this->open = false;
+        this->broken = false;
+        this->writes.clear();
+    }
+
+    std::string signature() {
+        return this->home.id + "." + std::to_string(++this->group.signatures);
+    }
+
+    void complete(std::string const& with) {
+        this->send("COMPLETE " + with + "\r\n");
+        this->ready();
+    }
+
+    void fail(std::string const& code) {
+        this->send("ERROR " + code + " " + this->home.id + "\r\n");
+        this->ready();
+    }
+
+    void ready() {
+        auto const state = this->broken ? transaction_state::failed
+                           : this->open ? transaction_state::open
+                                        : transaction_state::idle;
+        this->send(platform::format_ready(state, this->group.position(this->home)));
+    }
+
+    void send(std::string bytes) {
+        this->outgoing += bytes;
+        this->write();
+    }
+
+    void write() {
+        if (this->writing || this->outgoing.empty() || this->closed) {
+            return;
+        }
+        this->writing = true;
+        this->in_flight = std::exchange(this->outgoing, {});
+        asio::async_write(
+            this->socket, asio::buffer(this->in_flight),
+            [self = this->shared_from_this()](
+                boost::system::error_code failure, std::size_t) {
+                self->writing = false;
+                if (!failure) {
+                    self->write();
+                }
+            });
+    }
+
+    line_group::implementation& group;
+    member& home;
+    tcp::socket socket;
+    std::array<char, 4096> received{};
+    platform::line_reader lines;
+    std::string outgoing;
+    std::string in_flight;
+    std::map<std::string, std::string> values;
+    std::map<std::string, std::string> prepared;
+    std::vector<std::pair<std::string, std::string>> writes;
+    bool open = false;
+    bool plain = false;
+    bool broken = false;
+    bool busy = false;
+    bool writing = false;
+    bool closed = false;
+};
+
+} // namespace
+
+void line_group::implementation::accept(member& on) {
+    on.acceptor->async_accept([weak = this->weak_from_this(), &on](
+                                  boost::system::error_code failure, tcp::socket socket) {
+        auto const self = weak.lock();
+        if (!self || failure) {
+            return;
+        }
+        auto const made = std::make_shared<session>(*self, on, std::move(socket));
+        on.sessions.insert(made);
+        made->read();
+        self->accept(on);
+    });
+}
+
+/// Brings all copies up to the primary's log, and answers the commits that one has.
+void line_group::implementation::deliver() {
+    std::uint64_t furthest = 0;
+    for (auto& each : this->members) {
+        member& copy = *each.second;
+        if (&copy == this->primary) {
+            continue;
+        }
+        bool const receives =
+            copy.alive && !copy.deaf && copy.held_term == 0 && this->primary->alive;
+        if (receives) {
+            copy.log = this->primary->log;
+        }
+        furthest = std::max<std::uint64_t>(furthest, copy.log.size());
+    }
+    while (!this->commits.empty() && this->commits.front().number <= furthest) {
+        auto const done = std::move(this->commits.front().done);
+        this->commits.pop_front();
+        done();
+    }
+}
+
+line_group::line_group(asio::io_context& loop, std::string name, std::size_t databases)
+    : impl(std::make_shared<implementation>(loop, std::move(name))) {
+    for (std::size_t i = 0; i < databases; ++i) {
+        auto made = std::make_unique<member>();
+        made->id = this->impl->name + "-" + std::to_string(i);
+        made->acceptor = std::make_unique<tcp::acceptor>(
+            loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        made->port = made->acceptor->local_endpoint().port();
+        this->impl->accept(*made);
+        this->impl->primary = this->impl->primary ? this->impl->primary : made.get();
+        this->impl->members.emplace(made->id, std::move(made));
+    }
+}
+
+line_group::~line_group() {
+    for (auto& each : this->impl->members) {
+        this->kill(each.first);
+    }
+}
+
+std::vector<std::string> line_group::ids() const {
+    std::vector<std::string> out;
+    for (auto const& each : this->impl->members) {
+        out.push_back(each.first);
+    }
+    return out;
+}
+
+std::string line_group::address(std::string const& id) const {
+    return "127.0.0.1:" + std::to_string(this->impl->at(id).port);
+}
+
+std::string line_group::leader() const {
+    return this->impl->primary->id;
+}
+
+std::uint64_t line_group::term() const {
+    return this->impl->current_term;
+}
+
+bool line_group::promote(std::string const& id) {
+    member& next = this->impl->at(id);
+    if (!next.alive) {
+        return false;
+    }
+    if (&next != this->impl->primary) {
+        ++this->impl->current_term;
+        this->impl->primary = &next;
+        next.held_term = 0;
+        this->impl->commits.clear();
+        this->impl->deliver();
+    }
+    return true;
+}
+
+void line_group::kill(std::string const& id) {
+    member& victim = this->impl->at(id);
+    victim.alive = false;
+    boost::system::error_code ignored;
+    victim.acceptor->close(ignored);
+    auto const open = victim.sessions;
+    for (auto const& each : open) {
+        each->shut();
+    }
+}
+
+void line_group::revive(std::string const& id) {
+    member& back = this->impl->at(id);
+    back.alive = true;
+    back.held_term = 0;
+    back.acceptor = std::make_unique<tcp::acceptor>(
+        this->impl->loop, tcp::endpoint(asio::ip::address_v4::loopback(), back.port));
+    this->impl->accept(back);
+    this->impl->deliver();
+}
+
+void line_group::lose_next_answer(std::string const& id, bool of_a_write) {
+    member& target = this->impl->at(id);
+    (of_a_write ? target.lose_write : target.lose_read) = true;
+}
+
+void line_group::set_deaf(std::string const& id, bool deaf) {
+    this->impl->at(id).deaf = deaf;
+    this->impl->deliver();
+}
+
+void line_group::set_silent(std::string const& id, bool silent) {
+    this->impl->at(id).silent = silent;
+}
+
+std::string line_group::data(std::string const& item) const {
+    std::string found;
+    for (log_entry const& each : this->impl->primary->log) {
+        for (auto const& [name, value] : each.writes) {
+            found = name == item ? value : found;
+        }
+    }
+    return found;
+}
+
+std::size_t
+line_group::times_written(std::string const& item, std::string const& data) const {
+    std::size_t times = 0;
+    for (log_entry const& each : this->impl->primary->log) {
+        for (auto const& [name, value] : each.writes) {
+            times += name == item && value == data ? 1 : 0;
+        }
+    }
+    return times;
+}
+
+std::map<std::string, std::size_t> line_group::teams() const {
+    return this->impl->teams;
+}
+
+} // namespace persimmonpoint::standin
--- /dev/null
+++ b/src/persimmonpoint/standin/row_store.cpp
@@ -0,0 +1,295 @@
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <list>
+#include <map>
+#include <persimmonpoint/net/http_responder.hpp>
+#include <persimmonpoint/platform/fleet_decoder.hpp>
+#include <persimmonpoint/standin/row_store.hpp>
+#include <tuple>
+
+namespace persimmonpoint::standin {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_conflict = 409;
+constexpr unsigned status_precondition_failed = 412;
+constexpr unsigned status_unavailable = 503;
+
+struct row {
+    std::string value;
+    std::uint64_t version = 0;
+    bool removed = false;
+};
+
+using row_key = std::tuple<std::string, std::string, std::string>; ///< Table, part, key.
+
+/// A watch that waits for a change of its table.
+struct watcher {
+    std::string table;
+    std::uint64_t after = 0;
+    net::http_responder::reply reply;
+    std::chrono::steady_clock::time_point until;
+};
+
+std::string parameter(std::string_view target, std::string_view name) {
+    std::size_t at = target.find('?');
+    while (at != std::string_view::npos) {
+        std::string_view const rest = target.substr(at + 1);
+        std::size_t const end = std::min(rest.find('&'), rest.size());
+        std::string_view const pair = rest.substr(0, end);
+        std::size_t const equals = pair.find('=');
+        if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
+            return std::string(pair.substr(equals + 1));
+        }
+        at = end == rest.size() ? std::string_view::npos : at + 1 + end;
+    }
+    return {};
+}
+
+std::uint64_t number(std::string const& text) {
+    return text.empty() ? 0 : std::stoull(text);
+}
+
+row_key key_of(json::object const& entry) {
+    auto const text = [&entry](char const* name) {
+        json::value const* const found = entry.if_contains(name);
+        return found != nullptr && found->is_string() ? std::string(found->as_string())
+                                                      : std::string();
+    };
+    return {text("table"), text("part"), text("key")};
+}
+
+} // namespace
+
+struct row_store::implementation : std::enable_shared_from_this<implementation> {
+    implementation(asio::io_context& loop, promote_handler on_promote)
+        : on_promote(std::move(on_promote)),
+          timer(loop),
+          started(std::chrono::steady_clock::now()) {}
+
+    void listen(asio::io_context& loop) {
+        this->server = std::make_unique<net::http_responder>(
+            loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0),
+            [weak = this->weak_from_this()](
+                net::http_question const& question, net::http_responder::reply reply) {
+                if (auto const self = weak.lock()) {
+                    self->take(question, std::move(reply));
+                }
+            });
+    }
+
+    void take(net::http_question const& question, net::http_responder::reply reply) {
+        ++this->call_count;
+        bool const promotes = question.target == "/promote";
+        store_fault const present = promotes ? store_fault::none : this->fault.load();
+        if (present == store_fault::silent) {
+            this->unanswered.push_back(std::move(reply));
+            return;
+        }
+        if (present == store_fault::unavailable) {
+            reply({status_unavailable, "application/json", "{}"});
+            return;
+        }
+        if (present == store_fault::answer_lost) {
+            this->unanswered.push_back(reply);
+            reply = [](net::http_response const&) {};
+        }
+        this->answer(question, std::move(reply));
+    }
+
+    void answer(net::http_question const& question, net::http_responder::reply reply) {
+        std::string_view const target = question.target;
+        if (target.rfind("/api/rows-get", 0) == 0) {
+            reply(this->read(target));
+        } else if (target.rfind("/api/rows-feed", 0) == 0) {
+            this->watch(target, std::move(reply));
+        } else if (target.rfind("/api/rows-tx", 0) == 0) {
+            reply(this->transact(question.body));
+        } else if (target == "/promote") {
+            reply(this->promote(question));
+        } else {
+            reply({status_bad_request, "application/json", "{}"});
+        }
+    }
+
+    json::object head() const {
+        json::object out;
+        out["row_version"] = this->version;
+        out["now_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(
+                            std::chrono::steady_clock::now() - this->started)
+                            .count();
+        return out;
+    }
+
+    static json::object to_json(row_key const& key, row const& value) {
+        json::object out;
+        out["table"] = std::get<0>(key);
+        out["part"] = std::get<1>(key);
+        out["key"] = std::get<2>(key);
+        out["row_version"] = value.version;
+        if (value.removed) {
+            out["tombstone"] = true;
+        } else {
+            out["value"] = platform::encode_base64(value.value);
+        }
+        return out;
+    }
+
+    net::http_response read(std::string_view target) const {
+        json::array found;
+        for (auto const& [key, value] : this->rows) {
+            if (!value.removed && std::get<0>(key) == parameter(target, "table") &&
+                std::get<1>(key) == parameter(target, "part")) {
+                found.push_back(to_json(key, value));
+            }
+        }
+        json::object body = this->head();
+        body["rows"] = std::move(found);
+        body["has_more"] = false;
+        return {status_ok, "application/json", json::serialize(body)};
+    }
+
+    json::array changes(std::string const& table, std::uint64_t after) const {
+        json::array found;
+        for (auto const& [key, value] : this->rows) {
+            if (std::get<0>(key) == table && value.version > after) {
+                found.push_back(to_json(key, value));
+            }
+        }
+        return found;
+    }
+
+    void watch(std::string_view target, net::http_responder::reply reply) {
+        watcher waiting;
+        waiting.table = parameter(target, "table");
+        waiting.after = number(parameter(target, "after"));
+        waiting.until = std::chrono::steady_clock::now() +
+                        std::chrono::milliseconds(number(parameter(target, "wait_ms")));
+        waiting.reply = std::move(reply);
+        this->watchers.push_back(std::move(waiting));
+        this->wake_watchers();
+    }
+
+    void wake_watchers() {
+        auto const now = std::chrono::steady_clock::now();
+        for (auto each = this->watchers.begin(); each != this->watchers.end();) {
+            json::array found = this->changes(each->table, each->after);
+            if (found.empty() && now < each->until) {
+                ++each;
+                continue;
+            }
+            json::object body = this->head();
+            body["rows"] = std::move(found);
+            auto const reply = std::move(each->reply);
+            each = this->watchers.erase(each);
+            reply({status_ok, "application/json", json::serialize(body)});
+        }
+        if (!this->watchers.empty()) {
+            this->timer.expires_after(std::chrono::milliseconds(20));
+            this->timer.async_wait(
+                [weak = this->weak_from_this()](boost::system::error_code failure) {
+                    auto const self = weak.lock();
+                    if (self && !failure) {
+                        self->wake_watchers();
+                    }
+                });
+        }
+    }
+
+    net::http_response transact(std::string const& body) {
+        json::object const call = json::parse(body).as_object();
+        for (json::value const& each : call.at("expect").as_array()) {
+            json::object const& entry = each.as_object();
+            auto const found = this->rows.find(key_of(entry));
+            bool const present = found != this->rows.end() && !found->second.removed;
+            std::uint64_t const has = present ? found->second.version : 0;
+            if (entry.at("row_version").to_number<std::uint64_t>() != has) {
+                return {
+                    status_precondition_failed, "application/json",
+                    json::serialize(this->head())};
+            }
+        }
+        ++this->version;
+        for (json::value const& each : call.at("writes").as_array()) {
+            json::object const& entry = each.as_object();
+            std::string const value =
+                platform::decode_base64(entry.at("value").as_string()).value_or("");
+            this->rows[key_of(entry)] = row{value, this->version, false};
+        }
+        for (json::value const& each : call.at("remove").as_array()) {
+            this->rows[key_of(each.as_object())] = row{{}, this->version, true};
+        }
+        this->wake_watchers();
+        return {status_ok, "application/json", json::serialize(this->head())};
+    }
+
+    net::http_response promote(net::http_question const& question) {
+        json::object const call = json::parse(question.body).as_object();
+        std::string const group(call.at("service").as_string());
+        std::string const database(call.at("id").as_string());
+        std::uint64_t const token =
+            number(question.header("Persimmonpoint-Fencing-Token"));
+        std::uint64_t& highest = this->tokens[group];
+        if (token < highest) {
+            return {status_conflict, "application/json", "{}"};
+        }
+        highest = token;
+        return {this->on_promote(group, database, token), "application/json", "{}"};
+    }
+
+    promote_handler on_promote;
+    std::unique_ptr<net::http_responder> server;
+    asio::steady_timer timer;
+    std::chrono::steady_clock::time_point started;
+    std::map<row_key, row> rows;
+    std::list<watcher> watchers;
+    std::list<net::http_responder::reply> unanswered;
+    std::map<std::string, std::uint64_t> tokens;
+    std::uint64_t version = 0;
+    std::atomic<std::uint64_t> call_count{0};
+    std::atomic<store_fault> fault{store_fault::none};
+};
+
+row_store::row_store(asio::io_context& loop, promote_handler on_promote)
+    : impl(std::make_shared<implementation>(loop, std::move(on_promote))) {
+    this->impl->listen(loop);
+}
+
+row_store::~row_store() {
+    this->impl->timer.cancel();
+    this->impl->watchers.clear();
+    this->impl->unanswered.clear();
+    this->impl->server.reset();
+}
+
+std::uint16_t row_store::port() const {
+    return this->impl->server->port();
+}
+
+void row_store::put(
+    std::string const& table, std::string const& key, std::string const& value) {
+    ++this->impl->version;
+    this->impl->rows[{table, "", key}] = row{value, this->impl->version, false};
+    this->impl->wake_watchers();
+}
+
+void row_store::remove(std::string const& table, std::string const& key) {
+    ++this->impl->version;
+    this->impl->rows[{table, "", key}] = row{{}, this->impl->version, true};
+    this->impl->wake_watchers();
+}
+
+void row_store::set_fault(store_fault fault) {
+    this->impl->fault = fault;
+}
+
+std::uint64_t row_store::calls() const {
+    return this->impl->call_count;
+}
+
+} // namespace persimmonpoint::standin
--- /dev/null
+++ b/src/persimmonpoint/standin/row_store.hpp
@@ -0,0 +1,47 @@
+#ifndef PERSIMMONPOINT_STANDIN_ROW_STORE_HPP_INCLUDED
+#define PERSIMMONPOINT_STANDIN_ROW_STORE_HPP_INCLUDED
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace persimmonpoint::standin {
+
+enum class store_fault {
+    none,
+    unavailable, ///< Answers 503 and does nothing.
+    silent,      ///< Does nothing and doesn't answer.
+    answer_lost  ///< Does what was asked and doesn't answer.
+};
+
+/// A small store of rows that speaks the users' platform's published calls, and takes its
+/// promotion call. Used from its loop's thread, but for the fault, which any may set.
+class row_store {
+public:
+    /// Status of a promotion: 200 or 409.
+    using promote_handler = std::function<unsigned(
+        std::string const& group, std::string const& database, std::uint64_t token)>;
+
+    row_store(boost::asio::io_context& loop, promote_handler on_promote);
+    ~row_store();
+
+    std::uint16_t port() const;
+    /// Writes a row as the operator or a database does.
+    void put(std::string const& table, std::string const& key, std::string const& value);
+    void remove(std::string const& table, std::string const& key);
+    /// Promotions are not touched by it.
+    void set_fault(store_fault fault);
+    std::uint64_t calls() const;
+
+private:
+    struct implementation;
+    std::shared_ptr<implementation> impl;
+};
+
+} // namespace persimmonpoint::standin
+
+#endif // PERSIMMONPOINT_STANDIN_ROW_STORE_HPP_INCLUDED
--- /dev/null
+++ b/tests/support/fleet_stage.hpp
@@ -0,0 +1,96 @@
+#ifndef PERSIMMONPOINT_TESTS_SUPPORT_FLEET_STAGE_HPP_INCLUDED
+#define PERSIMMONPOINT_TESTS_SUPPORT_FLEET_STAGE_HPP_INCLUDED
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <persimmonpoint/host/front_host.hpp>
+#include <persimmonpoint/standin/line_group.hpp>
+#include <persimmonpoint/standin/row_store.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace persimmonpoint::tests {
+
+/// A caller that speaks the platform's line protocol and waits for each answer.
+class line_caller {
+public:
+    struct reply {
+        std::vector<std::string> rows;
+        std::string signature;
+        std::string error; ///< The code; empty for success.
+        std::string error_text;
+        std::string state;
+        bool closed = false; ///< The connection ended instead of an answer.
+    };
+
+    explicit line_caller(std::uint16_t port);
+    ~line_caller();
+
+    reply start(std::string const& database, std::string const& key);
+    reply query(std::string const& text);
+    /// Sends bytes as they are and reads one answer.
+    reply raw(std::string const& bytes);
+    void close();
+
+private:
+    reply read_reply();
+    std::string read_line(bool& closed);
+
+    int socket = -1;
+    std::string buffer;
+    std::uint64_t last_id = 0;
+};
+
+/// The stand-ins of the platform, one group of three databases, and some hosts.
+class fleet_stage {
+public:
+    explicit fleet_stage(std::size_t hosts = 2);
+    ~fleet_stage();
+
+    /// Adds a host; `reaches_store` false gives it a store that nobody serves.
+    void add_host(bool reaches_store = true);
+    void stop_host(std::size_t index);
+    std::uint16_t caller_port(std::size_t host) const;
+    /// Status of a host's readiness; 0 if it doesn't answer.
+    unsigned readiness(std::size_t host) const;
+
+    /// Runs on the stand-ins' thread and waits for it.
+    void with_standins(std::function<void()> action);
+    /// Writes a configuration: keys of team "hatchery" and its rate.
+    void configure(
+        std::vector<std::string> const& keys,
+        double rate = 10000,
+        bool extra_route = false);
+    /// Writes the databases' entries as they are now.
+    void register_databases(std::vector<std::string> const& leaving = {});
+
+    standin::line_group* group = nullptr;
+    standin::row_store* store = nullptr;
+
+private:
+    struct host_run {
+        std::unique_ptr<host::front_host> host;
+        std::thread thread;
+        std::uint16_t callers = 0;
+        std::uint16_t readiness = 0;
+        bool running = false;
+    };
+
+    boost::asio::io_context loop{1};
+    std::thread standin_thread;
+    std::unique_ptr<standin::line_group> owned_group;
+    std::unique_ptr<standin::row_store> owned_store;
+    std::vector<std::unique_ptr<host_run>> hosts;
+    std::vector<std::string> peer_addresses;
+    std::uint64_t version = 0;
+};
+
+/// Waits until the condition holds; false after ten seconds.
+bool eventually(std::function<bool()> const& condition);
+
+} // namespace persimmonpoint::tests
+
+#endif // PERSIMMONPOINT_TESTS_SUPPORT_FLEET_STAGE_HPP_INCLUDED
