--- a/src/persimmonpoint/core/membership/peer_health.hpp
+++ b/src/persimmonpoint/core/membership/peer_health.hpp
@@ -25,6 +25,8 @@
     bool heard_within(duration age, instant now) const {
         return this->current == state::connected && now - this->since <= age;
     }
+    /// Time since it was lost; zero while it is not.
+    duration lost_for(instant now) const;
     bool connected() const { return this->current == state::connected; }
     /// True if a link has been silent for so long that it must be given up.
     bool overdue(instant now) const;
@@ -37,6 +39,7 @@
     bool is_leaving = false;
     bool is_ended = false;
     bool reconnecting = false;
+    std::optional<instant> lost_since; ///< Until it is heard again.
     instant since{}; ///< Last heard, or when the attempt began, or when it was lost.
 };
 
--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -571,6 +571,17 @@
            found->second.health.heard_within(age, this->impl->time.now());
 }
 
+std::vector<std::string> peer_mesh::lost_hosts(duration age) const {
+    std::vector<std::string> names;
+    instant const now = this->impl->time.now();
+    for (auto const& each : this->impl->peers) {
+        if (each.second.health.lost_for(now) >= age) {
+            names.push_back(each.first);
+        }
+    }
+    return names;
+}
+
 std::vector<std::string> peer_mesh::connected_hosts() const {
     std::vector<std::string> names;
     for (auto const& each : this->impl->peers) {
--- a/src/persimmonpoint/engine/peer_mesh.hpp
+++ b/src/persimmonpoint/engine/peer_mesh.hpp
@@ -65,6 +65,8 @@
     bool has_ended(std::string_view host) const;
     /// True if the host said something within `age`; always true for this one.
     bool heard_within(std::string_view host, duration age) const;
+    /// Hosts that have been out of reach for at least `age`.
+    std::vector<std::string> lost_hosts(duration age) const;
     /// Hosts that are linked at present.
     std::vector<std::string> connected_hosts() const;
 
--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <persimmonpoint/core/recovery/lease_rule.hpp>
@@ -148,6 +149,7 @@
                         watch->register_timer, retry_interval,
                         [](implementation& self) { self.register_self(); });
                 }
+                watch->was_registered = watch->was_registered || outcome;
             });
     }
 
@@ -165,6 +167,12 @@
                     return;
                 }
                 watch->hosts_version = read.value().version;
+                bool const registered = std::any_of(
+                    read.value().hosts.begin(), read.value().hosts.end(),
+                    [&](registered_host const& each) { return each == watch->self; });
+                if (!registered && watch->was_registered) {
+                    watch->register_self();
+                }
                 watch->observer.on_stored_hosts(std::move(read.value()));
                 watch->watch_hosts();
             });
@@ -264,6 +272,7 @@
     std::uint64_t configuration_row = 0;
     std::uint64_t hosts_version = 0;
     std::atomic<bool> leading{true};
+    bool was_registered = false;
     bool store_reached = true;
     bool stopped = false;
 };
@@ -291,6 +300,11 @@
     this->impl->store.remove_host(this->impl->self.name, [](result<void> const&) {});
 }
 
+void store_watch::remove_host(std::string const& name) {
+    observe::log_event(observe::log_level::warning, "host_removed", {{"removed", name}});
+    this->impl->store.remove_host(name, [](result<void> const&) {});
+}
+
 void store_watch::set_leading_reader(bool value) {
     this->impl->leading = value;
 }
--- a/src/persimmonpoint/engine/store_watch.hpp
+++ b/src/persimmonpoint/engine/store_watch.hpp
@@ -37,6 +37,8 @@
     /// Stops to watch and removes this host from the store.
     void leave();
 
+    /// Removes a host that is gone for good. One that is not registers itself again.
+    void remove_host(std::string const& name);
     /// A few hosts read the databases often and tell the others. Any thread.
     void set_leading_reader(bool value);
 
--- a/src/persimmonpoint/engine/traffic_counts.hpp
+++ b/src/persimmonpoint/engine/traffic_counts.hpp
@@ -22,7 +22,8 @@
     std::uint64_t retries = 0;
     std::uint64_t reads_on_replicas = 0;
     std::uint64_t reads_on_primaries = 0;
-    std::map<std::string, observe::latency_histogram, std::less<>> latencies; ///< By route.
+    std::map<std::string, observe::latency_histogram, std::less<>>
+        latencies; ///< By route.
 };
 
 /// The figures of a host at one moment, beside its counts.
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -38,6 +38,9 @@
 constexpr std::size_t leading_readers = 2;
 /// How long a host that is otherwise ready waits to learn of the others.
 constexpr auto hosts_patience = std::chrono::milliseconds(300);
+/// A host out of reach for so long is taken out of the store.
+constexpr duration lost_limit = std::chrono::seconds(8);
+constexpr auto lost_check_interval = std::chrono::seconds(2);
 constexpr auto settings_interval = std::chrono::seconds(2);
 constexpr auto drain_tick = std::chrono::milliseconds(50);
 /// Before the end of the grace, the process is gone.
@@ -71,6 +74,7 @@
           mesh(traffic_loop, time, *this, self),
           sessions_context{runs, quotas, counts},
           hosts_timer(traffic_loop),
+          lost_timer(traffic_loop),
           drain_timer(traffic_loop),
           settings_timer(control_loop),
           signals(control_loop, SIGTERM, SIGINT, SIGHUP) {
@@ -78,6 +82,7 @@
         this->quotas.start(this->mesh);
         this->keeper.start(this->mesh);
         this->mesh.set_seeds(this->settings.seeds);
+        this->remove_lost_hosts();
     }
 
     /// The keeper is made after the dispatcher, which tells it what it sees.
@@ -232,6 +237,28 @@
              {"hosts", this->view.hosts.size()}});
     }
 
+    /// Hosts that are gone for good must not be counted, nor waited for.
+    void remove_lost_hosts() {
+        this->lost_timer.expires_after(lost_check_interval);
+        this->lost_timer.async_wait([this](boost::system::error_code failure) {
+            if (failure) {
+                return;
+            }
+            auto const ranked = rank_owners("store", {}, this->mesh.usable_hosts());
+            auto const lost = this->mesh.lost_hosts(lost_limit);
+            // A host that has lost most others is more likely to be cut off itself.
+            bool const cut_off = lost.size() * 2 >= this->view.hosts.size();
+            if (ranked.front() == this->settings.name && !cut_off && !this->leaving) {
+                for (std::string const& each : lost) {
+                    asio::post(this->control_loop, [this, each] {
+                        this->watch.remove_host(each);
+                    });
+                }
+            }
+            this->remove_lost_hosts();
+        });
+    }
+
     /// Without the other hosts this one would take all databases for its own; but they
     /// may not come to be known for as long as the store is away.
     void wait_for_hosts() {
@@ -516,6 +543,7 @@
     std::map<caller_session*, std::shared_ptr<caller_session>> sessions;
     std::unique_ptr<platform::line_listener> listener;
     asio::steady_timer hosts_timer;
+    asio::steady_timer lost_timer;
     asio::steady_timer drain_timer;
     asio::steady_timer settings_timer;
     std::filesystem::file_time_type settings_written{};
--- a/src/persimmonpoint/observe/latency_histogram.hpp
+++ b/src/persimmonpoint/observe/latency_histogram.hpp
@@ -27,8 +27,8 @@
     std::array<std::uint64_t, bounds.size()> within{};
     boost::accumulators::accumulator_set<
         double,
-        boost::accumulators::stats<
-            boost::accumulators::tag::count, boost::accumulators::tag::sum>>
+        boost::accumulators::
+            stats<boost::accumulators::tag::count, boost::accumulators::tag::sum>>
         all;
 };
 
