A lender lends the share of the hosts that endorse it

Ruled out: fixed parts above 0.42 of the rate, which leave too little for a team whose callers are at few hosts. Endorsements are exclusive, so lenders together can't lend more than the whole (property test over two lenders and six hosts).

--- a/src/persimmonpoint/core/limits/quota_lender.hpp
+++ b/src/persimmonpoint/core/limits/quota_lender.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <persimmonpoint/core/limits/quota_share.hpp>
 #include <persimmonpoint/core/time.hpp>
 #include <string>
@@ -15,9 +16,10 @@
 
 /// Lends some teams' quotas to hosts, one operation at a time.
 ///
-/// Only one host can lend a team's quota at a time: a lender needs the endorsement of
-/// more than half of the registered hosts, and a host endorses another lender only once
-/// its endorsement of the one before is over.
+/// A lender lends the share of the quota that the hosts endorsing it are of all
+/// registered hosts. A host endorses another lender only once its endorsement of the one
+/// before is over; so all lenders together never lend more than the whole, and each side
+/// of a partition has its share.
 ///
 /// Load it answers: a team's callers are spread unevenly over the hosts and change from
 /// second to second, so that equal shares refuse operations within the team's rate.
@@ -30,8 +32,9 @@
 
     void endorsed(std::string_view host, instant now);
     /// The host no longer endorses this lender.
-    void withdrawn(std::string_view host);
-    bool may_lend(instant now);
+    void withdrawn(std::string_view host, instant now);
+    /// Part of the quotas that this lender may lend now.
+    double share(instant now);
     /// This host stops: it lends nothing any more.
     void retire() { this->retired = true; }
 
@@ -42,7 +45,9 @@
     std::size_t host_count = 1;
     std::map<std::string, quota_bucket, std::less<>> teams;
     std::map<std::string, instant, std::less<>> endorsements;
-    bool lending = false;
+    void update(instant now);
+
+    std::optional<instant> updated;
     bool retired = false;
 };
 
--- a/src/persimmonpoint/core/limits/quota_share.hpp
+++ b/src/persimmonpoint/core/limits/quota_share.hpp
@@ -27,8 +27,10 @@
     /// A higher rate applies at once, a lower one after a while: callers have time to
     /// slow down, and all hosts change within the time that the operator allows.
     void set_part(quota_part part, instant now);
-    /// Drops all but a share of the burst.
-    void drain_to(double share, instant now);
+    /// Only this share of rate and burst is there from now on, until it is set again.
+    void set_share(double share, instant now);
+    /// Drops what was saved up.
+    void drain(instant now);
     /// Takes one operation. Zero if it was there, else the time until it will be.
     duration take(instant now);
 
@@ -38,6 +40,7 @@
     void fill_until(instant time);
 
     quota_part part;
+    double share = 1;
     std::optional<quota_part> lower; ///< Applies from `lower_from` on.
     instant lower_from{};
     double tokens;
--- a/src/persimmonpoint/engine/quota_keeper.cpp
+++ b/src/persimmonpoint/engine/quota_keeper.cpp
@@ -100,7 +100,7 @@
         }
         quota_lender& lender = this->lenders[message.shard];
         if (message.withdrawn) {
-            lender.withdrawn(host);
+            lender.withdrawn(host, this->time.now());
         } else {
             lender.endorsed(host, this->time.now());
         }
