--- a/src/persimmonpoint/engine/peer_messages.cpp
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -108,7 +108,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, configuration_message& value) {
-    archive(value.row_version, value.body);
+    archive(value.revision, value.body);
 }
 
 template <class Archive>
--- a/src/persimmonpoint/engine/peer_messages.hpp
+++ b/src/persimmonpoint/engine/peer_messages.hpp
@@ -42,7 +42,7 @@
 
 /// The operator's configuration as it lies in the store.
 struct configuration_message {
-    std::uint64_t row_version = 0;
+    std::uint64_t revision = 0;
     std::string body;
 };
 
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -380,7 +380,7 @@
     }
     void on_source_gone(order_source source) override { this->orders.forget(source); }
     void on_configuration(configuration_message message) override {
-        this->use_configuration(message.row_version, std::move(message.body));
+        this->use_configuration(message.revision, std::move(message.body));
     }
     void on_directory(directory_message message) override {
         if (this->view.directory.received(message.directory)) {
@@ -472,7 +472,7 @@
 
     void on_stored_configuration(stored_configuration read) override {
         asio::post(this->traffic_loop, [this, read = std::move(read)]() mutable {
-            this->use_configuration(read.row_version, std::move(read.body));
+            this->use_configuration(read.revision, std::move(read.body));
         });
     }
     void on_stored_databases(database_directory read) override {
--- a/src/persimmonpoint/interfaces/fleet_store.hpp
+++ b/src/persimmonpoint/interfaces/fleet_store.hpp
@@ -16,7 +16,7 @@
 
 /// The operator's configuration as it lies in the store.
 struct stored_configuration {
-    std::uint64_t row_version = 0; ///< 0 if there is none yet.
+    std::uint64_t revision = 0; ///< 0 if there is none yet.
     std::string body;
 };
 
@@ -37,7 +37,7 @@
     std::string holder;
     std::uint64_t token = 0;
     std::uint64_t taken_at_ms = 0; ///< By the store's steady clock.
-    std::uint64_t row_version = 0; ///< 0: nobody has held it yet.
+    std::uint64_t revision = 0;    ///< 0: nobody has held it yet.
     std::uint64_t store_now_ms = 0;
 };
 
@@ -64,7 +64,7 @@
     virtual void register_host(registered_host const& host, handler<void> done) = 0;
     virtual void remove_host(std::string_view name, handler<void> done) = 0;
     virtual void read_lease(std::string_view group, handler<leadership_lease> done) = 0;
-    /// Writes the lease if its row still has `lease.row_version`. False if it has not.
+    /// Writes the lease if its row still has `lease.revision`. False if it has not.
     virtual void take_lease(
         std::string_view group, leadership_lease const& lease, handler<bool> done) = 0;
 };
