--- a/tests/approvals/program.tests.cpp
+++ b/tests/approvals/program.tests.cpp
@@ -48,6 +48,8 @@
         {"check_help", {"check", "--help"}},
         {"serve_help", {"serve", "--help"}},
         {"demo_help", {"demo", "--help"}},
+        {"front_help", {"front", "--help"}},
+        {"front_without_settings", {"front"}},
         {"serve_without_settings", {"serve"}},
         {"check_without_file", {"check"}},
         {"check_missing_file", {"check", "no-such-file.toml"}},
