--- a/src/persimmonpoint/standin/line_group.cpp
+++ b/src/persimmonpoint/standin/line_group.cpp
@@ -268,7 +268,7 @@
         }
         std::string text = "values";
         for (auto const& [name, value] : this->values) {
-            text += " " + name + "=" + value;
+            text.append(" ").append(name).append("=").append(value);
         }
         this->send("ROW " + data + "\r\nROW " + text + "\r\n");
         this->complete(this->signature());
