A fault soak: hosts as processes, faults drawn from seeds

tests/soak starts the program as processes, puts loopback proxies before store and databases, and draws kills, stops, pauses, reloads, cuts, silence, resets, a failing store, lost answers and changes of configuration from a seed. It checks what callers and databases saw.

--- a/src/persimmonpoint/standin/line_group.cpp
+++ b/src/persimmonpoint/standin/line_group.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -23,6 +24,35 @@
     std::vector<std::pair<std::string, std::string>> writes;
 };
 
+using shared_log = std::vector<std::shared_ptr<log_entry const>>;
+
+/// The item's newest data; null if the log has none.
+std::string const* newest(shared_log const& log, std::string_view item) {
+    for (auto entry = log.rbegin(); entry != log.rend(); ++entry) {
+        auto const& writes = (*entry)->writes;
+        auto const found =
+            std::find_if(writes.rbegin(), writes.rend(), [item](auto const& each) {
+                return each.first == item;
+            });
+        if (found != writes.rend()) {
+            return &found->second;
+        }
+    }
+    return nullptr;
+}
+
+/// Brings a copy up to its primary's log: what the primary lacks is dropped, what the
+/// copy lacks is added.
+void follow(shared_log& copy, shared_log const& primary) {
+    while (!copy.empty() &&
+           (copy.size() > primary.size() || copy.back() != primary[copy.size() - 1])) {
+        copy.pop_back();
+    }
+    copy.insert(
+        copy.end(), primary.begin() + static_cast<std::ptrdiff_t>(copy.size()),
+        primary.end());
+}
+
 class session;
 
 /// One database of the group.
@@ -30,7 +60,7 @@
     std::string id;
     std::unique_ptr<tcp::acceptor> acceptor;
     std::uint16_t port = 0;
-    std::vector<log_entry> log;
+    shared_log log;
     std::uint64_t held_term = 0;
     bool alive = true;
     bool deaf = false;
@@ -58,14 +88,15 @@
 
     log_position position(member const& of) const {
         bool const has_all = of.log.size() == this->primary->log.size() && !of.deaf;
-        std::uint64_t const last = of.log.empty() ? 1 : of.log.back().term;
+        std::uint64_t const last = of.log.empty() ? 1 : of.log.back()->term;
         return {has_all ? this->current_term : last, of.log.size()};
     }
 
     void commit(
         std::vector<std::pair<std::string, std::string>> writes,
         std::function<void()> done) {
-        this->primary->log.push_back({this->current_term, std::move(writes)});
+        this->primary->log.push_back(std::make_shared<log_entry const>(
+            log_entry{this->current_term, std::move(writes)}));
         this->commits.push_back({this->primary->log.size(), std::move(done)});
         this->deliver();
     }
@@ -79,6 +110,7 @@
     std::uint64_t current_term = 1;
     std::list<waiting_commit> commits;
     std::map<std::string, std::size_t> teams;
+    std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> runs;
     std::uint64_t signatures = 0;
 };
 
@@ -149,12 +181,12 @@
 
     void start(std::string_view rest) {
         std::string_view const service = take_word(rest);
-        std::string const team(take_word(rest));
+        this->team = take_word(rest);
         if (service != this->group.name || rest != this->home.id) {
             this->send("ERROR MISROUTED " + this->home.id + "\r\n");
             return;
         }
-        ++this->group.teams[team];
+        ++this->group.teams[this->team];
         this->ready();
     }
 
@@ -239,6 +271,7 @@
             this->fail("READONLY");
             return;
         }
+        this->group.runs[this->team].push_back(std::chrono::steady_clock::now());
         std::string const item(take_word(arguments));
         if (word == "READ") {
             this->read_item(item);
@@ -254,10 +287,8 @@
 
     void read_item(std::string const& item) {
         std::string data = "-";
-        for (log_entry const& each : this->home.log) {
-            for (auto const& [name, value] : each.writes) {
-                data = name == item ? value : data;
-            }
+        if (std::string const* const found = newest(this->home.log, item)) {
+            data = *found;
         }
         for (auto const& [name, value] : this->writes) {
             data = name == item ? value : data;
@@ -342,6 +373,7 @@
     std::array<char, 4096> received{};
     platform::line_reader lines;
     net::send_queue outgoing;
+    std::string team;
     std::map<std::string, std::string> values;
     std::map<std::string, std::string> prepared;
     std::vector<std::pair<std::string, std::string>> writes;
@@ -379,7 +411,7 @@
         bool const receives =
             copy.alive && !copy.deaf && copy.held_term == 0 && this->primary->alive;
         if (receives) {
-            copy.log = this->primary->log;
+            follow(copy.log, this->primary->log);
         }
         furthest = std::max<std::uint64_t>(furthest, copy.log.size());
     }
@@ -448,8 +480,11 @@
 void line_group::kill(std::string const& id) {
     member& victim = this->impl->at(id);
     victim.alive = false;
-    boost::system::error_code ignored;
-    victim.acceptor->close(ignored);
+    // The port stays taken, so that nobody else gets it; connections to it are refused.
+    victim.acceptor->close();
+    victim.acceptor->open(tcp::v4());
+    victim.acceptor->set_option(tcp::acceptor::reuse_address(true));
+    victim.acceptor->bind({asio::ip::address_v4::loopback(), victim.port});
     auto const open = victim.sessions;
     for (auto const& each : open) {
         each->shut();
@@ -460,8 +495,7 @@
     member& back = this->impl->at(id);
     back.alive = true;
     back.held_term = 0;
-    back.acceptor = std::make_unique<tcp::acceptor>(
-        this->impl->loop, tcp::endpoint(asio::ip::address_v4::loopback(), back.port));
+    back.acceptor->listen();
     this->impl->accept(back);
     this->impl->deliver();
 }
@@ -481,24 +515,35 @@
 }
 
 std::string line_group::data(std::string const& item) const {
-    std::string found;
-    for (log_entry const& each : this->impl->primary->log) {
-        for (auto const& [name, value] : each.writes) {
-            found = name == item ? value : found;
+    std::string const* const found = newest(this->impl->primary->log, item);
+    return found == nullptr ? std::string() : *found;
+}
+
+std::vector<line_group::item_write> line_group::writes() const {
+    std::vector<item_write> all;
+    for (auto const& entry : this->impl->primary->log) {
+        for (auto const& [name, value] : entry->writes) {
+            all.push_back({name, value});
         }
     }
-    return found;
+    return all;
 }
 
 std::size_t
 line_group::times_written(std::string const& item, std::string const& data) const {
-    std::size_t times = 0;
-    for (log_entry const& each : this->impl->primary->log) {
-        for (auto const& [name, value] : each.writes) {
-            times += name == item && value == data ? 1 : 0;
-        }
-    }
-    return times;
+    auto const all = this->writes();
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), [&](item_write const& each) {
+            return each.item == item && each.data == data;
+        }));
+}
+
+std::vector<std::chrono::steady_clock::time_point>
+line_group::runs_of(std::string const& team) const {
+    auto const found = this->impl->runs.find(team);
+    return found == this->impl->runs.end()
+               ? std::vector<std::chrono::steady_clock::time_point>()
+               : found->second;
 }
 
 std::map<std::string, std::size_t> line_group::teams() const {
--- a/src/persimmonpoint/standin/line_group.hpp
+++ b/src/persimmonpoint/standin/line_group.hpp
@@ -2,6 +2,7 @@
 #define PERSIMMONPOINT_STANDIN_LINE_GROUP_HPP_INCLUDED
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -43,6 +44,15 @@
     std::string data(std::string const& item) const;
     /// Times that a write of this data took effect in the primary's log.
     std::size_t times_written(std::string const& item, std::string const& data) const;
+    struct item_write {
+        std::string item;
+        std::string data;
+    };
+    /// All writes in the primary's log, the oldest first.
+    std::vector<item_write> writes() const;
+    /// When reads and writes of a team ran, on any of the databases, in order.
+    std::vector<std::chrono::steady_clock::time_point>
+    runs_of(std::string const& team) const;
     /// Teams named on connections, with the number of these.
     std::map<std::string, std::size_t> teams() const;
 
--- /dev/null
+++ b/tests/soak/soak_plan.hpp
@@ -0,0 +1,61 @@
+#ifndef PERSIMMONPOINT_TESTS_SOAK_SOAK_PLAN_HPP_INCLUDED
+#define PERSIMMONPOINT_TESTS_SOAK_SOAK_PLAN_HPP_INCLUDED
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace persimmonpoint::tests {
+
+enum class soak_fault {
+    host_killed,    ///< SIGKILL; another process starts when it heals.
+    host_stopped,   ///< SIGTERM; another process starts when it heals.
+    host_paused,    ///< SIGSTOP until it heals.
+    host_reloaded,  ///< The settings file is written anew, and SIGHUP.
+    host_store_cut, ///< One host can't reach the store.
+    host_store_slow,
+    host_store_reset,
+    store_unavailable,
+    store_silent,
+    store_answers_lost,
+    database_killed,
+    database_cut,
+    database_one_way,
+    database_slow,
+    database_refusing,
+    connections_silenced, ///< Open connections to a database, for good.
+    connections_reset,
+    replica_deaf,
+    write_answer_lost,
+    read_answer_lost,
+    configuration_changed,
+    key_withdrawn
+};
+
+/// Name in the soak's report.
+char const* to_string(soak_fault kind);
+/// Planned work, under which no request may be cut.
+bool is_planned(soak_fault kind);
+/// Whether it may keep a host from learning a configuration.
+bool disturbs_store(soak_fault kind);
+bool disturbs_host(soak_fault kind);
+
+struct planned_fault {
+    soak_fault kind = soak_fault::host_killed;
+    std::size_t target = 0; ///< Host or database, by number.
+    std::chrono::milliseconds at{0};
+    std::chrono::milliseconds length{0};
+};
+
+/// Faults that come in series and overlap, drawn from the seed, ordered by time.
+std::vector<planned_fault> plan_soak(
+    std::uint64_t seed,
+    std::chrono::milliseconds length,
+    std::size_t hosts,
+    std::size_t databases);
+
+} // namespace persimmonpoint::tests
+
+#endif // PERSIMMONPOINT_TESTS_SOAK_SOAK_PLAN_HPP_INCLUDED
--- /dev/null
+++ b/tests/soak/soak_stage.cpp
@@ -0,0 +1,424 @@
+#include <algorithm>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <csignal>
+#include <fstream>
+#include <future>
+#include <soak/soak_stage.hpp>
+#include <stdexcept>
+#include <support/line_caller.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace persimmonpoint::tests {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr char const* group_name = "passcount-db";
+constexpr std::size_t databases_in_group = 3;
+constexpr soak_quota metered{"metered", 20, 20};
+constexpr milliseconds ready_patience(15000);
+constexpr milliseconds probe_patience(500);
+constexpr milliseconds poll_pause(50);
+/// From SIGTERM to SIGKILL, as the platform does it.
+constexpr milliseconds grace(3000);
+
+/// A port that nobody listens on at present.
+std::uint16_t free_port() {
+    asio::io_context loop;
+    asio::ip::tcp::acceptor const probe(
+        loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return probe.local_endpoint().port();
+}
+
+std::string at(std::uint16_t port) {
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+std::uint16_t port_of(std::string const& address) {
+    return static_cast<std::uint16_t>(std::stoul(address.substr(address.find(':') + 1)));
+}
+
+std::string route(std::string const& database, std::string const& kind) {
+    return R"({"name":"route-)" + database + R"(","host":")" + database +
+           R"(","kind":")" + kind +
+           R"(","timeout_ms":2000,"target_latency_ms":800,"priority":1,"service":")" +
+           group_name + R"(","max_staleness_ms":1500,"allow_anonymous":false})";
+}
+
+std::string
+team(std::string const& name, std::string const& keys, double rate, double burst) {
+    return R"({"name":")" + name + R"(","api_keys":[)" + keys + R"(],"rate_per_s":)" +
+           std::to_string(rate) + R"(,"burst":)" + std::to_string(burst) + "}";
+}
+
+std::string quoted(std::string const& text) {
+    return "\"" + text + "\"";
+}
+
+bool is_ready(std::uint16_t port) {
+    int const made = connect_to(port, probe_patience);
+    if (made < 0) {
+        return false;
+    }
+    std::string const question =
+        "GET /api/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    ::send(made, question.data(), question.size(), MSG_NOSIGNAL);
+    char bytes[64];
+    ssize_t const size = ::recv(made, bytes, sizeof(bytes), 0);
+    ::close(made);
+    return std::string(bytes, static_cast<std::size_t>(std::max<ssize_t>(size, 0)))
+               .rfind("HTTP/1.1 200", 0) == 0;
+}
+
+} // namespace
+
+soak_stage::soak_stage(
+    std::filesystem::path given, std::filesystem::path logs, std::size_t host_count)
+    : program(std::move(given)), folder(std::move(logs)) {
+    this->group =
+        std::make_unique<standin::line_group>(this->loop, group_name, databases_in_group);
+    this->store = std::make_unique<standin::row_store>(
+        this->loop, [this](std::string const&, std::string const& id, std::uint64_t) {
+            bool const done = this->group->promote(id);
+            this->register_databases();
+            return done ? 200U : 409U;
+        });
+    for (std::string const& id : this->group->ids()) {
+        this->databases.push_back(
+            {id,
+             std::make_unique<fault_proxy>(this->loop, port_of(this->group->address(id))),
+             true});
+    }
+    for (std::size_t i = 0; i < host_count; ++i) {
+        auto slot = std::make_unique<host_slot>();
+        slot->callers = free_port();
+        slot->readiness = free_port();
+        slot->peers = free_port();
+        slot->store = std::make_unique<fault_proxy>(this->loop, this->store->port());
+        this->hosts.push_back(std::move(slot));
+    }
+    this->configure();
+    this->register_databases();
+    this->thread = std::thread([this] {
+        auto const keep = asio::make_work_guard(this->loop);
+        this->loop.run();
+    });
+    for (std::size_t i = 0; i < host_count; ++i) {
+        this->start_host(i);
+    }
+    if (!this->wait_ready(ready_patience)) {
+        throw std::runtime_error("hosts did not become ready; see " + logs.string());
+    }
+}
+
+soak_stage::~soak_stage() {
+    for (auto const& each : this->hosts) {
+        each->process.reset();
+    }
+    this->on_loop([this] {
+        for (auto const& each : this->hosts) {
+            each->store.reset();
+        }
+        this->databases.clear();
+        this->store.reset();
+        this->group.reset();
+    });
+    this->loop.stop();
+    this->thread.join();
+}
+
+std::uint16_t soak_stage::caller_port(std::size_t host) const {
+    return this->hosts[host]->callers;
+}
+
+void soak_stage::on_loop(std::function<void()> const& action) {
+    std::promise<void> done;
+    asio::post(this->loop, [&] {
+        action();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+void soak_stage::configure() {
+    std::string routes = route("alerts", "primary") + "," +
+                         route("browse", "bounded_staleness") + "," +
+                         route("tallies", "read_own_writes");
+    for (std::size_t i = 0; i < this->extra_routes; ++i) {
+        routes += "," + route("extra" + std::to_string(i), "primary");
+    }
+    std::string const passing =
+        this->withdrawn.empty() ? "," + quoted(passing_key) : std::string();
+    std::string const teams =
+        team("hatchery", quoted(lasting_key) + passing, 10000, 10000) + "," +
+        team(metered.team, quoted(metered_key), metered.rate, metered.burst);
+    this->store->put(
+        "op", "config",
+        R"({"version":)" + std::to_string(++this->version) + R"(,"routes":[)" + routes +
+            R"(],"services":[{"name":")" + group_name +
+            R"(","max_connections":32,"sync_replicas":1}],)" +
+            R"("limits":{"transaction_idle_ms":1000},"tenants":[)" + teams + "]}");
+}
+
+void soak_stage::register_databases() {
+    for (database_slot const& each : this->databases) {
+        if (!each.alive) {
+            this->store->remove("servers", each.id);
+            continue;
+        }
+        std::string const role = each.id == this->group->leader() ? "primary" : "replica";
+        this->store->put(
+            "servers", each.id,
+            R"({"service":")" + std::string(group_name) + R"(","address":")" +
+                at(each.proxy->port()) +
+                R"(","zone":"a","version":"v1","slots":4,"state":"ready",)" +
+                R"("database_role":")" + role +
+                R"(","cold_remaining_ms":0,"sequence":1,"born":1000})");
+    }
+}
+
+void soak_stage::write_settings(std::size_t host) {
+    host_slot const& slot = *this->hosts[host];
+    std::string const number = std::to_string(host);
+    auto const written = this->folder / ("host-" + number + ".toml.new");
+    std::ofstream(written) << "[host]\nname = \"host-" << number
+                           << "\"\navailability_zone = \"a\"\n"
+                           << "[listen]\ncallers = \"" << at(slot.callers)
+                           << "\"\nreadiness = \"" << at(slot.readiness)
+                           << "\"\npeers = \"" << at(slot.peers) << "\"\n"
+                           << "[platform]\nstore = \"" << at(slot.store->port())
+                           << "\"\npromotion = \"" << at(this->store->port()) << "\"\n"
+                           << "[peers]\nseeds = \"" << at(this->hosts.front()->peers)
+                           << "\"\n"
+                           << "[stop]\ngrace = \"" << grace.count()
+                           << "ms\"\nrotation = \"300ms\"\n";
+    std::filesystem::rename(written, this->folder / ("host-" + number + ".toml"));
+}
+
+void soak_stage::start_host(std::size_t host) {
+    host_slot& slot = *this->hosts[host];
+    this->write_settings(host);
+    std::string const name = "host-" + std::to_string(host);
+    slot.ending = false;
+    slot.process = std::make_unique<host_process>(
+        this->program, this->folder / (name + ".toml"), this->folder / (name + ".log"));
+}
+
+void soak_stage::end_process(std::size_t host, int signal) {
+    host_slot& slot = *this->hosts[host];
+    if (!slot.process) {
+        return;
+    }
+    if (!slot.ending && !slot.process->running()) {
+        this->endings.push_back(
+            "host " + std::to_string(host) +
+            " ended by itself: " + slot.process->ending());
+    }
+    slot.ending = true;
+    slot.process->send(signal);
+    // A process that is paused takes no signal but these.
+    slot.process->send(SIGCONT);
+}
+
+bool soak_stage::lasts(soak_fault kind, std::size_t target) const {
+    return this->lasting.count({kind, target}) > 0;
+}
+
+bool soak_stage::lasts_anywhere(soak_fault kind) const {
+    return std::any_of(
+        this->lasting.begin(), this->lasting.end(),
+        [kind](auto const& each) { return each.first == kind; });
+}
+
+void soak_stage::begin(planned_fault const& fault) {
+    this->lasting.emplace(fault.kind, fault.target);
+    this->act_once(fault);
+    this->refresh_store();
+    if (fault.target < this->hosts.size()) {
+        this->refresh_host(fault.target);
+    }
+    if (fault.target < this->databases.size()) {
+        this->refresh_database(fault.target);
+    }
+}
+
+void soak_stage::end(planned_fault const& fault) {
+    auto const found = this->lasting.find({fault.kind, fault.target});
+    if (found != this->lasting.end()) {
+        this->lasting.erase(found);
+    }
+    this->refresh_store();
+    if (fault.target < this->hosts.size()) {
+        this->refresh_host(fault.target);
+    }
+    if (fault.target < this->databases.size()) {
+        this->refresh_database(fault.target);
+    }
+}
+
+void soak_stage::act_once(planned_fault const& fault) {
+    std::size_t const target = fault.target;
+    switch (fault.kind) {
+    case soak_fault::host_killed:
+        this->end_process(target, SIGKILL);
+        return;
+    case soak_fault::host_stopped:
+        this->end_process(target, SIGTERM);
+        return;
+    case soak_fault::host_reloaded:
+        this->write_settings(target);
+        if (this->hosts[target]->process) {
+            this->hosts[target]->process->send(SIGHUP);
+        }
+        return;
+    case soak_fault::connections_silenced:
+        this->on_loop([&] { this->databases[target].proxy->silence(); });
+        return;
+    case soak_fault::connections_reset:
+        this->on_loop([&] { this->databases[target].proxy->reset(); });
+        return;
+    case soak_fault::write_answer_lost:
+    case soak_fault::read_answer_lost:
+        this->on_loop([&] {
+            this->group->lose_next_answer(
+                this->databases[target].id, fault.kind == soak_fault::write_answer_lost);
+        });
+        return;
+    case soak_fault::configuration_changed:
+        ++this->extra_routes;
+        this->on_loop([&] { this->configure(); });
+        return;
+    case soak_fault::key_withdrawn:
+        this->withdrawn.emplace(passing_key, std::chrono::steady_clock::now());
+        this->on_loop([&] { this->configure(); });
+        this->withdrawn[passing_key] =
+            std::min(this->withdrawn[passing_key], std::chrono::steady_clock::now());
+        return;
+    default:
+        return;
+    }
+}
+
+void soak_stage::refresh_host(std::size_t host) {
+    host_slot& slot = *this->hosts[host];
+    bool const gone = this->lasts(soak_fault::host_killed, host) ||
+                      this->lasts(soak_fault::host_stopped, host);
+    if (!gone && slot.ending) {
+        // The platform kills what is still there behind the grace.
+        slot.process.reset();
+    }
+    if (!gone && !slot.process) {
+        this->start_host(host);
+    }
+    if (slot.process && !slot.ending) {
+        slot.process->send(
+            this->lasts(soak_fault::host_paused, host) ? SIGSTOP : SIGCONT);
+    }
+    link_fault link = link_fault::none;
+    if (this->lasts(soak_fault::host_store_cut, host)) {
+        link = link_fault::cut;
+    } else if (this->lasts(soak_fault::host_store_reset, host)) {
+        link = link_fault::refusing;
+    } else if (this->lasts(soak_fault::host_store_slow, host)) {
+        link = link_fault::delayed;
+    }
+    this->on_loop([&] { slot.store->set_fault(link); });
+}
+
+void soak_stage::refresh_database(std::size_t database) {
+    database_slot& slot = this->databases[database];
+    bool const dead = this->lasts(soak_fault::database_killed, database);
+    link_fault link = link_fault::none;
+    if (this->lasts(soak_fault::database_cut, database)) {
+        link = link_fault::cut;
+    } else if (this->lasts(soak_fault::database_one_way, database)) {
+        link = link_fault::one_way;
+    } else if (this->lasts(soak_fault::database_refusing, database)) {
+        link = link_fault::refusing;
+    } else if (this->lasts(soak_fault::database_slow, database)) {
+        link = link_fault::delayed;
+    }
+    this->on_loop([&] {
+        slot.proxy->set_fault(link);
+        this->group->set_deaf(slot.id, this->lasts(soak_fault::replica_deaf, database));
+        if (dead && slot.alive) {
+            this->group->kill(slot.id);
+        } else if (!dead && !slot.alive) {
+            this->group->revive(slot.id);
+        }
+        if (slot.alive == dead) {
+            slot.alive = !dead;
+            this->register_databases();
+        }
+    });
+}
+
+void soak_stage::refresh_store() {
+    standin::store_fault fault = standin::store_fault::none;
+    if (this->lasts_anywhere(soak_fault::store_silent)) {
+        fault = standin::store_fault::silent;
+    } else if (this->lasts_anywhere(soak_fault::store_unavailable)) {
+        fault = standin::store_fault::unavailable;
+    } else if (this->lasts_anywhere(soak_fault::store_answers_lost)) {
+        fault = standin::store_fault::answer_lost;
+    }
+    this->store->set_fault(fault);
+}
+
+void soak_stage::heal() {
+    this->lasting.clear();
+    this->refresh_store();
+    for (std::size_t i = 0; i < this->databases.size(); ++i) {
+        this->refresh_database(i);
+    }
+    for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+        this->refresh_host(i);
+    }
+}
+
+bool soak_stage::wait_ready(milliseconds patience) {
+    auto const end = std::chrono::steady_clock::now() + patience;
+    while (std::chrono::steady_clock::now() < end) {
+        bool const all =
+            std::all_of(this->hosts.begin(), this->hosts.end(), [](auto const& each) {
+                return is_ready(each->readiness);
+            });
+        if (all) {
+            return true;
+        }
+        std::this_thread::sleep_for(poll_pause);
+    }
+    return false;
+}
+
+void soak_stage::collect(soak_evidence& evidence) {
+    this->on_loop([&] {
+        evidence.log = this->group->writes();
+        evidence.runs[metered.team] = this->group->runs_of(metered.team);
+        for (auto const& each : this->group->teams()) {
+            evidence.teams_seen.insert(each.first);
+        }
+    });
+    evidence.teams_known = {"hatchery", metered.team};
+    evidence.quotas = {metered};
+    evidence.withdrawn_keys = this->withdrawn;
+}
+
+std::vector<std::string> soak_stage::unasked_endings() {
+    for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+        host_slot& slot = *this->hosts[i];
+        if (slot.process && !slot.ending && !slot.process->running()) {
+            this->endings.push_back(
+                "host " + std::to_string(i) +
+                " ended by itself: " + slot.process->ending());
+        }
+    }
+    return this->endings;
+}
+
+} // namespace persimmonpoint::tests
--- /dev/null
+++ b/tests/soak/soak_stage.hpp
@@ -0,0 +1,96 @@
+#ifndef PERSIMMONPOINT_TESTS_SOAK_SOAK_STAGE_HPP_INCLUDED
+#define PERSIMMONPOINT_TESTS_SOAK_SOAK_STAGE_HPP_INCLUDED
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <persimmonpoint/standin/line_group.hpp>
+#include <persimmonpoint/standin/row_store.hpp>
+#include <set>
+#include <soak/fault_proxy.hpp>
+#include <soak/host_process.hpp>
+#include <soak/soak_record.hpp>
+#include <thread>
+#include <utility>
+
+namespace persimmonpoint::tests {
+
+/// The key that may be withdrawn.
+inline constexpr char const* passing_key = "key-passing";
+inline constexpr char const* lasting_key = "key-lasting";
+inline constexpr char const* metered_key = "key-metered";
+
+/// Hosts as processes, the stand-ins of store and databases, and the proxies between.
+class soak_stage {
+public:
+    /// Throws std::runtime_error if the hosts don't become ready.
+    soak_stage(
+        std::filesystem::path program, std::filesystem::path folder, std::size_t hosts);
+    ~soak_stage();
+
+    std::size_t host_count() const { return this->hosts.size(); }
+    std::size_t database_count() const { return this->databases.size(); }
+    std::uint16_t caller_port(std::size_t host) const;
+
+    void begin(planned_fault const& fault);
+    /// Heals a fault, unless another of its kind still lasts on the same target.
+    void end(planned_fault const& fault);
+    /// Everything works again; hosts that are gone are started.
+    void heal();
+    /// Waits until each host is ready; false if one isn't in time.
+    bool wait_ready(std::chrono::milliseconds patience);
+
+    /// What the databases saw, and what was withdrawn.
+    void collect(soak_evidence& evidence);
+    /// Endings of processes that nobody asked for.
+    std::vector<std::string> unasked_endings();
+
+private:
+    struct host_slot {
+        std::uint16_t callers = 0;
+        std::uint16_t readiness = 0;
+        std::uint16_t peers = 0;
+        std::unique_ptr<fault_proxy> store;
+        std::unique_ptr<host_process> process;
+        bool ending = false; ///< Was sent SIGTERM or SIGKILL.
+    };
+    struct database_slot {
+        std::string id;
+        std::unique_ptr<fault_proxy> proxy;
+        bool alive = true;
+    };
+
+    bool lasts(soak_fault kind, std::size_t target) const;
+    bool lasts_anywhere(soak_fault kind) const;
+    void on_loop(std::function<void()> const& action);
+    void configure();
+    void register_databases();
+    void write_settings(std::size_t host);
+    void start_host(std::size_t host);
+    void end_process(std::size_t host, int signal);
+    // Each puts a part into the state that the lasting faults give it.
+    void refresh_host(std::size_t host);
+    void refresh_database(std::size_t database);
+    void refresh_store();
+    void act_once(planned_fault const& fault);
+
+    std::filesystem::path program;
+    std::filesystem::path folder;
+    boost::asio::io_context loop{1};
+    std::thread thread;
+    std::unique_ptr<standin::line_group> group;
+    std::unique_ptr<standin::row_store> store;
+    std::vector<std::unique_ptr<host_slot>> hosts;
+    std::vector<database_slot> databases;
+    std::map<std::string, soak_time> withdrawn;
+    std::vector<std::string> endings;
+    std::uint64_t version = 0;
+    std::size_t extra_routes = 0;
+    std::multiset<std::pair<soak_fault, std::size_t>> lasting;
+};
+
+} // namespace persimmonpoint::tests
+
+#endif // PERSIMMONPOINT_TESTS_SOAK_SOAK_STAGE_HPP_INCLUDED
--- a/tests/support/fleet_stage.cpp
+++ b/tests/support/fleet_stage.cpp
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -15,7 +14,8 @@
 namespace {
 
 constexpr char const* group_name = "passcount-db";
-constexpr timeval longest_read{10, 0};
+/// Longest wait for a host's readiness.
+constexpr std::chrono::milliseconds readiness_patience{10000};
 
 /// A port that nobody listens on at present.
 std::uint16_t free_port() {
@@ -29,20 +29,6 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-int connect_to(std::uint16_t port) {
-    int const made = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (::connect(made, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
-        ::close(made);
-        return -1;
-    }
-    ::setsockopt(made, SOL_SOCKET, SO_RCVTIMEO, &longest_read, sizeof(longest_read));
-    return made;
-}
-
 std::string route(std::string const& database, std::string const& kind) {
     return R"({"name":"route-)" + database + R"(","host":")" + database +
            R"(","kind":")" + kind +
@@ -52,81 +38,6 @@
 
 } // namespace
 
-line_caller::line_caller(std::uint16_t port) : socket(connect_to(port)) {}
-
-line_caller::~line_caller() {
-    this->close();
-}
-
-void line_caller::close() {
-    if (this->socket >= 0) {
-        ::close(this->socket);
-        this->socket = -1;
-    }
-}
-
-std::string line_caller::read_line(bool& closed) {
-    for (;;) {
-        std::size_t const end = this->buffer.find("\r\n");
-        if (end != std::string::npos) {
-            std::string line = this->buffer.substr(0, end);
-            this->buffer.erase(0, end + 2);
-            return line;
-        }
-        char bytes[4096];
-        ssize_t const size = ::recv(this->socket, bytes, sizeof(bytes), 0);
-        if (size <= 0) {
-            closed = true;
-            return {};
-        }
-        this->buffer.append(bytes, static_cast<std::size_t>(size));
-    }
-}
-
-line_caller::reply line_caller::read_reply() {
-    reply out;
-    for (;;) {
-        std::string const line = this->read_line(out.closed);
-        if (out.closed) {
-            return out;
-        }
-        std::size_t const blank = std::min(line.find(' '), line.size());
-        std::string const word = line.substr(0, blank);
-        std::string const rest = blank < line.size() ? line.substr(blank + 1) : "";
-        if (word == "ROW") {
-            out.rows.push_back(rest);
-        } else if (word == "COMPLETE") {
-            out.signature = rest;
-        } else if (word == "ERROR") {
-            std::size_t const end = std::min(rest.find(' '), rest.size());
-            out.error = rest.substr(0, end);
-            out.error_text = end < rest.size() ? rest.substr(end + 1) : "";
-        } else if (word == "READY") {
-            out.state = rest.substr(0, 1);
-            return out;
-        }
-    }
-}
-
-line_caller::reply line_caller::raw(std::string const& bytes) {
-    if (this->socket < 0 ||
-        ::send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) {
-        reply out;
-        out.closed = true;
-        return out;
-    }
-    return this->read_reply();
-}
-
-line_caller::reply
-line_caller::start(std::string const& database, std::string const& key) {
-    return this->raw("START " + database + " " + key + "\r\n");
-}
-
-line_caller::reply line_caller::query(std::string const& text) {
-    return this->raw("QUERY q" + std::to_string(++this->last_id) + " " + text + "\r\n");
-}
-
 fleet_stage::fleet_stage(std::size_t host_count) {
     this->owned_group = std::make_unique<standin::line_group>(this->loop, group_name, 3);
     this->group = this->owned_group.get();
@@ -252,7 +163,7 @@
 }
 
 unsigned fleet_stage::readiness(std::size_t host) const {
-    int const made = connect_to(this->hosts[host]->readiness);
+    int const made = connect_to(this->hosts[host]->readiness, readiness_patience);
     if (made < 0) {
         return 0;
     }
--- a/tests/support/fleet_stage.hpp
+++ b/tests/support/fleet_stage.hpp
@@ -9,41 +9,12 @@
 #include <persimmonpoint/standin/line_group.hpp>
 #include <persimmonpoint/standin/row_store.hpp>
 #include <string>
+#include <support/line_caller.hpp>
 #include <thread>
 #include <vector>
 
 namespace persimmonpoint::tests {
 
-/// A caller that speaks the platform's line protocol and waits for each answer.
-class line_caller {
-public:
-    struct reply {
-        std::vector<std::string> rows;
-        std::string signature;
-        std::string error; ///< The code; empty for success.
-        std::string error_text;
-        std::string state;
-        bool closed = false; ///< The connection ended instead of an answer.
-    };
-
-    explicit line_caller(std::uint16_t port);
-    ~line_caller();
-
-    reply start(std::string const& database, std::string const& key);
-    reply query(std::string const& text);
-    /// Sends bytes as they are and reads one answer.
-    reply raw(std::string const& bytes);
-    void close();
-
-private:
-    reply read_reply();
-    std::string read_line(bool& closed);
-
-    int socket = -1;
-    std::string buffer;
-    std::uint64_t last_id = 0;
-};
-
 /// The stand-ins of the platform, one group of three databases, and some hosts.
 class fleet_stage {
 public:
