Large fleets: news are asked for, links watched by need, tokens renewed for a change

Change: a host asks one other host for news, and for a configuration only if the store does not bring it; links of a large fleet get frequent heartbeats only while an answer is awaited; neighbours at doubling distances; endorsements and readings of the store grow rarer with the number of hosts; a change of leadership renews its token, and takes it from a holder that may live only after its time. Fleets of up to 16 hosts keep their pace. Rankings of owners are kept until the set of hosts changes.

--- a/src/persimmonpoint/core/limits/quota_lender.cpp
+++ b/src/persimmonpoint/core/limits/quota_lender.cpp
@@ -31,9 +31,10 @@
     }
 }
 
-void quota_lender::endorsed(std::string_view host, instant now) {
+void quota_lender::endorsed(std::string_view host, duration life, instant now) {
     this->update(now);
-    this->endorsements[std::string(host)] = now;
+    this->endorsements[std::string(host)] = now + life;
+    this->longest_life = std::max(this->longest_life, life);
     this->update(now);
 }
 
@@ -46,9 +47,8 @@
 }
 
 double quota_lender::share(instant now) {
-    std::erase_if(this->endorsements, [now](auto const& each) {
-        return now - each.second > endorsement_life;
-    });
+    std::erase_if(
+        this->endorsements, [now](auto const& each) { return now > each.second; });
     auto const backers = static_cast<double>(this->endorsements.size());
     return this->retired ? 0
                          : std::min(1.0, backers / static_cast<double>(this->host_count));
@@ -56,7 +56,7 @@
 
 void quota_lender::update(instant now) {
     // Nothing is known of the time since the endorsements before ran out.
-    bool const gap = this->updated && now - *this->updated > endorsement_life;
+    bool const gap = this->updated && now - *this->updated > this->longest_life;
     this->updated = now;
     double const present = this->share(now);
     for (auto& each : this->teams) {
@@ -76,13 +76,13 @@
     return found->second.take(now);
 }
 
-lender_choice::step
-lender_choice::choose(std::string_view wanted, bool ended, bool heard, instant now) {
-    bool const over = now - this->last_endorsed > endorsement_life + transit_time;
+lender_choice::step lender_choice::choose(
+    std::string_view wanted, bool ended, bool heard, duration life, instant now) {
+    bool const over = now > this->good_until + transit_time;
     if (this->endorsed.empty() || ended || over) {
         this->endorsed = wanted;
         this->leaving = false;
-        this->last_endorsed = now;
+        this->good_until = now + life;
         return step::endorse;
     }
     if (this->endorsed != wanted) {
@@ -96,7 +96,7 @@
     if (!heard) {
         return step::wait;
     }
-    this->last_endorsed = now;
+    this->good_until = now + life;
     return step::endorse;
 }
 
--- a/src/persimmonpoint/core/limits/quota_lender.hpp
+++ b/src/persimmonpoint/core/limits/quota_lender.hpp
@@ -11,9 +11,6 @@
 
 namespace persimmonpoint {
 
-/// How long a host's endorsement of a lender is good.
-inline constexpr duration endorsement_life = std::chrono::milliseconds(450);
-
 /// Lends some teams' quotas to hosts, one operation at a time.
 ///
 /// A lender lends the share of the quota that the hosts endorsing it are of all
@@ -30,7 +27,8 @@
     void set_limit(std::string_view team, quota_part whole, instant now);
     void forget_team(std::string_view team);
 
-    void endorsed(std::string_view host, instant now);
+    /// The host endorses this lender for `life`.
+    void endorsed(std::string_view host, duration life, instant now);
     /// The host no longer endorses this lender.
     void withdrawn(std::string_view host, instant now);
     /// Part of the quotas that this lender may lend now.
@@ -44,10 +42,11 @@
 private:
     std::size_t host_count = 1;
     std::map<std::string, quota_bucket, std::less<>> teams;
-    std::map<std::string, instant, std::less<>> endorsements;
+    std::map<std::string, instant, std::less<>> endorsements; ///< Until when, by host.
     void update(instant now);
 
     std::optional<instant> updated;
+    duration longest_life{0};
     bool retired = false;
 };
 
@@ -58,8 +57,10 @@
     enum class step { endorse, withdraw, wait };
 
     /// What to do now. `ended`: the current lender has certainly stopped to lend.
-    /// `heard`: the current lender said something just now.
-    step choose(std::string_view wanted, bool ended, bool heard, instant now);
+    /// `heard`: the current lender said something just now. `life`: of an endorsement
+    /// that is given now.
+    step
+    choose(std::string_view wanted, bool ended, bool heard, duration life, instant now);
     /// The current lender confirmed the withdrawal.
     void released();
     /// Empty while none may be borrowed from.
@@ -69,7 +70,7 @@
 private:
     std::string endorsed;
     bool leaving = false;
-    instant last_endorsed{};
+    instant good_until{}; ///< The endorsement of the current lender.
 };
 
 } // namespace persimmonpoint
--- /dev/null
+++ b/src/persimmonpoint/core/membership/news_desk.hpp
@@ -0,0 +1,44 @@
+#ifndef PERSIMMONPOINT_CORE_MEMBERSHIP_NEWS_DESK_HPP_INCLUDED
+#define PERSIMMONPOINT_CORE_MEMBERSHIP_NEWS_DESK_HPP_INCLUDED
+
+#include <cstdint>
+#include <optional>
+#include <persimmonpoint/core/time.hpp>
+
+namespace persimmonpoint {
+
+/// How new what a host knows is, by the store's versions.
+struct news_versions {
+    std::uint64_t configuration = 0;
+    std::uint64_t databases = 0;
+    std::uint64_t hosts = 0;
+
+    friend bool operator==(news_versions const&, news_versions const&) = default;
+};
+
+/// Decides when a host asks another for news.
+///
+/// Load it answers: a large configuration and dozens of links. If every host that has it
+/// sends it to every host that lacks it, the links are full of copies; so each host asks
+/// for it, one other at a time, and only if the store does not bring it.
+class news_desk {
+public:
+    /// `theirs` is what the other says that it knows. The versions to ask it from, if it
+    /// is to be asked: it answers with all that is newer. `patience`: how long the store
+    /// is given to bring a configuration; zero if it is out of reach.
+    std::optional<news_versions>
+    ask(news_versions const& mine,
+        news_versions const& theirs,
+        duration patience,
+        instant now);
+
+private:
+    std::optional<instant> asked; ///< Until something has come, or too much time passed.
+    news_versions asked_with;
+    std::optional<instant> behind_since; ///< A newer configuration is known to exist.
+    std::uint64_t behind_at = 0;
+};
+
+} // namespace persimmonpoint
+
+#endif // PERSIMMONPOINT_CORE_MEMBERSHIP_NEWS_DESK_HPP_INCLUDED
--- a/src/persimmonpoint/core/membership/peer_health.cpp
+++ b/src/persimmonpoint/core/membership/peer_health.cpp
@@ -1,11 +1,10 @@
+#include <algorithm>
 #include <persimmonpoint/core/membership/peer_health.hpp>
 
 namespace persimmonpoint {
 
 namespace {
 
-constexpr duration silence_limit = std::chrono::milliseconds(450);
-constexpr duration connect_limit = std::chrono::milliseconds(120);
 constexpr duration reconnect_pause = std::chrono::milliseconds(200);
 
 } // namespace
@@ -30,6 +29,7 @@
     this->current = state::lost;
     this->reconnecting = false;
     this->is_leaving = false;
+    this->awaited_since.reset();
     this->since = now;
     if (!this->lost_since) {
         this->lost_since = now;
@@ -40,11 +40,25 @@
     return this->lost_since ? now - *this->lost_since : duration(0);
 }
 
-bool peer_health::overdue(instant now) const {
+void peer_health::asked(instant now) {
+    if (!this->awaited_since) {
+        this->awaited_since = now;
+    }
+}
+
+bool peer_health::overdue(fleet_pace const& pace, instant now) const {
     if (this->reconnecting) {
-        return now - this->since > connect_limit;
+        return now - this->since > pace.connect_limit;
+    }
+    if (this->current != state::connected) {
+        return false;
+    }
+    if (now - this->since > pace.idle_silence) {
+        return true;
     }
-    return this->current == state::connected && now - this->since > silence_limit;
+    // It may have been silent before, with nothing to say.
+    return this->awaited_since &&
+           now - std::max(this->since, *this->awaited_since) > pace.awaited_silence;
 }
 
 bool peer_health::may_connect(instant now) const {
--- a/src/persimmonpoint/core/membership/peer_health.hpp
+++ b/src/persimmonpoint/core/membership/peer_health.hpp
@@ -2,6 +2,7 @@
 #define PERSIMMONPOINT_CORE_MEMBERSHIP_PEER_HEALTH_HPP_INCLUDED
 
 #include <optional>
+#include <persimmonpoint/core/membership/fleet_pace.hpp>
 #include <persimmonpoint/core/time.hpp>
 
 namespace persimmonpoint {
@@ -28,8 +29,13 @@
     /// Time since it was lost; zero while it is not.
     duration lost_for(instant now) const;
     bool connected() const { return this->current == state::connected; }
+    /// Something was sent that the other is to answer soon.
+    void asked(instant now);
+    /// All that was asked has been answered.
+    void answered() { this->awaited_since.reset(); }
+    bool awaited() const { return this->awaited_since.has_value(); }
     /// True if a link has been silent for so long that it must be given up.
-    bool overdue(instant now) const;
+    bool overdue(fleet_pace const& pace, instant now) const;
     /// True if a connection may be attempted now.
     bool may_connect(instant now) const;
 
@@ -39,6 +45,7 @@
     bool is_leaving = false;
     bool is_ended = false;
     bool reconnecting = false;
+    std::optional<instant> awaited_since;
     std::optional<instant> lost_since; ///< Until it is heard again.
     instant since{}; ///< Last heard, or when the attempt began, or when it was lost.
 };
--- a/src/persimmonpoint/core/recovery/lease_rule.hpp
+++ b/src/persimmonpoint/core/recovery/lease_rule.hpp
@@ -10,6 +10,13 @@
 /// How long a holder that still lives keeps a group to itself.
 inline constexpr std::uint64_t lease_hold_ms = 3000;
 
+/// What a fencing token is for.
+enum class token_need {
+    any,     ///< To have one at hand.
+    renewed, ///< To use it now: a new one, or the one at hand while the store is away.
+    newest   ///< The one at hand was refused.
+};
+
 /// May `host` take the lease now? `holder_lives`: as far as this host can tell.
 inline bool
 may_take_lease(leadership_lease const& lease, std::string_view host, bool holder_lives) {
--- a/src/persimmonpoint/engine/dispatcher.cpp
+++ b/src/persimmonpoint/engine/dispatcher.cpp
@@ -51,7 +51,7 @@
     }
 
     lane_limits limits_for(registered_database const& database) const {
-        auto const ranked = this->ranked(database);
+        auto const& ranked = this->ranked(database);
         auto const at = std::find(ranked.begin(), ranked.end(), this->self);
         auto const& groups = this->view.configuration->groups;
         auto const group = groups.find(database.group);
@@ -61,9 +61,18 @@
             static_cast<std::size_t>(at - ranked.begin()), most, database.slots);
     }
 
-    std::vector<std::string> ranked(registered_database const& database) const {
-        std::vector<registered_host> const hosts = this->mesh->usable_hosts();
-        return rank_owners(database.id, database.availability_zone, hosts);
+    /// Good until the next refresh.
+    std::vector<std::string> const& ranked(registered_database const& database) const {
+        auto found = this->rankings.find(database.id);
+        if (found == this->rankings.end()) {
+            found = this->rankings
+                        .emplace(
+                            database.id, rank_owners(
+                                             database.id, database.availability_zone,
+                                             this->mesh->usable_hosts()))
+                        .first;
+        }
+        return found->second;
     }
 
     void submit_along(
@@ -129,6 +138,7 @@
     }
 
     void refresh() {
+        this->rankings.clear();
         for (auto each = this->owners.begin(); each != this->owners.end();) {
             registered_database const* const entry =
                 this->view.find_database(each->first);
@@ -153,6 +163,7 @@
     boost::asio::steady_timer trimmer;
     peer_mesh* mesh = nullptr;
     std::map<std::string, std::unique_ptr<database_owner>, std::less<>> owners;
+    mutable std::map<std::string, std::vector<std::string>, std::less<>> rankings;
 };
 
 dispatcher::dispatcher(
@@ -211,7 +222,7 @@
 }
 
 bool dispatcher::owns(registered_database const& database) const {
-    auto const ranked = this->impl->ranked(database);
+    auto const& ranked = this->impl->ranked(database);
     return !ranked.empty() && ranked.front() == this->impl->self;
 }
 
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -154,7 +154,8 @@
             return;
         }
         group.token_prepared = true;
-        this->authority.ask_token(name, false, [](std::optional<std::uint64_t>) {});
+        this->authority.ask_token(
+            name, token_need::any, [](std::optional<std::uint64_t>) {});
     }
 
     void ask_leader(std::string const& name, std::string const& primary) {
@@ -285,7 +286,9 @@
         std::string const& name, watched_group& group, change_action const& action) {
         switch (action.kind) {
         case change_action_kind::ask_token:
-            this->fetch_token(name, std::exchange(group.token_outdated, false));
+            this->fetch_token(
+                name, std::exchange(group.token_outdated, false) ? token_need::newest
+                                                                 : token_need::renewed);
             return;
         case change_action_kind::ask_state:
             this->ask_copy(name, action, order_kind::report_state);
@@ -309,9 +312,9 @@
         return found == this->groups.end() ? nullptr : found->second.change.get();
     }
 
-    void fetch_token(std::string const& name, bool renew) {
+    void fetch_token(std::string const& name, token_need need) {
         this->authority.ask_token(
-            name, renew,
+            name, need,
             [weak = this->weak_from_this(), name](std::optional<std::uint64_t> token) {
                 auto const keeper = weak.lock();
                 leadership_change* const change =
--- a/src/persimmonpoint/engine/leadership_keeper.hpp
+++ b/src/persimmonpoint/engine/leadership_keeper.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <persimmonpoint/core/recovery/leadership_change.hpp>
+#include <persimmonpoint/core/recovery/lease_rule.hpp>
 #include <persimmonpoint/engine/database_owner.hpp>
 #include <persimmonpoint/engine/statement_run.hpp>
 #include <string>
@@ -16,11 +17,10 @@
 class leadership_authority {
 public:
     virtual ~leadership_authority() = default;
-    /// A fencing token for the group; nothing if it can't be had now. `renew`: a token
-    /// that is greater than all before, even if one is held.
+    /// A fencing token for the group; nothing if it can't be had now.
     virtual void ask_token(
         std::string const& group,
-        bool renew,
+        token_need need,
         std::function<void(std::optional<std::uint64_t>)> done) = 0;
     virtual void promote(
         std::string const& group,
--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -18,14 +18,8 @@
 namespace {
 
 constexpr auto tick_interval = std::chrono::milliseconds(75);
-/// Each linked host is told this often that this one lives.
-constexpr duration alive_interval = std::chrono::milliseconds(150);
 /// An incoming link that is silent for so long is closed.
 constexpr duration incoming_silence_limit = std::chrono::milliseconds(1500);
-/// Up to this many hosts, each is linked to all; beyond it only where there is work, and
-/// to a few neighbours that pass news on.
-constexpr std::size_t fully_linked_hosts = 16;
-constexpr std::size_t neighbours = 3;
 /// A link without orders is given up after this time in a large fleet.
 constexpr duration unused_limit = std::chrono::seconds(20);
 constexpr duration reach_limit = std::chrono::milliseconds(250);
@@ -157,9 +151,13 @@
             this->take_order(source, std::move(*order));
         } else if (auto* const alive = std::get_if<alive_message>(&message)) {
             this->reply(source, this->observer.own_state());
-            this->offer_news(*alive, [this, source](peer_message const& news) {
+            if (auto const wanted = this->news_to_ask(*alive)) {
+                this->reply(source, news_request_message{*wanted});
+            }
+        } else if (auto* const request = std::get_if<news_request_message>(&message)) {
+            for (peer_message const& news : this->news_since(request->versions)) {
                 this->reply(source, news);
-            });
+            }
         } else if (auto* const backing = std::get_if<endorsement_message>(&message)) {
             this->observer.on_endorsement(from.host, *backing);
             if (backing->withdrawn) {
@@ -203,18 +201,27 @@
         }
     }
 
-    template <class Send>
-    void offer_news(alive_message const& theirs, Send send) {
-        alive_message const mine = this->observer.own_state();
-        if (mine.configuration_row > theirs.configuration_row) {
-            send(this->observer.own_configuration());
+    std::optional<news_versions> news_to_ask(alive_message const& theirs) {
+        duration const patience =
+            this->observer.reaches_store() ? this->pace.store_patience : duration(0);
+        return this->news.ask(
+            this->observer.own_state().versions, theirs.versions, patience,
+            this->time.now());
+    }
+
+    std::vector<peer_message> news_since(news_versions const& theirs) {
+        news_versions const mine = this->observer.own_state().versions;
+        std::vector<peer_message> newer;
+        if (mine.configuration > theirs.configuration) {
+            newer.emplace_back(this->observer.own_configuration());
         }
-        if (mine.directory_version > theirs.directory_version) {
-            send(this->observer.own_directory());
+        if (mine.databases > theirs.databases) {
+            newer.emplace_back(this->observer.own_directory());
         }
-        if (mine.hosts_version > theirs.hosts_version) {
-            send(this->observer.own_hosts());
+        if (mine.hosts > theirs.hosts) {
+            newer.emplace_back(this->observer.own_hosts());
         }
+        return newer;
     }
 
     // Outgoing links
@@ -242,22 +249,16 @@
             this->give_up(each->second);
             each = this->peers.erase(each);
         }
+        this->pace = pace_for(this->peers.size() + 1);
+        auto const chosen = choose_neighbours(
+            this->self.name, std::vector<std::string>(names.begin(), names.end()));
+        this->neighbours = std::set<std::string>(chosen.begin(), chosen.end());
         this->observer.on_peers_changed();
     }
 
     /// Hosts that this one keeps a link to though it has no work for them.
     bool is_neighbour(std::string const& name) const {
-        if (this->peers.size() < fully_linked_hosts) {
-            return true;
-        }
-        auto at = this->peers.upper_bound(this->self.name);
-        for (std::size_t i = 0; i < neighbours; ++i, ++at) {
-            at = at == this->peers.end() ? this->peers.begin() : at;
-            if (at->first == name) {
-                return true;
-            }
-        }
-        return false;
+        return this->pace.fully_linked || this->neighbours.count(name) > 0;
     }
 
     void tick() {
@@ -298,7 +299,10 @@
 
     void look_at(outgoing& peer, instant now) {
         this->expire_reach(peer, now);
-        if (peer.health.overdue(now)) {
+        if (peer.orders.empty() && peer.reach.empty()) {
+            peer.health.answered();
+        }
+        if (peer.health.overdue(this->pace, now)) {
             this->lose(peer, "silent");
             return;
         }
@@ -308,12 +312,44 @@
             this->dial(peer, now);
             return;
         }
-        if (peer.link && now - peer.last_alive >= alive_interval) {
+        duration const heartbeat = peer.health.awaited() ? this->pace.awaited_heartbeat
+                                                         : this->pace.idle_heartbeat;
+        if (now - peer.last_alive >= heartbeat) {
+            this->say_alive(peer, now);
+        }
+    }
+
+    void say_alive(outgoing& peer, instant now) {
+        if (peer.link) {
             peer.last_alive = now;
             peer.link->send(this->observer.own_state());
         }
     }
 
+    /// An answer is awaited from now on: the link is watched closely.
+    void await(outgoing& peer) {
+        instant const now = this->time.now();
+        peer.health.asked(now);
+        if (now - peer.last_alive >= this->pace.awaited_heartbeat) {
+            this->say_alive(peer, now);
+        }
+    }
+
+    void tell_news() {
+        alive_message const state = this->observer.own_state();
+        for (auto& each : this->peers) {
+            if (each.second.link && this->is_neighbour(each.first)) {
+                each.second.link->send(state);
+            }
+        }
+        if (!this->pace.fully_linked) {
+            return;
+        }
+        for (auto& each : this->callers) {
+            each.second.link->send(state);
+        }
+    }
+
     void expire_reach(outgoing& peer, instant now) {
         std::vector<std::function<void(bool)>> expired;
         for (auto each = peer.reach.begin(); each != peer.reach.end();) {
@@ -402,11 +438,16 @@
             this->take_answer(peer, std::move(*answer));
         } else if (auto* const alive = std::get_if<alive_message>(&message)) {
             peer.health.leaving(alive->leaving);
-            this->offer_news(*alive, [&peer](peer_message const& news) {
+            auto const wanted = this->news_to_ask(*alive);
+            if (wanted && peer.link) {
+                peer.link->send(news_request_message{*wanted});
+            }
+        } else if (auto* const request = std::get_if<news_request_message>(&message)) {
+            for (peer_message const& news : this->news_since(request->versions)) {
                 if (peer.link) {
                     peer.link->send(news);
                 }
-            });
+            }
         } else if (auto* const loan = std::get_if<loan_message>(&message)) {
             this->observer.on_loan(*loan);
         } else if (auto* const release = std::get_if<release_message>(&message)) {
@@ -508,6 +549,9 @@
     std::vector<std::unique_ptr<peer_link>> retired;
     order_source last_source = 0;
     std::uint64_t last_number = 0;
+    fleet_pace pace = pace_for(1);
+    std::set<std::string> neighbours;
+    news_desk news;
     bool closed = false;
 };
 
@@ -605,6 +649,7 @@
         return;
     }
     peer.orders.emplace(number, std::move(done));
+    this->impl->await(peer);
 }
 
 void peer_mesh::send(std::string const& host, peer_message const& message) {
@@ -638,6 +683,7 @@
     }
     found->second.reach.emplace(
         number, reach_waiter{std::move(done), this->impl->time.now() + reach_limit});
+    this->impl->await(found->second);
 }
 
 void peer_mesh::announce() {
@@ -648,6 +694,10 @@
     }
 }
 
+void peer_mesh::tell_news() {
+    this->impl->tell_news();
+}
+
 void peer_mesh::close() {
     if (std::exchange(this->impl->closed, true)) {
         return;
--- a/src/persimmonpoint/engine/peer_mesh.hpp
+++ b/src/persimmonpoint/engine/peer_mesh.hpp
@@ -36,6 +36,7 @@
     virtual void on_peers_changed() = 0;
     /// What this host tells of itself.
     virtual alive_message own_state() = 0;
+    virtual bool reaches_store() const = 0;
     virtual configuration_message own_configuration() = 0;
     virtual directory_message own_directory() = 0;
     virtual void on_hosts(hosts_message message) = 0;
@@ -80,8 +81,11 @@
         std::string const& host,
         std::string const& database,
         std::function<void(bool)> done);
-    /// Tells all at once that this host takes no further orders, or what else changed.
+    /// Tells all at once that this host takes no further orders.
     void announce();
+    /// Tells that this host knows something newer: all others in a small fleet, the
+    /// neighbours in a large one.
+    void tell_news();
     void close();
 
 private:
--- a/src/persimmonpoint/engine/peer_messages.cpp
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -53,6 +53,11 @@
     archive(value.name, value.address, value.availability_zone);
 }
 
+template <class Archive>
+void serialize(Archive& archive, news_versions& value) {
+    archive(value.configuration, value.databases, value.hosts);
+}
+
 template <class Archive>
 void serialize(Archive& archive, database_directory& value) {
     archive(value.version, value.databases);
@@ -102,8 +107,12 @@
 
 template <class Archive>
 void serialize(Archive& archive, alive_message& value) {
-    archive(value.leaving, value.configuration_row, value.directory_version);
-    archive(value.hosts_version);
+    archive(value.leaving, value.versions);
+}
+
+template <class Archive>
+void serialize(Archive& archive, news_request_message& value) {
+    archive(value.versions);
 }
 
 template <class Archive>
@@ -123,7 +132,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, endorsement_message& value) {
-    archive(value.shard, value.withdrawn);
+    archive(value.shard, value.withdrawn, value.life_ms);
 }
 
 template <class Archive>
--- a/src/persimmonpoint/engine/peer_messages.hpp
+++ b/src/persimmonpoint/engine/peer_messages.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
+#include <persimmonpoint/core/membership/news_desk.hpp>
 #include <persimmonpoint/core/statement/work_order.hpp>
 #include <string>
 #include <variant>
@@ -14,7 +15,7 @@
 namespace persimmonpoint::engine {
 
 /// Raised when a message changes; hosts of other versions are not spoken to.
-inline constexpr std::uint32_t peer_protocol_version = 1;
+inline constexpr std::uint32_t peer_protocol_version = 2;
 
 /// The first message on a connection.
 struct hello_message {
@@ -34,10 +35,13 @@
 
 /// Sent at intervals, and answered by the same.
 struct alive_message {
-    bool leaving = false;                ///< Takes no further orders.
-    std::uint64_t configuration_row = 0; ///< Store's version of the row.
-    std::uint64_t directory_version = 0;
-    std::uint64_t hosts_version = 0;
+    bool leaving = false; ///< Takes no further orders.
+    news_versions versions;
+};
+
+/// Asks for all that is newer than this.
+struct news_request_message {
+    news_versions versions;
 };
 
 /// The operator's configuration as it lies in the store.
@@ -65,7 +69,8 @@
 /// other host, for the life of an endorsement.
 struct endorsement_message {
     std::uint32_t shard = 0;
-    bool withdrawn = false; ///< Or no longer.
+    bool withdrawn = false;    ///< Or no longer.
+    std::uint32_t life_ms = 0; ///< From its arrival.
 };
 
 /// The sender no longer counts the receiver's endorsement.
@@ -109,7 +114,8 @@
     borrow_message,
     loan_message,
     reach_query_message,
-    reach_answer_message>;
+    reach_answer_message,
+    news_request_message>;
 
 /// The message's bytes, with its length in front.
 std::string encode(peer_message const& message);
--- a/src/persimmonpoint/engine/quota_keeper.cpp
+++ b/src/persimmonpoint/engine/quota_keeper.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <persimmonpoint/core/limits/quota_lender.hpp>
+#include <persimmonpoint/core/membership/fleet_pace.hpp>
 #include <persimmonpoint/core/routing/owner_ranking.hpp>
 #include <persimmonpoint/engine/peer_mesh.hpp>
 #include <persimmonpoint/engine/quota_keeper.hpp>
@@ -13,9 +14,6 @@
 
 namespace {
 
-/// A lender that said nothing for so long is not endorsed further.
-constexpr duration lender_silence = std::chrono::milliseconds(250);
-constexpr auto endorse_interval = std::chrono::milliseconds(100);
 /// Teams are lent in this many parts, each by one host.
 constexpr std::size_t shard_count = 4;
 /// A loan without an answer is given up.
@@ -51,7 +49,7 @@
         : time(time), view(view), self(std::move(self)), timer(loop), loan_timer(loop) {}
 
     void tick() {
-        this->timer.expires_after(endorse_interval);
+        this->timer.expires_after(this->pace().endorse_interval);
         this->timer.async_wait(
             [weak = this->weak_from_this()](boost::system::error_code failure) {
                 auto const keeper = weak.lock();
@@ -62,6 +60,8 @@
             });
     }
 
+    fleet_pace pace() const { return pace_for(this->view.host_count()); }
+
     void endorse() {
         std::vector<registered_host> const hosts = this->mesh->usable_hosts();
         instant const now = this->time.now();
@@ -75,13 +75,20 @@
     void endorse_shard(std::uint32_t index, std::string const& wanted, instant now) {
         lender_choice& choice = this->choices[index];
         std::string const before = choice.current();
+        fleet_pace const pace = this->pace();
         auto const next = choice.choose(
             wanted, this->mesh->has_ended(before),
-            this->mesh->heard_within(before, lender_silence), now);
+            this->mesh->heard_within(before, pace.lender_silence), pace.endorsement_life,
+            now);
         if (next == lender_choice::step::wait) {
             return;
         }
-        endorsement_message const message{index, next == lender_choice::step::withdraw};
+        endorsement_message const message{
+            index, next == lender_choice::step::withdraw,
+            static_cast<std::uint32_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    pace.endorsement_life)
+                    .count())};
         std::string const lender = choice.current();
         if (lender != this->self) {
             this->mesh->send(lender, message);
@@ -102,7 +109,8 @@
         if (message.withdrawn) {
             lender.withdrawn(host, this->time.now());
         } else {
-            lender.endorsed(host, this->time.now());
+            lender.endorsed(
+                host, std::chrono::milliseconds(message.life_ms), this->time.now());
         }
     }
 
--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <persimmonpoint/core/membership/fleet_pace.hpp>
 #include <persimmonpoint/core/recovery/lease_rule.hpp>
 #include <persimmonpoint/engine/store_watch.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
@@ -15,7 +16,6 @@
 constexpr auto leading_watch_wait = std::chrono::milliseconds(1500);
 constexpr auto watch_wait = std::chrono::milliseconds(12000);
 constexpr auto leading_read_interval = std::chrono::milliseconds(800);
-constexpr auto read_interval = std::chrono::milliseconds(5000);
 constexpr auto retry_interval = std::chrono::milliseconds(300);
 
 } // namespace
@@ -114,25 +114,27 @@
     // Databases
 
     void read_databases() {
-        this->store.read_databases(
-            [weak = this->weak_from_this()](result<database_directory> read) {
-                auto const watch = weak.lock();
-                if (!watch || watch->stopped) {
-                    return;
-                }
-                if (read) {
-                    watch->note_store(true, "databases read");
-                    watch->observer.on_stored_databases(std::move(read.value()));
-                } else {
-                    watch->note_store(false, read.error().message);
-                }
-                auto const pause = !read            ? retry_interval
-                                   : watch->leading ? leading_read_interval
-                                                    : read_interval;
-                watch->after(watch->databases_timer, pause, [](implementation& self) {
-                    self.read_databases();
-                });
+        this->store.read_databases([weak = this->weak_from_this()](
+                                       result<database_directory> read) {
+            auto const watch = weak.lock();
+            if (!watch || watch->stopped) {
+                return;
+            }
+            if (read) {
+                watch->note_store(true, "databases read");
+                watch->observer.on_stored_databases(std::move(read.value()));
+            } else {
+                watch->note_store(false, read.error().message);
+            }
+            auto const pause =
+                !read            ? retry_interval
+                : watch->leading ? leading_read_interval
+                                 : std::chrono::duration_cast<std::chrono::milliseconds>(
+                                       pace_for(watch->host_count).directory_interval);
+            watch->after(watch->databases_timer, pause, [](implementation& self) {
+                self.read_databases();
             });
+        });
     }
 
     // Hosts
@@ -167,6 +169,7 @@
                     return;
                 }
                 watch->hosts_version = read.value().version;
+                watch->host_count = read.value().hosts.size();
                 bool const registered = std::any_of(
                     read.value().hosts.begin(), read.value().hosts.end(),
                     [&](registered_host const& each) { return each == watch->self; });
@@ -191,7 +194,12 @@
                         watch->hosts_timer, retry_interval,
                         [](implementation& self) { self.read_hosts(); });
                 } else if (seen.value().changed || seen.value().history_lost) {
-                    watch->read_hosts();
+                    // Hosts of a large fleet come and go together.
+                    watch->after(
+                        watch->hosts_timer,
+                        std::chrono::duration_cast<std::chrono::milliseconds>(
+                            pace_for(watch->host_count).hosts_settle),
+                        [](implementation& self) { self.read_hosts(); });
                 } else {
                     watch->hosts_version = seen.value().version;
                     watch->watch_hosts();
@@ -203,21 +211,30 @@
 
     void ask_token(
         std::string const& group,
-        bool renew,
+        token_need need,
         std::function<bool(std::string const&)> lives,
         token_handler done) {
+        std::optional<std::uint64_t> spare;
         auto const held = this->tokens.find(group);
-        if (held != this->tokens.end() && !renew) {
-            done(held->second);
+        if (held != this->tokens.end() && need != token_need::newest) {
+            spare = held->second;
+        }
+        bool const spare_will_do = need == token_need::any || !this->store_reached;
+        if (spare && spare_will_do) {
+            done(spare);
             return;
         }
         this->store.read_lease(
-            group, [weak = this->weak_from_this(), group, lives = std::move(lives),
+            group, [weak = this->weak_from_this(), group, spare, lives = std::move(lives),
                     done = std::move(done)](result<leadership_lease> read) {
                 auto const watch = weak.lock();
                 if (!watch) {
                     return;
                 }
+                if (!read && spare) {
+                    done(spare);
+                    return;
+                }
                 if (!read ||
                     !may_take_lease(
                         read.value(), watch->self.name, lives(read.value().holder))) {
@@ -271,9 +288,10 @@
     std::map<std::string, std::uint64_t> tokens;
     std::uint64_t configuration_row = 0;
     std::uint64_t hosts_version = 0;
+    std::size_t host_count = 0;
     std::atomic<bool> leading{true};
     bool was_registered = false;
-    bool store_reached = true;
+    std::atomic<bool> store_reached{true};
     bool stopped = false;
 };
 
@@ -305,16 +323,20 @@
     this->impl->store.remove_host(name, [](result<void> const&) {});
 }
 
+bool store_watch::reaches_store() const {
+    return this->impl->store_reached;
+}
+
 void store_watch::set_leading_reader(bool value) {
     this->impl->leading = value;
 }
 
 void store_watch::ask_token(
     std::string const& group,
-    bool renew,
+    token_need need,
     std::function<bool(std::string const&)> lives,
     token_handler done) {
-    this->impl->ask_token(group, renew, std::move(lives), std::move(done));
+    this->impl->ask_token(group, need, std::move(lives), std::move(done));
 }
 
 } // namespace persimmonpoint::engine
--- a/src/persimmonpoint/engine/store_watch.hpp
+++ b/src/persimmonpoint/engine/store_watch.hpp
@@ -43,11 +43,13 @@
     void set_leading_reader(bool value);
 
     using token_handler = std::function<void(std::optional<std::uint64_t>)>;
-    /// A fencing token for a group. `renew`: greater than the one that is held.
-    /// `lives`: whether a host of that name is there, as far as this one can tell.
+    /// False while the last call to the store failed. Any thread.
+    bool reaches_store() const;
+    /// A fencing token for a group. `lives`: whether a host of that name may still be
+    /// there, as far as this one can tell.
     void ask_token(
         std::string const& group,
-        bool renew,
+        token_need need,
         std::function<bool(std::string const&)> lives,
         token_handler done);
 
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <filesystem>
+#include <persimmonpoint/core/membership/fleet_pace.hpp>
 #include <persimmonpoint/core/routing/owner_ranking.hpp>
 #include <persimmonpoint/engine/boot_clock.hpp>
 #include <persimmonpoint/engine/caller_session.hpp>
@@ -38,8 +39,6 @@
 constexpr std::size_t leading_readers = 2;
 /// How long a host that is otherwise ready waits to learn of the others.
 constexpr auto hosts_patience = std::chrono::milliseconds(300);
-/// A host out of reach for so long is taken out of the store.
-constexpr duration lost_limit = std::chrono::seconds(8);
 constexpr auto lost_check_interval = std::chrono::seconds(2);
 constexpr auto settings_interval = std::chrono::seconds(2);
 constexpr auto drain_tick = std::chrono::milliseconds(50);
@@ -245,9 +244,12 @@
                 return;
             }
             auto const ranked = rank_owners("store", {}, this->mesh.usable_hosts());
-            auto const lost = this->mesh.lost_hosts(lost_limit);
-            // A host that has lost most others is more likely to be cut off itself.
-            bool const cut_off = lost.size() * 2 >= this->view.hosts.size();
+            fleet_pace const pace = pace_for(this->view.host_count());
+            auto const lost = this->mesh.lost_hosts(pace.lost_limit);
+            // A host that has lost many others is more likely to be cut off itself.
+            bool const cut_off =
+                static_cast<double>(lost.size()) >=
+                pace.most_lost * static_cast<double>(this->view.hosts.size());
             if (ranked.front() == this->settings.name && !cut_off && !this->leaving) {
                 for (std::string const& each : lost) {
                     asio::post(this->control_loop, [this, each] {
@@ -344,7 +346,7 @@
             {{"configuration", this->view.configuration->version}, {"row", row}});
         this->quotas.refresh();
         this->orders.refresh();
-        this->mesh.announce();
+        this->mesh.tell_news();
         this->open_for_callers();
     }
 
@@ -355,7 +357,7 @@
             {{"directory", this->view.directory.current().version},
              {"databases", this->view.directory.current().databases.size()}});
         this->orders.refresh();
-        this->mesh.announce();
+        this->mesh.tell_news();
         this->open_for_callers();
     }
 
@@ -412,10 +414,14 @@
         this->watch.set_leading_reader(
             static_cast<std::size_t>(at - ranked.begin()) < leading_readers);
     }
+    news_versions own_versions() const {
+        return news_versions{
+            this->view.configuration_row, this->view.directory.current().version,
+            this->view.hosts_version};
+    }
+    bool reaches_store() const override { return this->watch.reaches_store(); }
     alive_message own_state() override {
-        return alive_message{
-            this->leaving, this->view.configuration_row,
-            this->view.directory.current().version, this->view.hosts_version};
+        return alive_message{this->leaving, this->own_versions()};
     }
     configuration_message own_configuration() override {
         return configuration_message{
@@ -436,17 +442,19 @@
 
     void ask_token(
         std::string const& group,
-        bool renew,
+        token_need need,
         std::function<void(std::optional<std::uint64_t>)> done) override {
         std::set<std::string> alive;
-        for (registered_host const& each : this->mesh.usable_hosts()) {
-            alive.insert(each.name);
+        for (registered_host const& each : this->view.hosts) {
+            if (!this->mesh.has_ended(each.name)) {
+                alive.insert(each.name);
+            }
         }
         asio::post(
             this->control_loop,
-            [this, group, renew, alive = std::move(alive), done = std::move(done)] {
+            [this, group, need, alive = std::move(alive), done = std::move(done)] {
                 this->watch.ask_token(
-                    group, renew,
+                    group, need,
                     [alive](std::string const& host) { return alive.count(host) > 0; },
                     [this, done](std::optional<std::uint64_t> token) {
                         asio::post(this->traffic_loop, [done, token] { done(token); });
--- a/tests/introspective/membership.tests.cpp
+++ b/tests/introspective/membership.tests.cpp
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 #include <persimmonpoint/core/membership/directory_tracker.hpp>
+#include <persimmonpoint/core/membership/news_desk.hpp>
 #include <persimmonpoint/core/membership/peer_health.hpp>
+#include <set>
 
 using namespace persimmonpoint;
 using std::chrono::milliseconds;
@@ -57,15 +59,15 @@
     health.connecting(start);
     CHECK(health.usable());
     CHECK_FALSE(health.may_connect(start));
-    CHECK(health.overdue(start + milliseconds(121)));
+    CHECK(health.overdue(pace_for(8), start + milliseconds(121)));
 }
 
 TEST_CASE("A host that was lost counts again once it has answered", "[peers]") {
     peer_health health;
     health.connecting(start);
     health.heard(start);
-    CHECK_FALSE(health.overdue(start + milliseconds(400)));
-    CHECK(health.overdue(start + milliseconds(500)));
+    CHECK_FALSE(health.overdue(pace_for(8), start + milliseconds(400)));
+    CHECK(health.overdue(pace_for(8), start + milliseconds(500)));
     health.lost(start + milliseconds(500));
     CHECK_FALSE(health.usable());
     CHECK_FALSE(health.may_connect(start + milliseconds(600)));
@@ -90,3 +92,83 @@
     CHECK(health.has_ended());
     CHECK_FALSE(health.usable());
 }
+
+TEST_CASE(
+    "A large fleet's link is watched closely only while an answer is awaited",
+    "[peers]") {
+    fleet_pace const pace = pace_for(79);
+    peer_health health;
+    health.connecting(start);
+    health.heard(start);
+    CHECK_FALSE(health.overdue(pace, start + milliseconds(1700)));
+    CHECK(health.overdue(pace, start + milliseconds(1900)));
+    health.asked(start + milliseconds(1000));
+    CHECK_FALSE(health.overdue(pace, start + milliseconds(1590)));
+    CHECK(health.overdue(pace, start + milliseconds(1610)));
+    health.heard(start + milliseconds(1300));
+    health.answered();
+    CHECK_FALSE(health.overdue(pace, start + milliseconds(2500)));
+}
+
+TEST_CASE("Endorsements that reach one lender don't grow with the fleet", "[peers]") {
+    for (std::size_t const hosts : {30U, 79U, 300U, 690U}) {
+        fleet_pace const pace = pace_for(hosts);
+        double const arrivals =
+            static_cast<double>(hosts) / to_seconds(pace.endorse_interval);
+        CHECK(arrivals <= 201);
+        CHECK(pace.endorsement_life > 2 * pace.endorse_interval);
+    }
+}
+
+TEST_CASE("News reach every host over neighbours in few steps", "[peers]") {
+    for (std::size_t const size : {2U, 3U, 17U, 79U, 690U}) {
+        std::vector<std::string> names;
+        for (std::size_t i = 0; i < size; ++i) {
+            names.push_back("host-" + std::to_string(1000 + i));
+        }
+        std::set<std::string> reached = {names.front()};
+        std::size_t steps = 0;
+        while (reached.size() < size && steps <= size) {
+            ++steps;
+            std::set<std::string> next = reached;
+            for (std::string const& each : reached) {
+                std::vector<std::string> others = names;
+                std::erase(others, each);
+                auto const chosen = choose_neighbours(each, others);
+                CHECK(chosen.size() <= 10);
+                next.insert(chosen.begin(), chosen.end());
+            }
+            reached = std::move(next);
+        }
+        CHECK(reached.size() == size);
+        CHECK(steps <= 10);
+    }
+}
+
+TEST_CASE("News are asked from one host at a time", "[peers]") {
+    news_desk desk;
+    news_versions const mine{5, 5, 5};
+    news_versions const theirs{6, 5, 5};
+    CHECK(desk.ask(mine, theirs, {}, start) == mine);
+    CHECK_FALSE(desk.ask(mine, theirs, {}, start + milliseconds(10)));
+    CHECK_FALSE(desk.ask(mine, mine, {}, start + milliseconds(20)));
+    CHECK(desk.ask(mine, theirs, {}, start + milliseconds(401)) == mine);
+    // Something came: the next may be asked at once.
+    CHECK(desk.ask(theirs, {7, 5, 5}, {}, start + milliseconds(410)) == theirs);
+}
+
+TEST_CASE(
+    "The store is given time to bring a configuration, but not databases", "[peers]") {
+    news_desk desk;
+    news_versions const mine{5, 5, 5};
+    auto const patience = milliseconds(700);
+    CHECK_FALSE(desk.ask(mine, {6, 5, 5}, patience, start));
+    auto const wanted = desk.ask(mine, {6, 6, 5}, patience, start + milliseconds(10));
+    REQUIRE(wanted);
+    CHECK(wanted->configuration == 6);
+    CHECK(wanted->databases == 5);
+    CHECK(desk.ask({5, 6, 5}, {6, 6, 5}, patience, start + milliseconds(701)));
+    // Out of its reach, a host does not wait for it.
+    news_desk cut_off;
+    CHECK(cut_off.ask(mine, {6, 5, 5}, duration(0), start));
+}
--- a/tests/introspective/quota.tests.cpp
+++ b/tests/introspective/quota.tests.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Of an endorsement.
+constexpr duration life = milliseconds(450);
+
 instant const start{seconds(1000)};
 constexpr duration window = seconds(5);
 
@@ -30,7 +33,7 @@
 
     void spend(instant now) {
         for (std::size_t i = 0; i < this->own.size(); ++i) {
-            this->lender.endorsed("host " + std::to_string(i), now);
+            this->lender.endorsed("host " + std::to_string(i), life, now);
             while (this->own[i].take(now) <= duration(0)) {
                 this->admitted.push_back(now);
             }
@@ -84,9 +87,9 @@
     std::size_t served = 0;
     for (int step = 1; step <= 2000; ++step) {
         instant const now = start + seconds(2) + milliseconds(step * 10);
-        fleet.lender.endorsed("a", now);
+        fleet.lender.endorsed("a", life, now);
         for (int host = 0; host < 8; ++host) {
-            fleet.lender.endorsed(std::to_string(host), now);
+            fleet.lender.endorsed(std::to_string(host), life, now);
         }
         // All callers are at one host.
         bool const own = fleet.own[0].take(now) <= duration(0);
@@ -101,9 +104,9 @@
     lender.set_limit("team", {1000, 1000}, start);
     instant const now = start + seconds(10);
     CHECK(lender.borrow("team", now) > duration(0));
-    lender.endorsed("a", now);
+    lender.endorsed("a", life, now);
     CHECK(lender.borrow("team", now + milliseconds(50)) == duration(0));
-    CHECK(lender.borrow("team", now + endorsement_life + milliseconds(1)) > duration(0));
+    CHECK(lender.borrow("team", now + life + milliseconds(1)) > duration(0));
 }
 
 TEST_CASE("A lender lends the share of those that endorse it", "[quota]") {
@@ -114,7 +117,7 @@
     for (int step = 0; step < 1000; ++step) {
         instant const now = start + milliseconds(step * 10);
         for (char const* host : {"a", "b"}) {
-            lender.endorsed(host, now);
+            lender.endorsed(host, life, now);
         }
         lent += lender.borrow("team", now) <= duration(0) ? 1 : 0;
     }
@@ -145,10 +148,10 @@
                 std::string const wanted = *rc::gen::inRange(0, 4) == 0 ? "x" : "y";
                 bool const reached = *rc::gen::inRange(0, 3) > 0;
                 std::string const host = std::to_string(i);
-                auto const next = choices[i].choose(wanted, false, reached, now);
+                auto const next = choices[i].choose(wanted, false, reached, life, now);
                 std::string const lender = choices[i].current();
                 if (next == lender_choice::step::endorse) {
-                    lenders[lender].endorsed(host, now);
+                    lenders[lender].endorsed(host, life, now);
                 } else if (next == lender_choice::step::withdraw && reached) {
                     lenders[lender].withdrawn(host, now);
                     choices[i].released();
@@ -177,38 +180,41 @@
     quota_lender lender;
     lender.set_host_count(1);
     lender.set_limit("team", {1000, 1000}, start);
-    lender.endorsed("a", start + seconds(1));
+    lender.endorsed("a", life, start + seconds(1));
     lender.retire();
     CHECK(lender.borrow("team", start + seconds(1)) > duration(0));
 }
 
 TEST_CASE("A host never endorses two lenders at a time", "[quota]") {
     lender_choice choice;
-    CHECK(choice.choose("x", false, true, start) == lender_choice::step::endorse);
+    CHECK(choice.choose("x", false, true, life, start) == lender_choice::step::endorse);
     SECTION("it withdraws first and waits for the confirmation") {
-        CHECK(choice.choose("y", false, true, start) == lender_choice::step::withdraw);
+        CHECK(
+            choice.choose("y", false, true, life, start) ==
+            lender_choice::step::withdraw);
         CHECK(choice.current() == "x");
         CHECK_FALSE(choice.may_borrow());
         choice.released();
-        CHECK(choice.choose("y", false, true, start) == lender_choice::step::endorse);
+        CHECK(
+            choice.choose("y", false, true, life, start) == lender_choice::step::endorse);
         CHECK(choice.current() == "y");
     }
     SECTION("without a confirmation it waits until the endorsement is over") {
         CHECK(
-            choice.choose("y", false, false, start + milliseconds(400)) ==
+            choice.choose("y", false, false, life, start + milliseconds(400)) ==
             lender_choice::step::withdraw);
         CHECK(
-            choice.choose(
-                "y", false, false, start + endorsement_life + milliseconds(200)) ==
+            choice.choose("y", false, false, life, start + life + milliseconds(200)) ==
             lender_choice::step::endorse);
     }
     SECTION("a lender that has certainly stopped needs no confirmation") {
-        CHECK(choice.choose("y", true, false, start) == lender_choice::step::endorse);
+        CHECK(
+            choice.choose("y", true, false, life, start) == lender_choice::step::endorse);
         CHECK(choice.current() == "y");
     }
     SECTION("a lender that is silent is not endorsed further") {
         CHECK(
-            choice.choose("x", false, false, start + milliseconds(100)) ==
+            choice.choose("x", false, false, life, start + milliseconds(100)) ==
             lender_choice::step::wait);
     }
 }
