Two hosts that change the same group no longer undo each other's holds

All held copies under the same term, so each took the others' holds for its own, and one that was called off resumed copies that another relied on; the old primary then acknowledged commits that the candidate lacked.

Change: a change holds copies under a term made of its fencing token, resumes only these, sees them held no more than 200 ms before it calls, and waits 1.2 s and goes through with it where it finds holds of another; one that a newer token has outdone leaves the holds to that.

--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -13,9 +13,20 @@
 /// How long an accepted promotion may take to show.
 constexpr duration lead_limit = std::chrono::milliseconds(2500);
 constexpr duration call_again = std::chrono::milliseconds(100);
+/// A promotion of another host that was called shows in this time, if it was accepted.
+constexpr duration other_settles = std::chrono::milliseconds(1200);
+/// Copies are seen held no longer than this before a promotion is called.
+constexpr duration hold_check_limit = std::chrono::milliseconds(200);
+/// A token's term for holding copies is the token times this: above all terms of the group,
+/// and different for each token.
+constexpr unsigned hold_term_shift = 20;
 /// How long copies are asked to resume before the change ends all the same.
 constexpr duration release_limit = std::chrono::seconds(5);
 
+std::uint64_t hold_term(std::uint64_t token) {
+    return token << hold_term_shift;
+}
+
 std::shared_ptr<chart::chart const> rules() {
     static auto const loaded =
         chart::require("leadership", leadership_states, leadership_events);
@@ -63,18 +74,31 @@
 }
 
 void leadership_change::primary_seen() {
-    if (this->reason == change_reason::primary_lost) {
+    // Where another host has held copies, only a promotion makes an end of its calls.
+    if (this->reason == change_reason::primary_lost && !this->other_seen) {
         this->machine.fire(leadership_event::called_off);
     }
 }
 
 void leadership_change::token_granted(std::uint64_t granted) {
     this->token = granted;
+    this->outdated = false;
+    this->own_holds.insert(hold_term(granted));
     this->machine.fire(leadership_event::token_granted);
 }
 
 void leadership_change::token_refused(instant) {
     this->call_open = false;
+    if (this->outdated) {
+        this->leave_to_other();
+    }
+}
+
+void leadership_change::leave_to_other() {
+    if (!this->unsettled) {
+        this->leaves_holds = true;
+        this->machine.fire(leadership_event::called_off);
+    }
 }
 
 void leadership_change::reported(
@@ -90,8 +114,10 @@
     }
     facts.asked.reset();
     facts.fresh = true;
-    facts.held = report->held_term > 0;
+    facts.held = this->own_holds.count(report->held_term) > 0;
+    facts.foreign = report->held_term > 0 && !facts.held;
     facts.report = report;
+    facts.reported_at = now;
     this->term = std::max({this->term, report->term});
     if (id == this->chosen && report->leads) {
         this->new_term = report->term;
@@ -111,6 +137,7 @@
         this->entered = now;
         return;
     case promotion_result::conflict:
+        this->outdated = true;
         this->machine.fire(leadership_event::token_outdated);
         this->entered = now;
         return;
@@ -133,7 +160,7 @@
     }
     facts.asked = now;
     facts.fresh = false;
-    actions.push_back(change_action{kind, id, this->term + 1, 0});
+    actions.push_back(change_action{kind, id, hold_term(this->token), 0});
 }
 
 std::vector<change_action> leadership_change::step(instant now) {
@@ -203,17 +230,69 @@
             this->ask(actions, id, change_action_kind::ask_state, now);
         }
     }
-    if (!all_known) {
+    if (!all_known || this->waits_for_other(actions, now)) {
         return;
     }
     this->unsettled = false;
     this->choose_candidate();
-    this->hold_candidate =
-        this->reason != change_reason::primary_leaving && this->copies[this->chosen].held;
+    this->hold_candidate = this->reason != change_reason::primary_leaving &&
+                           this->copies[this->chosen].report->held_term > 0;
     this->machine.fire(leadership_event::candidate_chosen);
 }
 
+bool leadership_change::is_outdone() const {
+    return std::any_of(this->copies.begin(), this->copies.end(), [this](auto const& each) {
+        return each.second.foreign &&
+               each.second.report->held_term > hold_term(this->token);
+    });
+}
+
+bool leadership_change::waits_for_other(
+    std::vector<change_action>& actions, instant now) {
+    bool const foreign =
+        std::any_of(this->copies.begin(), this->copies.end(), [](auto const& each) {
+            return each.second.foreign;
+        });
+    if (foreign && !this->other_seen) {
+        this->other_seen = now;
+    }
+    if (this->is_outdone()) {
+        this->leave_to_other();
+        return true;
+    }
+    if (!this->other_seen) {
+        return false;
+    }
+    bool const settled = now - *this->other_seen >= other_settles;
+    bool all_fresh = true;
+    for (auto& [id, facts] : this->copies) {
+        if (!settled || facts.reported_at < *this->other_seen + other_settles) {
+            all_fresh = false;
+            this->ask(actions, id, change_action_kind::ask_state, now);
+        }
+    }
+    return !all_fresh;
+}
+
+void leadership_change::verify_others(std::vector<change_action>& actions, instant now) {
+    for (auto& [id, facts] : this->copies) {
+        if (id != this->chosen && now - facts.reported_at > hold_check_limit) {
+            this->ask(actions, id, change_action_kind::ask_state, now);
+        }
+    }
+}
+
+bool leadership_change::holds_intact() const {
+    return std::all_of(this->copies.begin(), this->copies.end(), [this](auto const& each) {
+        return each.first == this->chosen ? !each.second.foreign : each.second.held;
+    });
+}
+
 void leadership_change::hold_others(std::vector<change_action>& actions, instant now) {
+    if (this->is_outdone()) {
+        this->leave_to_other();
+        return;
+    }
     if (this->copies.count(this->chosen) == 0) {
         this->machine.fire(leadership_event::candidate_lost);
         return;
@@ -260,6 +339,20 @@
         this->machine.fire(leadership_event::candidate_lost);
         return;
     }
+    if (!this->holds_intact()) {
+        this->machine.fire(leadership_event::candidate_lost);
+        return;
+    }
+    bool const all_checked =
+        std::all_of(this->copies.begin(), this->copies.end(), [&](auto const& each) {
+            return each.first == this->chosen ||
+                   now - each.second.reported_at <= hold_check_limit;
+        });
+    if (this->candidate_has_all() && !all_checked) {
+        this->verify_others(actions, now);
+        this->poll_candidate(actions, now);
+        return;
+    }
     if (this->candidate_has_all()) {
         this->last_call.reset();
         this->call_open = false;
@@ -280,6 +373,12 @@
         this->call_open = false;
         return;
     }
+    if (!this->unsettled && !this->holds_intact()) {
+        this->call_open = false;
+        this->machine.fire(leadership_event::candidate_lost);
+        return;
+    }
+    this->verify_others(actions, now);
     if (!this->call_open && (!this->last_call || now - *this->last_call >= call_again)) {
         this->last_call = now;
         this->call_open = true;
@@ -316,7 +415,9 @@
     bool all_free = true;
     for (auto& [id, facts] : this->copies) {
         bool const leads = this->promoted && id == this->chosen;
-        if (facts.held && !leads) {
+        // A newer token has been used by now: no older holder's call can come any more.
+        bool const to_free = facts.held || (this->promoted && facts.foreign);
+        if (to_free && !leads && !this->leaves_holds) {
             all_free = false;
             this->ask(actions, id, change_action_kind::resume, now);
         }
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -8,6 +8,7 @@
 #include <persimmonpoint/core/recovery/leadership_chart.hpp>
 #include <persimmonpoint/core/statement/work_order.hpp>
 #include <persimmonpoint/core/time.hpp>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -59,6 +60,12 @@
 ///
 /// A promotion without an answer may be carried out much later. Until it is settled the
 /// other copies stay held and only the same candidate is promoted again.
+///
+/// Two hosts may work at the same group, each cut off from the other. Each holds copies under
+/// a term of its own, made of its fencing token, and resumes only what it holds itself. One
+/// that finds copies held by another waits until a promotion of that one would show, and
+/// then goes through with its own: until a newer token has been used, nobody can know that
+/// the other's call will not be carried out.
 class leadership_change {
 public:
     leadership_change(
@@ -73,6 +80,7 @@
     /// The old primary answered, and can commit.
     void primary_seen();
     void token_granted(std::uint64_t token);
+    /// Another host holds the group, or the store can't be asked.
     void token_refused(instant now);
     /// Answer to ask_state, hold or resume; nothing if the database did not answer.
     void
@@ -88,8 +96,10 @@
 private:
     struct copy_facts {
         bool leaving = false;
-        bool held = false;
+        bool held = false;    ///< By this change.
+        bool foreign = false; ///< By another host's change.
         std::optional<database_state> report;
+        instant reported_at{};
         bool fresh = false; ///< Reported since it was asked for the last time.
         std::optional<instant> asked;
     };
@@ -105,6 +115,13 @@
     void poll_candidate(std::vector<change_action>& actions, instant now);
     void choose_candidate();
     bool candidate_has_all() const;
+    bool holds_intact() const;
+    /// Another host's newer token holds a copy.
+    bool is_outdone() const;
+    void verify_others(std::vector<change_action>& actions, instant now);
+    /// True while another host's promotion may not have shown yet.
+    bool waits_for_other(std::vector<change_action>& actions, instant now);
+    void leave_to_other();
     void
     ask(std::vector<change_action>& actions,
         std::string const& id,
@@ -117,6 +134,10 @@
     change_reason reason;
     leadership_machine machine;
     std::uint64_t token = 0;
+    std::set<std::uint64_t> own_holds; ///< Terms under which this change has held copies.
+    std::optional<instant> other_seen; ///< Copies were found held by another host.
+    bool outdated = false;             ///< The last token was refused.
+    bool leaves_holds = false;         ///< A newer holder resumes them.
     std::string chosen;
     bool hold_candidate = false;
     bool unsettled = false; ///< A promotion of the candidate may still be carried out.
--- a/tests/introspective/leadership_change.tests.cpp
+++ b/tests/introspective/leadership_change.tests.cpp
@@ -71,6 +71,7 @@
     std::uint64_t written = 0;
     std::uint64_t acknowledged = 0;
     std::uint64_t term = 3;
+    std::uint64_t highest_token = 0;
     std::string leader;
     bool primary_alive = true;
     bool lost_commit = false;
@@ -94,7 +95,8 @@
     void carry_out(change_action const& action, instant now, Drop drop) {
         switch (action.kind) {
         case change_action_kind::ask_token:
-            this->change.token_granted(++this->token);
+            this->token = ++*this->tokens;
+            this->change.token_granted(this->token);
             return;
         case change_action_kind::hold:
             this->group.copies[action.database].held = action.term;
@@ -106,7 +108,10 @@
             if (drop()) {
                 this->late.push_back(action.database);
                 this->change.promotion_answered(promotion_result::unanswered, now);
+            } else if (action.token < this->group.highest_token) {
+                this->change.promotion_answered(promotion_result::conflict, now);
             } else {
+                this->group.highest_token = action.token;
                 this->group.promote(action.database);
                 this->change.promotion_answered(promotion_result::accepted, now);
             }
@@ -128,6 +133,8 @@
 
     modelled_group& group;
     leadership_change change;
+    std::uint64_t own_tokens = 0;
+    std::uint64_t* tokens = &this->own_tokens; ///< The platform's last; may be shared.
     std::uint64_t token = 0;
     std::vector<std::string> late; ///< Promotions that are still to be carried out.
     bool over = false;
@@ -139,6 +146,62 @@
 
 } // namespace
 
+TEST_CASE(
+    "Two hosts that change the same group leave no acknowledged commit behind",
+    "[leadership][rapidcheck]") {
+    rc::check([] {
+        modelled_group group(*rc::gen::inRange<std::size_t>(2, 4));
+        std::uint64_t token = 0;
+        auto const any_reason = rc::gen::element(
+            change_reason::primary_lost, change_reason::commits_stalled);
+        std::vector<std::unique_ptr<driver>> hosts;
+        for (int i = 0; i < 2; ++i) {
+            hosts.push_back(
+                std::make_unique<driver>(group, *any_reason, group.copies.size()));
+            hosts.back()->tokens = &token;
+        }
+        instant now = start;
+        for (int i = 0; i < 600 && !(hosts[0]->over && hosts[1]->over); ++i) {
+            now += milliseconds(*rc::gen::inRange(5, 60));
+            std::set<std::string> receivers;
+            for (auto const& each : group.copies) {
+                if (*rc::gen::inRange(0, 2) == 0) {
+                    receivers.insert(each.first);
+                }
+            }
+            group.write(receivers);
+            driver& next = *hosts[*rc::gen::inRange<std::size_t>(0, 2)];
+            if (next.over) {
+                continue;
+            }
+            if (*rc::gen::inRange(0, 12) == 0) {
+                next.change.primary_seen();
+            }
+            next.step(now, never);
+            RC_ASSERT(!group.lost_commit);
+        }
+    });
+}
+
+TEST_CASE("What another host holds is not resumed by a false alarm", "[leadership]") {
+    modelled_group group(2);
+    std::uint64_t token = 0;
+    driver first(group, change_reason::primary_lost, 2);
+    first.tokens = &token;
+    driver second(group, change_reason::primary_lost, 2);
+    second.tokens = &token;
+    first.carry_out({change_action_kind::ask_token, {}}, start, never);
+    first.carry_out({change_action_kind::hold, "r1", std::uint64_t(1) << 20U}, start, never);
+    instant now = start;
+    second.step(now += milliseconds(20), never);
+    second.step(now += milliseconds(20), never);
+    second.change.primary_seen();
+    for (int i = 0; i < 20; ++i) {
+        second.step(now += milliseconds(20), never);
+    }
+    CHECK(group.copies["r1"].held > 0);
+}
+
 TEST_CASE("A dead primary is replaced by the copy that has most", "[leadership]") {
     modelled_group group(2);
     group.write({"r0"});
