Quotas of large fleets keep the window; hosts of a large fleet read their list less often

Cause: each host's bucket holds at least one operation. What all hosts may save up is now part of the reckoning; where it would be over a tenth of the window, all of the quota is lent. Test: 'A fleet of any size that has saved up all it may keeps the window' fails on the split before at 62 hosts and more.

A host registers only if it is missing, gathers changes for longer, and asks others for the list only if the store does not bring it.

--- a/src/persimmonpoint/core/limits/quota_lender.cpp
+++ b/src/persimmonpoint/core/limits/quota_lender.cpp
@@ -21,7 +21,7 @@
     if (found == this->teams.end()) {
         found = this->teams.emplace(std::string(team), quota_bucket(0, now)).first;
     }
-    found->second.set_part(lent_part(whole), now);
+    found->second.set_part(split_quota(whole, this->host_count).lent, now);
 }
 
 void quota_lender::forget_team(std::string_view team) {
--- a/src/persimmonpoint/core/limits/quota_share.cpp
+++ b/src/persimmonpoint/core/limits/quota_share.cpp
@@ -26,28 +26,41 @@
 /// A team without a rate is told to come back after this time, in seconds.
 constexpr double longest_wait = 10;
 
-/// The rate of all hosts together that keeps within the allowed window.
-double total_rate(quota_part whole) {
-    double const allowed =
-        (whole.rate * window_seconds + whole.burst) * (1 + window_overrun) + window_slack;
-    double const saved_up =
-        whole.burst * (fixed_burst_share + lent_burst_share) + 2 * fixed_extra_burst;
-    double const rate = (allowed * (1 - window_reserve) - saved_up) / window_seconds;
-    return std::clamp(rate, 0.0, whole.rate * most_rate_share);
+/// A host's part is no use below one operation. Each of them having one saved up may take
+/// this much of the allowed window.
+constexpr double most_saved_by_hosts = 0.1;
+
+double allowed_in_window(quota_part whole) {
+    return (whole.rate * window_seconds + whole.burst) * (1 + window_overrun) +
+           window_slack;
+}
+
+/// The rate that keeps within the allowed window if so much may have been saved up.
+double total_rate(quota_part whole, double saved_up) {
+    double const usable = allowed_in_window(whole) * (1 - window_reserve) - saved_up;
+    return std::clamp(usable / window_seconds, 0.0, whole.rate * most_rate_share);
 }
 
 } // namespace
 
-quota_part fixed_part(quota_part whole, std::size_t hosts) {
+quota_split split_quota(quota_part whole, std::size_t hosts) {
     auto const count = static_cast<double>(std::max<std::size_t>(hosts, 1));
-    return quota_part{
-        total_rate(whole) * fixed_rate_part / count,
-        (whole.burst * fixed_burst_share + fixed_extra_burst) / count};
-}
-
-quota_part lent_part(quota_part whole) {
-    return quota_part{
-        total_rate(whole) * (1 - fixed_rate_part), whole.burst * lent_burst_share};
+    double const lent_burst = whole.burst * lent_burst_share;
+    double const shared_burst = whole.burst * fixed_burst_share + fixed_extra_burst;
+    double const fixed_burst = std::max(shared_burst, count * least_burst);
+    quota_split split;
+    split.lent.burst = lent_burst;
+    bool const too_many = fixed_burst > shared_burst &&
+                          fixed_burst > most_saved_by_hosts * allowed_in_window(whole);
+    if (too_many) {
+        split.lent.rate = total_rate(whole, lent_burst + fixed_extra_burst);
+        return split;
+    }
+    double const rate = total_rate(whole, fixed_burst + lent_burst + fixed_extra_burst);
+    split.fixed.rate = rate * fixed_rate_part / count;
+    split.fixed.burst = fixed_burst / count;
+    split.lent.rate = rate * (1 - fixed_rate_part);
+    return split;
 }
 
 quota_bucket::quota_bucket(double tokens, instant now) : tokens(tokens), refilled(now) {}
--- a/src/persimmonpoint/core/limits/quota_share.hpp
+++ b/src/persimmonpoint/core/limits/quota_share.hpp
@@ -13,12 +13,16 @@
     double burst = 0; ///< Operations.
 };
 
-/// The part of a team's quota that a host may spend without asking anybody.
-quota_part fixed_part(quota_part whole, std::size_t hosts);
-/// The part of a team's quota that its lender hands out, one operation at a time.
-/// Together with all fixed parts it stays within what the users allow a window to be
-/// over.
-quota_part lent_part(quota_part whole);
+/// A team's quota, divided: together, all hosts' parts and the lender's stay within what
+/// the users allow a window to be over.
+struct quota_split {
+    quota_part fixed; ///< What each host may spend without asking anybody.
+    quota_part lent;  ///< What the lender hands out, one operation at a time.
+};
+
+/// Where a fleet is so large that an operation saved up at each host would be much of the
+/// quota, all of it is lent.
+quota_split split_quota(quota_part whole, std::size_t hosts);
 
 /// A bucket that fills with time.
 class quota_bucket {
--- a/src/persimmonpoint/core/membership/fleet_pace.cpp
+++ b/src/persimmonpoint/core/membership/fleet_pace.cpp
@@ -15,7 +15,8 @@
 // In a large fleet these grow with each host, so that one lender, one reader of the store
 // and the store itself have the same load at any size.
 constexpr duration endorse_interval_per_host = milliseconds(5);
-constexpr duration hosts_settle_per_host = milliseconds(10);
+constexpr duration hosts_settle_per_host = milliseconds(25);
+constexpr duration longest_hosts_settle = std::chrono::seconds(3);
 constexpr duration directory_interval_per_host = milliseconds(150);
 
 fleet_pace small_pace() {
@@ -32,6 +33,7 @@
     pace.lender_silence = milliseconds(250);
     pace.hosts_settle = milliseconds(0);
     pace.store_patience = milliseconds(0);
+    pace.hosts_patience = milliseconds(0);
     pace.directory_interval = std::chrono::seconds(5);
     return pace;
 }
@@ -54,7 +56,8 @@
     pace.endorse_interval = endorse_interval_per_host * count;
     pace.endorsement_life = 3 * pace.endorse_interval + transit_time;
     pace.lender_silence = 2 * pace.idle_heartbeat + transit_time;
-    pace.hosts_settle = hosts_settle_per_host * count;
+    pace.hosts_settle = std::min(hosts_settle_per_host * count, longest_hosts_settle);
+    pace.hosts_patience = 2 * pace.hosts_settle;
     pace.store_patience = milliseconds(700);
     pace.directory_interval =
         std::max(pace.directory_interval, directory_interval_per_host * count);
--- a/src/persimmonpoint/core/membership/fleet_pace.hpp
+++ b/src/persimmonpoint/core/membership/fleet_pace.hpp
@@ -37,6 +37,7 @@
     /// A host that reaches the store waits for a configuration for so long before it asks
     /// another host for it.
     duration store_patience{};
+    duration hosts_patience{}; ///< The same for the list of hosts.
     /// Between two readings of the databases by a host that learns of them from others.
     duration directory_interval{};
     /// Whether each host is linked to all others.
--- a/src/persimmonpoint/core/membership/news_desk.cpp
+++ b/src/persimmonpoint/core/membership/news_desk.cpp
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <persimmonpoint/core/membership/news_desk.hpp>
 
 namespace persimmonpoint {
@@ -10,27 +9,38 @@
 
 } // namespace
 
+std::uint64_t news_desk::version_to_ask(
+    lag& behind,
+    std::uint64_t mine,
+    std::uint64_t theirs,
+    duration patience,
+    instant now) {
+    if (theirs <= mine) {
+        return mine;
+    }
+    if (!behind.since || behind.version != mine) {
+        behind = lag{now, mine};
+    }
+    // While the store may still bring it, as if it were here.
+    return now - *behind.since < patience ? theirs : mine;
+}
+
 std::optional<news_versions> news_desk::ask(
     news_versions const& mine,
     news_versions const& theirs,
-    duration patience,
+    patience const& store,
     instant now) {
     if (this->asked && (this->asked_with != mine || now - *this->asked > answer_limit)) {
         this->asked.reset();
     }
     news_versions wanted = mine;
-    if (theirs.configuration > mine.configuration) {
-        if (!this->behind_since || this->behind_at != mine.configuration) {
-            this->behind_since = now;
-            this->behind_at = mine.configuration;
-        }
-        if (now - *this->behind_since < patience) {
-            // The store will bring it; as if it were here.
-            wanted.configuration = theirs.configuration;
-        }
-    }
+    wanted.configuration = version_to_ask(
+        this->configuration, mine.configuration, theirs.configuration,
+        store.configuration, now);
+    wanted.hosts =
+        version_to_ask(this->hosts, mine.hosts, theirs.hosts, store.hosts, now);
     bool const newer = theirs.configuration > wanted.configuration ||
-                       theirs.databases > mine.databases || theirs.hosts > mine.hosts;
+                       theirs.databases > mine.databases || theirs.hosts > wanted.hosts;
     if (!newer || this->asked) {
         return std::nullopt;
     }
--- a/src/persimmonpoint/core/membership/news_desk.hpp
+++ b/src/persimmonpoint/core/membership/news_desk.hpp
@@ -23,20 +23,37 @@
 /// for it, one other at a time, and only if the store does not bring it.
 class news_desk {
 public:
+    /// How long the store is given to bring something newer; zero if it is out of reach.
+    struct patience {
+        duration configuration{0};
+        duration hosts{0};
+    };
+
     /// `theirs` is what the other says that it knows. The versions to ask it from, if it
-    /// is to be asked: it answers with all that is newer. `patience`: how long the store
-    /// is given to bring a configuration; zero if it is out of reach.
+    /// is to be asked: it answers with all that is newer.
     std::optional<news_versions>
     ask(news_versions const& mine,
         news_versions const& theirs,
-        duration patience,
+        patience const& store,
         instant now);
 
 private:
+    /// Since when something newer is known to exist than a version of ours.
+    struct lag {
+        std::optional<instant> since;
+        std::uint64_t version = 0;
+    };
+    static std::uint64_t version_to_ask(
+        lag& behind,
+        std::uint64_t mine,
+        std::uint64_t theirs,
+        duration patience,
+        instant now);
+
     std::optional<instant> asked; ///< Until something has come, or too much time passed.
     news_versions asked_with;
-    std::optional<instant> behind_since; ///< A newer configuration is known to exist.
-    std::uint64_t behind_at = 0;
+    lag configuration;
+    lag hosts;
 };
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -202,10 +202,12 @@
     }
 
     std::optional<news_versions> news_to_ask(alive_message const& theirs) {
-        duration const patience =
-            this->observer.reaches_store() ? this->pace.store_patience : duration(0);
+        news_desk::patience store;
+        if (this->observer.reaches_store()) {
+            store = {this->pace.store_patience, this->pace.hosts_patience};
+        }
         return this->news.ask(
-            this->observer.own_state().versions, theirs.versions, patience,
+            this->observer.own_state().versions, theirs.versions, store,
             this->time.now());
     }
 
--- a/src/persimmonpoint/engine/quota_keeper.cpp
+++ b/src/persimmonpoint/engine/quota_keeper.cpp
@@ -143,7 +143,7 @@
             team_quota& quota =
                 this->quotas.try_emplace(name, team_quota{quota_bucket(0, now), {}})
                     .first->second;
-            quota.own.set_part(fixed_part(whole, hosts), now);
+            quota.own.set_part(split_quota(whole, hosts).fixed, now);
             quota.refused_until = instant();
             this->lenders[shard_of(name)].set_limit(name, whole, now);
         }
--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -151,7 +151,6 @@
                         watch->register_timer, retry_interval,
                         [](implementation& self) { self.register_self(); });
                 }
-                watch->was_registered = watch->was_registered || outcome;
             });
     }
 
@@ -173,7 +172,7 @@
                 bool const registered = std::any_of(
                     read.value().hosts.begin(), read.value().hosts.end(),
                     [&](registered_host const& each) { return each == watch->self; });
-                if (!registered && watch->was_registered) {
+                if (!registered) {
                     watch->register_self();
                 }
                 watch->observer.on_stored_hosts(std::move(read.value()));
@@ -290,7 +289,6 @@
     std::uint64_t hosts_version = 0;
     std::size_t host_count = 0;
     std::atomic<bool> leading{true};
-    bool was_registered = false;
     std::atomic<bool> store_reached{true};
     bool stopped = false;
 };
@@ -309,7 +307,7 @@
 void store_watch::start() {
     this->impl->read_configuration();
     this->impl->read_databases();
-    this->impl->register_self();
+    // Registers this host where it is missing.
     this->impl->read_hosts();
 }
 
--- a/tests/introspective/membership.tests.cpp
+++ b/tests/introspective/membership.tests.cpp
@@ -161,7 +161,7 @@
     "The store is given time to bring a configuration, but not databases", "[peers]") {
     news_desk desk;
     news_versions const mine{5, 5, 5};
-    auto const patience = milliseconds(700);
+    news_desk::patience const patience{milliseconds(700), milliseconds(0)};
     CHECK_FALSE(desk.ask(mine, {6, 5, 5}, patience, start));
     auto const wanted = desk.ask(mine, {6, 6, 5}, patience, start + milliseconds(10));
     REQUIRE(wanted);
@@ -170,5 +170,5 @@
     CHECK(desk.ask({5, 6, 5}, {6, 6, 5}, patience, start + milliseconds(701)));
     // Out of its reach, a host does not wait for it.
     news_desk cut_off;
-    CHECK(cut_off.ask(mine, {6, 5, 5}, duration(0), start));
+    CHECK(cut_off.ask(mine, {6, 5, 5}, {}, start));
 }
--- a/tests/introspective/quota.tests.cpp
+++ b/tests/introspective/quota.tests.cpp
@@ -25,15 +25,21 @@
     greedy_fleet(quota_part whole, std::size_t hosts) {
         for (std::size_t i = 0; i < hosts; ++i) {
             this->own.emplace_back(0, start);
-            this->own.back().set_part(fixed_part(whole, hosts), start);
+            this->own.back().set_part(split_quota(whole, hosts).fixed, start);
         }
         this->lender.set_host_count(hosts);
         this->lender.set_limit("team", whole, start);
     }
 
-    void spend(instant now) {
+    void endorse(instant now) {
         for (std::size_t i = 0; i < this->own.size(); ++i) {
             this->lender.endorsed("host " + std::to_string(i), life, now);
+        }
+    }
+
+    void spend(instant now) {
+        this->endorse(now);
+        for (std::size_t i = 0; i < this->own.size(); ++i) {
             while (this->own[i].take(now) <= duration(0)) {
                 this->admitted.push_back(now);
             }
@@ -121,11 +127,32 @@
         }
         lent += lender.borrow("team", now) <= duration(0) ? 1 : 0;
     }
-    double const whole = lent_part({100, 100}).rate * 10;
+    double const whole = split_quota({100, 100}, 8).lent.rate * 10;
     CHECK(lent <= whole * 2 / 8 + 12);
     CHECK(lent >= whole * 2 / 8 - 12);
 }
 
+TEST_CASE(
+    "A fleet of any size that has saved up all it may keeps the window", "[quota]") {
+    for (std::size_t const hosts : {2U, 8U, 16U, 62U, 79U, 300U, 690U}) {
+        for (double const rate : {5.0, 20.0, 80.0, 320.0}) {
+            CAPTURE(hosts, rate);
+            quota_part const whole{rate, rate};
+            greedy_fleet fleet(whole, hosts);
+            // Nobody calls for a while, then everybody does.
+            for (int i = 0; i < 50; ++i) {
+                fleet.endorse(start + milliseconds(200) * i);
+            }
+            for (int i = 0; i < 150; ++i) {
+                fleet.spend(start + seconds(10) + milliseconds(40) * i);
+            }
+            CHECK(static_cast<double>(fleet.most_admitted()) <= most_in_window(whole));
+            // It is of use all the same.
+            CHECK(static_cast<double>(fleet.most_admitted()) >= rate * 5 * 0.9);
+        }
+    }
+}
+
 TEST_CASE(
     "Lenders together lend no more than one would, however hosts change between them",
     "[quota][rapidcheck]") {
@@ -168,7 +195,7 @@
             while (lent[last] - lent[first] >= window) {
                 ++first;
             }
-            quota_part const part = lent_part(whole);
+            quota_part const part = split_quota(whole, hosts).lent;
             double const most = part.rate * to_seconds(window) + part.burst;
             // A bucket always holds one operation, and each lender has one.
             RC_ASSERT(static_cast<double>(last - first + 1) <= most * 1.02 + 4);
