Quota rules of a host come from its settings

Window, overrun, slack and the time in which a lower quota is in force were constants of the present sites; another deployment may have others. Test: 'A host's quota rules come from its settings'.

--- a/src/persimmonpoint/core/limits/quota_lender.cpp
+++ b/src/persimmonpoint/core/limits/quota_lender.cpp
@@ -19,9 +19,12 @@
 void quota_lender::set_limit(std::string_view team, quota_part whole, instant now) {
     auto found = this->teams.find(team);
     if (found == this->teams.end()) {
-        found = this->teams.emplace(std::string(team), quota_bucket(0, now)).first;
+        found =
+            this->teams
+                .emplace(std::string(team), quota_bucket(0, now, this->rules.lower_delay))
+                .first;
     }
-    found->second.set_part(split_quota(whole, this->host_count).lent, now);
+    found->second.set_part(split_quota(whole, this->host_count, this->rules).lent, now);
 }
 
 void quota_lender::forget_team(std::string_view team) {
--- a/src/persimmonpoint/core/limits/quota_lender.hpp
+++ b/src/persimmonpoint/core/limits/quota_lender.hpp
@@ -22,6 +22,8 @@
 /// second to second, so that equal shares refuse operations within the team's rate.
 class quota_lender {
 public:
+    explicit quota_lender(quota_rules const& rules = {}) : rules(rules) {}
+
     void set_host_count(std::size_t count);
     /// Rate and burst of a whole team.
     void set_limit(std::string_view team, quota_part whole, instant now);
@@ -40,6 +42,7 @@
     duration borrow(std::string_view team, instant now);
 
 private:
+    quota_rules rules;
     std::size_t host_count = 1;
     std::map<std::string, quota_bucket, std::less<>> teams;
     std::map<std::string, instant, std::less<>> endorsements; ///< Until when, by host.
--- a/src/persimmonpoint/core/limits/quota_share.cpp
+++ b/src/persimmonpoint/core/limits/quota_share.cpp
@@ -5,10 +5,6 @@
 
 namespace {
 
-/// The users allow a window to be over rate and burst by these.
-constexpr double window_seconds = 5;
-constexpr double window_overrun = 0.1;
-constexpr double window_slack = 20; ///< Operations.
 /// Part of the allowed window that is never used.
 constexpr double window_reserve = 0.04;
 
@@ -17,8 +13,6 @@
 /// Operations that all hosts together may save up beyond the shares.
 constexpr double fixed_extra_burst = 8;
 constexpr double least_burst = 1;
-/// Operators' changes are to be in force within three seconds.
-constexpr duration lower_limit_delay = std::chrono::milliseconds(2500);
 /// All hosts' rates together, at most.
 constexpr double most_rate_share = 1.12;
 /// Part of the rate that needs no lender: what hosts cut off from the lender can serve.
@@ -30,40 +24,45 @@
 /// this much of the allowed window.
 constexpr double most_saved_by_hosts = 0.1;
 
-double allowed_in_window(quota_part whole) {
-    return (whole.rate * window_seconds + whole.burst) * (1 + window_overrun) +
-           window_slack;
+double allowed_in_window(quota_part whole, quota_rules const& rules) {
+    return (whole.rate * to_seconds(rules.window) + whole.burst) * (1 + rules.overrun) +
+           rules.slack;
 }
 
 /// The rate that keeps within the allowed window if so much may have been saved up.
-double total_rate(quota_part whole, double saved_up) {
-    double const usable = allowed_in_window(whole) * (1 - window_reserve) - saved_up;
-    return std::clamp(usable / window_seconds, 0.0, whole.rate * most_rate_share);
+double total_rate(quota_part whole, double saved_up, quota_rules const& rules) {
+    double const usable =
+        allowed_in_window(whole, rules) * (1 - window_reserve) - saved_up;
+    return std::clamp(
+        usable / to_seconds(rules.window), 0.0, whole.rate * most_rate_share);
 }
 
 } // namespace
 
-quota_split split_quota(quota_part whole, std::size_t hosts) {
+quota_split split_quota(quota_part whole, std::size_t hosts, quota_rules const& rules) {
     auto const count = static_cast<double>(std::max<std::size_t>(hosts, 1));
     double const lent_burst = whole.burst * lent_burst_share;
     double const shared_burst = whole.burst * fixed_burst_share + fixed_extra_burst;
     double const fixed_burst = std::max(shared_burst, count * least_burst);
     quota_split split;
     split.lent.burst = lent_burst;
-    bool const too_many = fixed_burst > shared_burst &&
-                          fixed_burst > most_saved_by_hosts * allowed_in_window(whole);
+    bool const too_many =
+        fixed_burst > shared_burst &&
+        fixed_burst > most_saved_by_hosts * allowed_in_window(whole, rules);
     if (too_many) {
-        split.lent.rate = total_rate(whole, lent_burst + fixed_extra_burst);
+        split.lent.rate = total_rate(whole, lent_burst + fixed_extra_burst, rules);
         return split;
     }
-    double const rate = total_rate(whole, fixed_burst + lent_burst + fixed_extra_burst);
+    double const rate =
+        total_rate(whole, fixed_burst + lent_burst + fixed_extra_burst, rules);
     split.fixed.rate = rate * fixed_rate_part / count;
     split.fixed.burst = fixed_burst / count;
     split.lent.rate = rate * (1 - fixed_rate_part);
     return split;
 }
 
-quota_bucket::quota_bucket(double tokens, instant now) : tokens(tokens), refilled(now) {}
+quota_bucket::quota_bucket(double tokens, instant now, duration lower_delay)
+    : lower_delay(lower_delay), tokens(tokens), refilled(now) {}
 
 void quota_bucket::set_part(quota_part next, instant now) {
     this->refill(now);
@@ -73,7 +72,7 @@
         return;
     }
     if (!this->lower) {
-        this->lower_from = now + lower_limit_delay;
+        this->lower_from = now + this->lower_delay;
     }
     this->lower = next;
 }
--- a/src/persimmonpoint/core/limits/quota_share.hpp
+++ b/src/persimmonpoint/core/limits/quota_share.hpp
@@ -13,6 +13,16 @@
     double burst = 0; ///< Operations.
 };
 
+/// By how much a team may be over its quota, and how fast a lower one is to be in force.
+/// The operator's settings give these figures.
+struct quota_rules {
+    duration window = std::chrono::seconds(5);
+    double overrun = 0.1; ///< Part of rate and burst.
+    double slack = 20;    ///< Operations in a window.
+    /// Callers are owed the old quota until a lower one is in force everywhere.
+    duration lower_delay = std::chrono::milliseconds(2500);
+};
+
 /// A team's quota, divided: together, all hosts' parts and the lender's stay within what
 /// the users allow a window to be over.
 struct quota_split {
@@ -22,12 +32,14 @@
 
 /// Where a fleet is so large that an operation saved up at each host would be much of the
 /// quota, all of it is lent.
-quota_split split_quota(quota_part whole, std::size_t hosts);
+quota_split
+split_quota(quota_part whole, std::size_t hosts, quota_rules const& rules = {});
 
 /// A bucket that fills with time.
 class quota_bucket {
 public:
-    quota_bucket(double tokens, instant now);
+    quota_bucket(
+        double tokens, instant now, duration lower_delay = quota_rules().lower_delay);
     /// A higher rate applies at once, a lower one after a while: callers have time to
     /// slow down, and all hosts change within the time that the operator allows.
     void set_part(quota_part part, instant now);
@@ -43,6 +55,7 @@
 
     void fill_until(instant time);
 
+    duration lower_delay;
     quota_part part;
     double share = 1;
     std::optional<quota_part> lower; ///< Applies from `lower_from` on.
--- a/src/persimmonpoint/engine/quota_keeper.cpp
+++ b/src/persimmonpoint/engine/quota_keeper.cpp
@@ -45,8 +45,15 @@
         boost::asio::io_context& loop,
         clock const& time,
         fleet_view const& view,
-        std::string self)
-        : time(time), view(view), self(std::move(self)), timer(loop), loan_timer(loop) {}
+        std::string self,
+        quota_rules const& rules)
+        : time(time),
+          view(view),
+          self(std::move(self)),
+          rules(rules),
+          timer(loop),
+          loan_timer(loop),
+          lenders(shard_count, quota_lender(rules)) {}
 
     void tick() {
         this->timer.expires_after(this->pace().endorse_interval);
@@ -141,9 +148,12 @@
         for (auto const& [name, team] : teams) {
             quota_part const whole{team.rate, team.burst};
             team_quota& quota =
-                this->quotas.try_emplace(name, team_quota{quota_bucket(0, now), {}})
+                this->quotas
+                    .try_emplace(
+                        name,
+                        team_quota{quota_bucket(0, now, this->rules.lower_delay), {}})
                     .first->second;
-            quota.own.set_part(split_quota(whole, hosts).fixed, now);
+            quota.own.set_part(split_quota(whole, hosts, this->rules).fixed, now);
             quota.refused_until = instant();
             this->lenders[shard_of(name)].set_limit(name, whole, now);
         }
@@ -245,11 +255,12 @@
     clock const& time;
     fleet_view const& view;
     std::string self;
+    quota_rules rules;
     boost::asio::steady_timer timer;
     boost::asio::steady_timer loan_timer;
     peer_mesh* mesh = nullptr;
     std::map<std::string, team_quota, std::less<>> quotas;
-    std::array<quota_lender, shard_count> lenders;
+    std::vector<quota_lender> lenders;
     std::array<lender_choice, shard_count> choices;
     std::map<std::uint64_t, open_loan> loans;
     std::uint64_t last_number = 0;
@@ -260,8 +271,9 @@
     boost::asio::io_context& loop,
     clock const& clock,
     fleet_view const& view,
-    std::string self)
-    : impl(std::make_shared<implementation>(loop, clock, view, std::move(self))) {}
+    std::string self,
+    quota_rules const& rules)
+    : impl(std::make_shared<implementation>(loop, clock, view, std::move(self), rules)) {}
 
 quota_keeper::~quota_keeper() {
     this->impl->timer.cancel();
--- a/src/persimmonpoint/engine/quota_keeper.hpp
+++ b/src/persimmonpoint/engine/quota_keeper.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <persimmonpoint/core/limits/quota_share.hpp>
 #include <persimmonpoint/engine/fleet_view.hpp>
 #include <persimmonpoint/engine/peer_messages.hpp>
 #include <persimmonpoint/interfaces/clock.hpp>
@@ -25,7 +26,8 @@
         boost::asio::io_context& loop,
         clock const& clock,
         fleet_view const& view,
-        std::string self);
+        std::string self,
+        quota_rules const& rules);
     ~quota_keeper();
     void start(peer_mesh& mesh);
     /// The configuration or the number of hosts changed.
--- a/src/persimmonpoint/settings/front_settings.cpp
+++ b/src/persimmonpoint/settings/front_settings.cpp
@@ -1,3 +1,4 @@
+#include <charconv>
 #include <fstream>
 #include <persimmonpoint/net/tcp_options.hpp>
 #include <persimmonpoint/settings/front_settings.hpp>
@@ -10,6 +11,13 @@
 
 constexpr duration least_grace = std::chrono::milliseconds(500);
 constexpr duration most_grace = std::chrono::minutes(10);
+constexpr duration default_in_force = std::chrono::seconds(3);
+constexpr duration least_in_force = std::chrono::seconds(1);
+/// A lower quota holds everywhere by then.
+constexpr duration in_force_margin = std::chrono::milliseconds(500);
+constexpr duration least_window = std::chrono::milliseconds(500);
+constexpr double most_overrun = 1;
+constexpr double most_slack = 1000000; ///< Operations.
 
 /// Reads one table; an absent one is read as empty.
 class section {
@@ -34,6 +42,34 @@
         }
     }
 
+    /// The platform leaves a text empty where it has no value; the default stays then.
+    void
+    length_of_time(std::string_view key, duration& value, duration least, duration most) {
+        std::string text;
+        this->reader.text(key, text);
+        bool const has_digits = text.find_first_of("0123456789") != std::string::npos;
+        if (has_digits) {
+            this->reader.length_of_time(key, value, least, most);
+        }
+    }
+
+    void number(std::string_view key, double& value, double least, double most) {
+        std::string text;
+        this->reader.text(key, text);
+        if (text.empty()) {
+            return;
+        }
+        double read = 0;
+        auto const end = text.data() + text.size();
+        auto const parsed = std::from_chars(text.data(), end, read);
+        if (parsed.ec != std::errc() || parsed.ptr != end || read < least ||
+            read > most) {
+            this->reader.report(key, "takes a number as text, within its limits");
+            return;
+        }
+        value = read;
+    }
+
     toml::table table;
     table_reader reader;
 };
@@ -80,6 +116,13 @@
     std::string seeds;
     peers.reader.text("seeds", seeds);
     values.seeds = split_addresses(seeds);
+    section limits(root, "limits", file, out.findings);
+    duration in_force = default_in_force;
+    limits.length_of_time("in_force_within", in_force, least_in_force, most_grace);
+    values.quotas.lower_delay = in_force - in_force_margin;
+    limits.length_of_time("quota_window", values.quotas.window, least_window, most_grace);
+    limits.number("quota_overrun", values.quotas.overrun, 0, most_overrun);
+    limits.number("quota_slack", values.quotas.slack, 0, most_slack);
     section stop(root, "stop", file, out.findings);
     duration grace = values.grace;
     stop.reader.length_of_time("grace", grace, least_grace, most_grace);
--- a/src/persimmonpoint/settings/front_settings.hpp
+++ b/src/persimmonpoint/settings/front_settings.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <persimmonpoint/core/limits/quota_share.hpp>
 #include <persimmonpoint/settings/finding.hpp>
 #include <string>
 #include <string_view>
@@ -32,6 +33,9 @@
     // [peers]
     std::vector<std::string> seeds; ///< Addresses of hosts to learn a configuration from.
 
+    // [limits]
+    quota_rules quotas;
+
     // [stop]
     std::chrono::milliseconds grace{6000}; ///< From the signal to the end.
     /// Until the platform sends no more callers to a host that is not ready.
--- a/tests/introspective/settings.tests.cpp
+++ b/tests/introspective/settings.tests.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <persimmonpoint/settings/front_settings.hpp>
 #include <persimmonpoint/settings/host_settings.hpp>
 
 using namespace persimmonpoint;
@@ -65,3 +66,27 @@
 )");
     CHECK(loaded.findings.size() == 3);
 }
+
+TEST_CASE("A host's quota rules come from its settings", "[settings]") {
+    std::string const rest = "[host]\nname = \"a\"\n[listen]\ncallers = \"127.0.0.1:1\"\n"
+                             "readiness = \"127.0.0.1:2\"\npeers = \"127.0.0.1:3\"\n"
+                             "[platform]\nstore = \"127.0.0.1:4\"\n"
+                             "promotion = \"127.0.0.1:5\"\n[limits]\n";
+    auto const given = settings::load_front(
+        "f.toml", rest + "in_force_within = \"5000ms\"\nquota_window = \"8s\"\n"
+                         "quota_overrun = \"0.25\"\nquota_slack = \"0\"\n");
+    REQUIRE(given.findings.empty());
+    CHECK(given.values.quotas.lower_delay == std::chrono::milliseconds(4500));
+    CHECK(given.values.quotas.window == std::chrono::seconds(8));
+    CHECK(given.values.quotas.overrun == 0.25);
+    CHECK(given.values.quotas.slack == 0);
+    // As the platform fills a template in where it has no value.
+    auto const absent = settings::load_front(
+        "f.toml", rest + "quota_window = \"s\"\nquota_overrun = \"\"\n");
+    REQUIRE(absent.findings.empty());
+    CHECK(absent.values.quotas.window == std::chrono::seconds(5));
+    CHECK(absent.values.quotas.overrun == 0.1);
+    auto const wrong =
+        settings::load_front("f.toml", rest + "quota_overrun = \"much\"\n");
+    CHECK(wrong.findings.size() == 1);
+}
