--- a/src/persimmonpoint/traffic/connection_pool.cpp
+++ b/src/persimmonpoint/traffic/connection_pool.cpp
@@ -310,6 +310,12 @@
         }
         return;
     }
+    if (this->impl->closed) {
+        // Nobody would wait for the reset's end.
+        link->close();
+        this->gone();
+        return;
+    }
     upstream_query reset;
     reset.sql = "DISCARD ALL";
     this->impl->in_transit.push_back(link);
--- a/tests/introspective/connection_pool.tests.cpp
+++ b/tests/introspective/connection_pool.tests.cpp
@@ -179,3 +179,19 @@
     CHECK_THAT(
         on.refused.at(0), Catch::Contains("may open no connection to database \"db\""));
 }
+
+TEST_CASE(
+    "A connection in use when its pool closes is closed once it is given back",
+    "[pool]") {
+    pool_stage on(1);
+    on.acquire("a");
+    on.settle();
+    REQUIRE(on.leases.size() == 1);
+    on.leases[0]->mark_dirty();
+    on.pool->close();
+    on.leases[0]->answered(postgres::transaction_status::idle);
+    on.leases[0]->release();
+    // A reset that nobody waits for would hold the connection for ever.
+    CHECK(on.resets.empty());
+    CHECK(on.closed == 1);
+}
--- a/tests/introspective/quota.tests.cpp
+++ b/tests/introspective/quota.tests.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <persimmonpoint/core/limits/quota_lender.hpp>
+#include <persimmonpoint/engine/fleet_view.hpp>
 #include <rapidcheck.h>
 
 using namespace persimmonpoint;
@@ -258,3 +259,13 @@
     bucket.set_part({1000, 10}, later);
     CHECK(bucket.take(later + milliseconds(100)) == duration(0));
 }
+
+TEST_CASE(
+    "A host that does not know the fleet yet spends nothing of its own", "[quota]") {
+    engine::fleet_view const view;
+    quota_split const split = split_quota({300, 300}, view.host_count());
+    CHECK(split.fixed.rate == 0);
+    quota_bucket own(0, start);
+    own.set_part(split.fixed, start);
+    CHECK(own.take(start + seconds(3)) > duration(0));
+}
--- a/tests/soak/soak_stage.cpp
+++ b/tests/soak/soak_stage.cpp
@@ -27,12 +27,26 @@
 /// From SIGTERM to SIGKILL, as the platform does it.
 constexpr milliseconds grace(3000);
 
-/// A port that nobody listens on at present.
+/// The kernel gives connections ports above these; a host must find its own free again
+/// when it starts anew.
+constexpr unsigned first_port = 10000;
+constexpr unsigned port_count = 20000;
+constexpr unsigned ports_per_process = 97;
+
+/// A port that nobody listens on at present; another one with each call.
 std::uint16_t free_port() {
+    static unsigned next = static_cast<unsigned>(::getpid()) * ports_per_process;
     asio::io_context loop;
-    asio::ip::tcp::acceptor const probe(
-        loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return probe.local_endpoint().port();
+    for (unsigned tries = 0; tries < port_count; ++tries) {
+        auto const port = static_cast<std::uint16_t>(first_port + next++ % port_count);
+        boost::system::error_code failure;
+        asio::ip::tcp::acceptor probe(loop, asio::ip::tcp::v4());
+        probe.bind({asio::ip::address_v4::loopback(), port}, failure);
+        if (!failure) {
+            return port;
+        }
+    }
+    throw std::runtime_error("no port is free");
 }
 
 std::string at(std::uint16_t port) {
@@ -112,7 +126,8 @@
         this->start_host(i);
     }
     if (!this->wait_ready(ready_patience)) {
-        throw std::runtime_error("hosts did not become ready; see " + logs.string());
+        throw std::runtime_error(
+            "hosts did not become ready; see " + this->folder.string());
     }
 }
 
