--- a/src/persimmonpoint/core/limits/quota_lender.cpp
+++ b/src/persimmonpoint/core/limits/quota_lender.cpp
@@ -19,12 +19,15 @@
 void quota_lender::set_limit(std::string_view team, quota_part whole, instant now) {
     auto found = this->teams.find(team);
     if (found == this->teams.end()) {
+        quota_bucket empty(0, now, this->rules.lower_delay);
         found =
-            this->teams
-                .emplace(std::string(team), quota_bucket(0, now, this->rules.lower_delay))
+            this->teams.emplace(std::string(team), lent_quota{whole, std::move(empty)})
                 .first;
     }
-    found->second.set_part(split_quota(whole, this->host_count, this->rules).lent, now);
+    quota_split const split = split_quota(whole, this->host_count, this->rules);
+    found->second.bucket.set_part(
+        split.lent, now, lowering_of(found->second.whole, whole));
+    found->second.whole = whole;
 }
 
 void quota_lender::forget_team(std::string_view team) {
@@ -64,9 +67,9 @@
     double const present = this->share(now);
     for (auto& each : this->teams) {
         if (gap) {
-            each.second.drain(now);
+            each.second.bucket.drain(now);
         }
-        each.second.set_share(present, now);
+        each.second.bucket.set_share(present, now);
     }
 }
 
@@ -76,7 +79,7 @@
     if (found == this->teams.end() || this->share(now) <= 0) {
         return no_lender_wait;
     }
-    return found->second.take(now);
+    return found->second.bucket.take(now);
 }
 
 lender_choice::step lender_choice::choose(
--- a/src/persimmonpoint/core/limits/quota_lender.hpp
+++ b/src/persimmonpoint/core/limits/quota_lender.hpp
@@ -44,7 +44,11 @@
 private:
     quota_rules rules;
     std::size_t host_count = 1;
-    std::map<std::string, quota_bucket, std::less<>> teams;
+    struct lent_quota {
+        quota_part whole;
+        quota_bucket bucket;
+    };
+    std::map<std::string, lent_quota, std::less<>> teams;
     std::map<std::string, instant, std::less<>> endorsements; ///< Until when, by host.
     void update(instant now);
 
--- a/src/persimmonpoint/core/limits/quota_share.cpp
+++ b/src/persimmonpoint/core/limits/quota_share.cpp
@@ -64,9 +64,13 @@
 quota_bucket::quota_bucket(double tokens, instant now, duration lower_delay)
     : lower_delay(lower_delay), tokens(tokens), refilled(now) {}
 
-void quota_bucket::set_part(quota_part next, instant now) {
+void quota_bucket::set_part(quota_part next, instant now, lowering when) {
     this->refill(now);
-    if (next.rate >= this->part.rate) {
+    if (this->lower && when == lowering::at_once) {
+        this->lower = next;
+        return;
+    }
+    if (next.rate >= this->part.rate || when == lowering::at_once) {
         this->part = next;
         this->lower.reset();
         return;
@@ -77,6 +81,11 @@
     this->lower = next;
 }
 
+quota_bucket::lowering lowering_of(quota_part before, quota_part after) {
+    bool const lower = after.rate < before.rate;
+    return lower ? quota_bucket::lowering::delayed : quota_bucket::lowering::at_once;
+}
+
 void quota_bucket::fill_until(instant time) {
     this->tokens += this->part.rate * this->share * to_seconds(time - this->refilled);
     this->tokens =
--- a/src/persimmonpoint/core/limits/quota_share.hpp
+++ b/src/persimmonpoint/core/limits/quota_share.hpp
@@ -40,9 +40,12 @@
 public:
     quota_bucket(
         double tokens, instant now, duration lower_delay = quota_rules().lower_delay);
-    /// A higher rate applies at once, a lower one after a while: callers have time to
-    /// slow down, and all hosts change within the time that the operator allows.
-    void set_part(quota_part part, instant now);
+    /// When a lower rate applies; a higher one always does at once.
+    enum class lowering {
+        delayed, ///< The quota is lower: all hosts change within the time allowed.
+        at_once  ///< More hosts share it.
+    };
+    void set_part(quota_part part, instant now, lowering when = lowering::delayed);
     /// Only this share of rate and burst is there from now on, until it is set again.
     void set_share(double share, instant now);
     /// Drops what was saved up.
@@ -64,6 +67,9 @@
     instant refilled;
 };
 
+/// When a part of a team's quota is to be lowered that was `before` and is `after`.
+quota_bucket::lowering lowering_of(quota_part before, quota_part after);
+
 } // namespace persimmonpoint
 
 #endif // PERSIMMONPOINT_CORE_LIMITS_QUOTA_SHARE_HPP_INCLUDED
--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -17,8 +17,8 @@
 constexpr duration other_settles = std::chrono::milliseconds(1200);
 /// Copies are seen held no longer than this before a promotion is called.
 constexpr duration hold_check_limit = std::chrono::milliseconds(200);
-/// A token's term for holding copies is the token times this: above all terms of the group,
-/// and different for each token.
+/// A token's term for holding copies is the token times this: above all terms of the
+/// group, and different for each token.
 constexpr unsigned hold_term_shift = 20;
 /// How long copies are asked to resume before the change ends all the same.
 constexpr duration release_limit = std::chrono::seconds(5);
@@ -241,10 +241,11 @@
 }
 
 bool leadership_change::is_outdone() const {
-    return std::any_of(this->copies.begin(), this->copies.end(), [this](auto const& each) {
-        return each.second.foreign &&
-               each.second.report->held_term > hold_term(this->token);
-    });
+    return std::any_of(
+        this->copies.begin(), this->copies.end(), [this](auto const& each) {
+            return each.second.foreign &&
+                   each.second.report->held_term > hold_term(this->token);
+        });
 }
 
 bool leadership_change::waits_for_other(
@@ -283,9 +284,10 @@
 }
 
 bool leadership_change::holds_intact() const {
-    return std::all_of(this->copies.begin(), this->copies.end(), [this](auto const& each) {
-        return each.first == this->chosen ? !each.second.foreign : each.second.held;
-    });
+    return std::all_of(
+        this->copies.begin(), this->copies.end(), [this](auto const& each) {
+            return each.first == this->chosen ? !each.second.foreign : each.second.held;
+        });
 }
 
 void leadership_change::hold_others(std::vector<change_action>& actions, instant now) {
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -61,11 +61,11 @@
 /// A promotion without an answer may be carried out much later. Until it is settled the
 /// other copies stay held and only the same candidate is promoted again.
 ///
-/// Two hosts may work at the same group, each cut off from the other. Each holds copies under
-/// a term of its own, made of its fencing token, and resumes only what it holds itself. One
-/// that finds copies held by another waits until a promotion of that one would show, and
-/// then goes through with its own: until a newer token has been used, nobody can know that
-/// the other's call will not be carried out.
+/// Two hosts may work at the same group, each cut off from the other. Each holds copies
+/// under a term of its own, made of its fencing token, and resumes only what it holds
+/// itself. One that finds copies held by another waits until a promotion of that one
+/// would show, and then goes through with its own: until a newer token has been used,
+/// nobody can know that the other's call will not be carried out.
 class leadership_change {
 public:
     leadership_change(
--- a/src/persimmonpoint/engine/quota_keeper.cpp
+++ b/src/persimmonpoint/engine/quota_keeper.cpp
@@ -28,6 +28,7 @@
 /// A team's quota as this host spends it.
 struct team_quota {
     quota_bucket own;
+    quota_part whole;
     /// Until then the lender has nothing; it isn't asked.
     instant refused_until{};
 };
@@ -67,9 +68,15 @@
             });
     }
 
-    fleet_pace pace() const { return pace_for(this->view.host_count()); }
+    /// Until the hosts are known, this one looks for them often.
+    fleet_pace pace() const {
+        return pace_for(this->view.hosts_version > 0 ? this->view.host_count() : 1);
+    }
 
     void endorse() {
+        if (this->view.hosts_version == 0) {
+            return;
+        }
         std::vector<registered_host> const hosts = this->mesh->usable_hosts();
         instant const now = this->time.now();
         for (std::size_t i = 0; i < shard_count; ++i) {
@@ -147,13 +154,13 @@
         }
         for (auto const& [name, team] : teams) {
             quota_part const whole{team.rate, team.burst};
+            team_quota fresh{quota_bucket(0, now, this->rules.lower_delay), whole, {}};
             team_quota& quota =
-                this->quotas
-                    .try_emplace(
-                        name,
-                        team_quota{quota_bucket(0, now, this->rules.lower_delay), {}})
-                    .first->second;
-            quota.own.set_part(split_quota(whole, hosts, this->rules).fixed, now);
+                this->quotas.try_emplace(name, std::move(fresh)).first->second;
+            quota.own.set_part(
+                split_quota(whole, hosts, this->rules).fixed, now,
+                lowering_of(quota.whole, whole));
+            quota.whole = whole;
             quota.refused_until = instant();
             this->lenders[shard_of(name)].set_limit(name, whole, now);
         }
--- a/tests/introspective/leadership_change.tests.cpp
+++ b/tests/introspective/leadership_change.tests.cpp
@@ -152,8 +152,8 @@
     rc::check([] {
         modelled_group group(*rc::gen::inRange<std::size_t>(2, 4));
         std::uint64_t token = 0;
-        auto const any_reason = rc::gen::element(
-            change_reason::primary_lost, change_reason::commits_stalled);
+        auto const any_reason =
+            rc::gen::element(change_reason::primary_lost, change_reason::commits_stalled);
         std::vector<std::unique_ptr<driver>> hosts;
         for (int i = 0; i < 2; ++i) {
             hosts.push_back(
@@ -191,7 +191,8 @@
     driver second(group, change_reason::primary_lost, 2);
     second.tokens = &token;
     first.carry_out({change_action_kind::ask_token, {}}, start, never);
-    first.carry_out({change_action_kind::hold, "r1", std::uint64_t(1) << 20U}, start, never);
+    first.carry_out(
+        {change_action_kind::hold, "r1", std::uint64_t(1) << 20U}, start, never);
     instant now = start;
     second.step(now += milliseconds(20), never);
     second.step(now += milliseconds(20), never);
--- a/tests/introspective/quota.tests.cpp
+++ b/tests/introspective/quota.tests.cpp
@@ -269,3 +269,16 @@
     own.set_part(split.fixed, start);
     CHECK(own.take(start + seconds(3)) > duration(0));
 }
+
+TEST_CASE("A host's part shrinks at once when more hosts share the quota", "[quota]") {
+    quota_part const whole{300, 300};
+    quota_bucket own(0, start);
+    own.set_part(split_quota(whole, 8).fixed, start, lowering_of(whole, whole));
+    own.set_part(split_quota(whole, 62).fixed, start, lowering_of(whole, whole));
+    int taken = 0;
+    for (int i = 0; i < 100; ++i) {
+        taken += own.take(start + milliseconds(20) * i) <= duration(0) ? 1 : 0;
+    }
+    CHECK(taken <= split_quota(whole, 62).fixed.rate * 2 + 2);
+    CHECK(lowering_of({300, 300}, {200, 300}) == quota_bucket::lowering::delayed);
+}
