--- /dev/null
+++ b/tests/introspective/soak_record.tests.cpp
@@ -0,0 +1,137 @@
+#include <catch2/catch.hpp>
+#include <soak/soak_record.hpp>
+
+using namespace persimmonpoint::tests;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+soak_time const start{seconds(1000)};
+
+soak_operation operation(bool writes, std::string const& data, milliseconds at) {
+    soak_operation out;
+    out.writes = writes;
+    out.item = "c0-0";
+    out.data = data;
+    out.key = "key";
+    out.session = 1;
+    out.begun = start + at;
+    out.ended = start + at + milliseconds(5);
+    out.outcome = soak_outcome::succeeded;
+    return out;
+}
+
+/// Two acknowledged writes of one item, both in the log.
+soak_evidence two_writes() {
+    soak_evidence evidence;
+    evidence.operations = {
+        operation(true, "first", milliseconds(0)),
+        operation(true, "second", milliseconds(10))};
+    evidence.log = {{"c0-0", "first"}, {"c0-0", "second"}};
+    evidence.teams_known = {"hatchery"};
+    return evidence;
+}
+
+void check_finds(soak_evidence const& evidence, std::string const& what) {
+    auto const found = check_soak(evidence);
+    REQUIRE(found.size() == 1);
+    CHECK_THAT(found.front(), Catch::Contains(what));
+}
+
+} // namespace
+
+TEST_CASE("The soak's checks let a right history pass", "[soak]") {
+    soak_evidence evidence = two_writes();
+    evidence.operations.push_back(operation(false, "second", milliseconds(20)));
+    CHECK(check_soak(evidence).empty());
+}
+
+TEST_CASE("The soak's checks catch what is planted in a history", "[soak]") {
+    soak_evidence evidence = two_writes();
+    SECTION("an acknowledged write that is gone") {
+        evidence.log.pop_back();
+        check_finds(evidence, "acknowledged and lost");
+    }
+    SECTION("a write that took effect twice") {
+        evidence.log.push_back({"c0-0", "second"});
+        check_finds(evidence, "took effect twice");
+    }
+    SECTION("a write that was refused and kept") {
+        evidence.operations[1].outcome = soak_outcome::not_run;
+        check_finds(evidence, "refused and took effect");
+    }
+    SECTION("a read that lacks a commit") {
+        evidence.operations.push_back(operation(false, "first", milliseconds(20)));
+        check_finds(evidence, "too old");
+    }
+    SECTION("a read of an age that lacks an old commit") {
+        evidence.operations.push_back(operation(false, "first", milliseconds(1600)));
+        evidence.operations.back().freshness = soak_freshness::of_an_age;
+        check_finds(evidence, "too old");
+    }
+    SECTION("a session that does not see its own commit") {
+        evidence.operations.push_back(operation(false, "first", milliseconds(20)));
+        evidence.operations.back().freshness = soak_freshness::own;
+        check_finds(evidence, "too old");
+    }
+    SECTION("rows of another item") {
+        evidence.operations.push_back(operation(false, "other", milliseconds(20)));
+        check_finds(evidence, "nobody wrote");
+    }
+    SECTION("a withdrawn key that is still served") {
+        evidence.withdrawn_keys["key"] = start - seconds(4);
+        evidence.operations.pop_back();
+        check_finds(evidence, "withdrawn key");
+    }
+    SECTION("a request that planned work cut") {
+        evidence.operations.push_back(operation(false, "", milliseconds(20)));
+        evidence.operations.back().outcome = soak_outcome::cut;
+        check_finds(evidence, "cut by planned work");
+    }
+    SECTION("a key that a database was told") {
+        evidence.teams_seen = {"hatchery", "key"};
+        check_finds(evidence, "was told of");
+    }
+    SECTION("a team over its quota") {
+        evidence.quotas = {{"metered", 10, 10}};
+        for (int i = 0; i < 90; ++i) {
+            evidence.runs["metered"].push_back(start + milliseconds(50) * i);
+        }
+        check_finds(evidence, "over its quota");
+    }
+}
+
+TEST_CASE("What the users' rules allow is no violation of the soak", "[soak]") {
+    soak_evidence evidence = two_writes();
+    SECTION("a read of an age that lacks a new commit") {
+        evidence.operations.push_back(operation(false, "first", milliseconds(20)));
+        evidence.operations.back().freshness = soak_freshness::of_an_age;
+    }
+    SECTION("a request cut by a host that was killed") {
+        evidence.operations.push_back(operation(false, "", milliseconds(20)));
+        evidence.operations.back().outcome = soak_outcome::cut;
+        planned_fault const killed{soak_fault::host_killed, 0, {}, {}};
+        evidence.disturbances = {{killed, start, start + seconds(1)}};
+    }
+    SECTION("a withdrawn key on a host that the store turns away") {
+        evidence.withdrawn_keys["key"] = start - seconds(4);
+        planned_fault const cut{soak_fault::host_store_cut, 0, {}, {}};
+        evidence.disturbances = {{cut, start - seconds(5), start}};
+    }
+    CHECK(check_soak(evidence).empty());
+}
+
+TEST_CASE("A soak's plan is the same for the same seed", "[soak]") {
+    auto const first = plan_soak(7, seconds(20), 3, 3);
+    auto const again = plan_soak(7, seconds(20), 3, 3);
+    REQUIRE(first.size() == again.size());
+    REQUIRE_FALSE(first.empty());
+    for (std::size_t i = 0; i < first.size(); ++i) {
+        CHECK(first[i].kind == again[i].kind);
+        CHECK(first[i].at == again[i].at);
+    }
+    CHECK(std::is_sorted(
+        first.begin(), first.end(),
+        [](auto const& left, auto const& right) { return left.at < right.at; }));
+}
