--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -15,6 +15,7 @@
 
 /// The users allow twelve seconds until service is back.
 constexpr milliseconds recovery_bound(12000);
+constexpr milliseconds ready_patience(15000);
 constexpr std::size_t flooding_callers = 3;
 constexpr std::size_t most_violations_shown = 10;
 
@@ -106,6 +107,9 @@
 std::vector<std::string> run_seed(soak_options const& options) {
     auto const plan = plan_soak(options.seed, options.length, options.hosts, 3);
     soak_stage stage(options.program, options.folder, options.hosts);
+    if (!stage.wait_ready(ready_patience)) {
+        return {"hosts did not become ready"};
+    }
     soak_record record;
     std::atomic<bool> over{false};
     std::atomic<std::size_t> last_session{0};
--- a/tests/soak/soak_stage.cpp
+++ b/tests/soak/soak_stage.cpp
@@ -21,7 +21,6 @@
 constexpr char const* group_name = "passcount-db";
 constexpr std::size_t databases_in_group = 3;
 constexpr soak_quota metered{"metered", 20, 20};
-constexpr milliseconds ready_patience(15000);
 constexpr milliseconds probe_patience(500);
 constexpr milliseconds poll_pause(50);
 /// From SIGTERM to SIGKILL, as the platform does it.
@@ -125,10 +124,6 @@
     for (std::size_t i = 0; i < host_count; ++i) {
         this->start_host(i);
     }
-    if (!this->wait_ready(ready_patience)) {
-        throw std::runtime_error(
-            "hosts did not become ready; see " + this->folder.string());
-    }
 }
 
 soak_stage::~soak_stage() {
--- a/tests/soak/soak_stage.hpp
+++ b/tests/soak/soak_stage.hpp
@@ -25,7 +25,7 @@
 /// Hosts as processes, the stand-ins of store and databases, and the proxies between.
 class soak_stage {
 public:
-    /// Throws std::runtime_error if the hosts don't become ready.
+    /// Starts the hosts; wait_ready tells when they serve.
     soak_stage(
         std::filesystem::path program, std::filesystem::path folder, std::size_t hosts);
     ~soak_stage();
