--- a/src/persimmonpoint/engine/quota_keeper.cpp
+++ b/src/persimmonpoint/engine/quota_keeper.cpp
@@ -148,7 +148,8 @@
         }
         for (auto const& [name, team] : teams) {
             quota_part const whole{team.rate, team.burst};
-            team_quota fresh{quota_bucket(0, now, this->rules.lower_delay), whole, {}};
+            team_quota const fresh{
+                quota_bucket(0, now, this->rules.lower_delay), whole, {}};
             team_quota& quota =
                 this->quotas.try_emplace(name, std::move(fresh)).first->second;
             quota.own.set_part(
