--- a/src/persimmonpoint/engine/quota_keeper.cpp
+++ b/src/persimmonpoint/engine/quota_keeper.cpp
@@ -150,8 +150,7 @@
             quota_part const whole{team.rate, team.burst};
             team_quota const fresh{
                 quota_bucket(0, now, this->rules.lower_delay), whole, {}};
-            team_quota& quota =
-                this->quotas.try_emplace(name, std::move(fresh)).first->second;
+            team_quota& quota = this->quotas.try_emplace(name, fresh).first->second;
             quota.own.set_part(
                 split_quota(whole, hosts, this->rules).fixed, now,
                 lowering_of(quota.whole, whole));
