Tests take ports that the kernel does not lend to connections

Usage tests under the address sanitizer aborted once ('A host that the store turns away learns from another host'): bind: Address already in use.

--- a/tests/soak/soak_stage.cpp
+++ b/tests/soak/soak_stage.cpp
@@ -7,6 +7,7 @@
 #include <future>
 #include <soak/soak_stage.hpp>
 #include <stdexcept>
+#include <support/free_port.hpp>
 #include <support/line_caller.hpp>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -26,28 +27,6 @@
 /// From SIGTERM to SIGKILL, as the platform does it.
 constexpr milliseconds grace(3000);
 
-/// The kernel gives connections ports above these; a host must find its own free again
-/// when it starts anew.
-constexpr unsigned first_port = 10000;
-constexpr unsigned port_count = 20000;
-constexpr unsigned ports_per_process = 97;
-
-/// A port that nobody listens on at present; another one with each call.
-std::uint16_t free_port() {
-    static unsigned next = static_cast<unsigned>(::getpid()) * ports_per_process;
-    asio::io_context loop;
-    for (unsigned tries = 0; tries < port_count; ++tries) {
-        auto const port = static_cast<std::uint16_t>(first_port + next++ % port_count);
-        boost::system::error_code failure;
-        asio::ip::tcp::acceptor probe(loop, asio::ip::tcp::v4());
-        probe.bind({asio::ip::address_v4::loopback(), port}, failure);
-        if (!failure) {
-            return port;
-        }
-    }
-    throw std::runtime_error("no port is free");
-}
-
 std::string at(std::uint16_t port) {
     return "127.0.0.1:" + std::to_string(port);
 }
--- a/tests/support/fleet_stage.cpp
+++ b/tests/support/fleet_stage.cpp
@@ -4,6 +4,7 @@
 #include <future>
 #include <stdexcept>
 #include <support/fleet_stage.hpp>
+#include <support/free_port.hpp>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -17,14 +18,6 @@
 /// Longest wait for a host's readiness.
 constexpr std::chrono::milliseconds readiness_patience{10000};
 
-/// A port that nobody listens on at present.
-std::uint16_t free_port() {
-    asio::io_context loop;
-    asio::ip::tcp::acceptor const probe(
-        loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return probe.local_endpoint().port();
-}
-
 std::string at(std::uint16_t port) {
     return "127.0.0.1:" + std::to_string(port);
 }
