persimmonpoint report: service levels, their burn and the four measures from the hosts' logs

Decisions in core/service_level (objectives, burn rates in two windows, gaps, worst-served team), reader and three formats in report/. statement_done now says kind and whether the database leads; a log that dropped lines says so.

--- a/src/persimmonpoint/app/program.cpp
+++ b/src/persimmonpoint/app/program.cpp
@@ -21,9 +21,9 @@
 
 exit_code run_program(
     std::span<std::string const> arguments, std::ostream& out, std::ostream& err) {
-    std::array<std::unique_ptr<command>, 5> const commands = {
-        make_front_command(), make_serve_command(), make_check_command(),
-        make_demo_command(), make_version_command()};
+    std::array<std::unique_ptr<command>, 6> const commands = {
+        make_front_command(), make_serve_command(),  make_check_command(),
+        make_demo_command(),  make_report_command(), make_version_command()};
     if (arguments.empty()) {
         print_usage(commands, err);
         return exit_code::usage;
--- a/src/persimmonpoint/core/statement/statement.cpp
+++ b/src/persimmonpoint/core/statement/statement.cpp
@@ -37,4 +37,14 @@
     }
 }
 
+std::optional<statement_error> statement_error_named(std::string_view name) {
+    for (int i = 0; i <= static_cast<int>(statement_error::in_doubt); ++i) {
+        auto const code = static_cast<statement_error>(i);
+        if (name == to_string(code)) {
+            return code;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace persimmonpoint
--- a/src/persimmonpoint/core/statement/statement.hpp
+++ b/src/persimmonpoint/core/statement/statement.hpp
@@ -4,7 +4,9 @@
 /// Statements and errors as the engine knows them, whatever protocol carried them.
 
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace persimmonpoint {
 
@@ -61,6 +63,8 @@
 
 /// Name of an error in logs.
 char const* to_string(statement_error code);
+/// The error of that name; empty if there is none.
+std::optional<statement_error> statement_error_named(std::string_view name);
 
 /// Where a session stands, as its caller is told.
 enum class transaction_state { idle, open, failed };
--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -261,7 +261,7 @@
         work_answer& answer = outcome.answer;
         bool const good = answer.error == statement_error::none;
         this->count(outcome, good, verb, writes);
-        this->log_outcome(outcome);
+        this->log_outcome(outcome, verb, writes);
         if (verb == statement_verb::commit) {
             this->finish_commit(answer, good);
         } else if (step == statement_step::run_single) {
@@ -314,11 +314,9 @@
         counts.retries += outcome.attempts > 1 ? outcome.attempts - 1 : 0;
         if (good) {
             ++counts.succeeded;
-            auto const& leader =
-                this->context.runs.view.group(this->route.group).leader();
-            bool const on_primary = leader && leader->database == outcome.database;
             if (!writes && verb != statement_verb::commit) {
-                ++(on_primary ? counts.reads_on_primaries : counts.reads_on_replicas);
+                ++(this->ran_on_primary(outcome) ? counts.reads_on_primaries
+                                                 : counts.reads_on_replicas);
             }
             return;
         }
@@ -340,7 +338,15 @@
         }
     }
 
-    void log_outcome(run_outcome const& outcome) {
+    bool ran_on_primary(run_outcome const& outcome) const {
+        auto const& leader = this->context.runs.view.group(this->route.group).leader();
+        return leader && leader->database == outcome.database;
+    }
+
+    void log_outcome(run_outcome const& outcome, statement_verb verb, bool writes) {
+        char const* const kind = verb == statement_verb::commit ? "commit"
+                                 : writes                       ? "write"
+                                                                : "read";
         duration const took = this->context.runs.time.now() - this->received;
         observe::log_event(
             observe::log_level::info, "statement_done",
@@ -348,7 +354,9 @@
              {"team", this->team},
              {"route", this->route.name},
              {"group", this->route.group},
+             {"kind", kind},
              {"database", outcome.database},
+             {"on_primary", this->ran_on_primary(outcome)},
              {"owner", outcome.owner},
              {"outcome", to_string(outcome.answer.error)},
              {"own_refusal", outcome.refused},
--- a/src/persimmonpoint/observe/event_log.cpp
+++ b/src/persimmonpoint/observe/event_log.cpp
@@ -28,6 +28,8 @@
 constexpr std::int64_t most_lines_a_second = 1500;
 
 std::atomic<std::uint64_t> dropped{0};
+/// Of the dropped lines, those that a line in the log tells of.
+std::atomic<std::uint64_t> dropped_and_told{0};
 std::atomic<bool> running{false};
 std::string host_name;
 
@@ -60,6 +62,15 @@
     }
 }
 
+/// Who reads the log must know how much of it is missing.
+void tell_of_drops() {
+    std::uint64_t const now = dropped.load();
+    std::uint64_t const told = dropped_and_told.exchange(now);
+    if (now > told) {
+        log_event(log_level::warning, "log_lines_dropped", {{"lines", now - told}});
+    }
+}
+
 /// Admits a bounded number of lines a second.
 bool within_rate() {
     static std::atomic<std::int64_t> second{0};
@@ -69,6 +80,7 @@
                                  .count();
     if (second.exchange(now) != now) {
         lines = 0;
+        tell_of_drops();
     }
     return ++lines <= most_lines_a_second;
 }
@@ -116,6 +128,9 @@
 }
 
 void stop_event_log() {
+    if (running) {
+        tell_of_drops();
+    }
     if (!running.exchange(false)) {
         return;
     }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -144,6 +144,9 @@
     for (std::string& each : stage.unasked_endings()) {
         violations.push_back(std::move(each));
     }
+    for (std::string& each : stage.unreadable_logs()) {
+        violations.push_back(std::move(each));
+    }
     tally const sums = count(evidence.operations);
     std::cout << "seed " << options.seed << ": " << evidence.operations.size()
               << " operations, " << sums.succeeded << " succeeded, " << sums.refused
--- a/tests/soak/soak_stage.cpp
+++ b/tests/soak/soak_stage.cpp
@@ -5,7 +5,9 @@
 #include <csignal>
 #include <fstream>
 #include <future>
+#include <persimmonpoint/report/event_reader.hpp>
 #include <soak/soak_stage.hpp>
+#include <sstream>
 #include <stdexcept>
 #include <support/free_port.hpp>
 #include <support/line_caller.hpp>
@@ -67,6 +69,20 @@
                .rfind("HTTP/1.1 200", 0) == 0;
 }
 
+std::string host_name(std::size_t host) {
+    return "host-" + std::to_string(host);
+}
+
+/// A process that still writes may be in the middle of its last line.
+std::string complete_lines(std::filesystem::path const& file) {
+    std::ifstream input(file);
+    std::ostringstream text;
+    text << input.rdbuf();
+    std::string lines = std::move(text).str();
+    lines.resize(lines.rfind('\n') + 1); // npos + 1 is 0: no line is complete.
+    return lines;
+}
+
 } // namespace
 
 soak_stage::soak_stage(
@@ -192,7 +208,7 @@
 void soak_stage::start_host(std::size_t host) {
     host_slot& slot = *this->hosts[host];
     this->write_settings(host);
-    std::string const name = "host-" + std::to_string(host);
+    std::string const name = host_name(host);
     slot.ending = false;
     slot.process = std::make_unique<host_process>(
         this->program, this->folder / (name + ".toml"), this->folder / (name + ".log"));
@@ -410,4 +426,20 @@
     return this->endings;
 }
 
+std::vector<std::string> soak_stage::unreadable_logs() const {
+    std::vector<std::string> found;
+    for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+        std::string const name = host_name(i);
+        std::istringstream log(complete_lines(this->folder / (name + ".log")));
+        service_level_book book({}, {});
+        for (finding const& each : report::read_events(log, name, book).findings) {
+            found.push_back("log of " + to_string(each));
+        }
+        if (book.report().requests == 0) {
+            found.push_back("log of " + name + " tells of no request");
+        }
+    }
+    return found;
+}
+
 } // namespace persimmonpoint::tests
--- a/tests/soak/soak_stage.hpp
+++ b/tests/soak/soak_stage.hpp
@@ -46,6 +46,8 @@
     void collect(soak_evidence& evidence);
     /// Endings of processes that nobody asked for.
     std::vector<std::string> unasked_endings();
+    /// What the report's reader can't read of the hosts' logs.
+    std::vector<std::string> unreadable_logs() const;
 
 private:
     struct host_slot {
