Stand-in: a database that ends while it is paused frees its sessions; the known leak was this

Every block of the sanitizer's list hangs off two objects of the stand-in database, made in the two sections of "A write does not wait for a primary that hangs and was replaced": the database ends while it is paused, and its held jobs and its set of sessions hold sessions that hold the database.

--- a/src/persimmonpoint/standin/database.cpp
+++ b/src/persimmonpoint/standin/database.cpp
@@ -349,6 +349,12 @@
     this->impl->heartbeat.cancel();
     this->impl->replication.cancel();
     this->impl->pause_end.cancel();
+    // What waits for an event that no longer comes holds the sessions, and those hold the
+    // database.
+    this->impl->sessions.clear();
+    this->impl->held_jobs.clear();
+    this->impl->release_queue.clear();
+    this->impl->slot_queue.clear();
 }
 
 std::uint16_t database::port() const {
