--- /dev/null
+++ b/src/persimmonpoint/engine/mesh_observer.hpp
@@ -0,0 +1,41 @@
+#ifndef PERSIMMONPOINT_ENGINE_MESH_OBSERVER_HPP_INCLUDED
+#define PERSIMMONPOINT_ENGINE_MESH_OBSERVER_HPP_INCLUDED
+
+#include <functional>
+#include <persimmonpoint/engine/database_owner.hpp>
+#include <persimmonpoint/engine/peer_messages.hpp>
+#include <string>
+
+namespace persimmonpoint::engine {
+
+/// What this host does for others.
+class mesh_observer {
+public:
+    virtual ~mesh_observer() = default;
+    virtual void on_order(work_order order, order_source source, answer_handler done) = 0;
+    /// The host that gave orders as `source` is gone.
+    virtual void on_source_gone(order_source source) = 0;
+    virtual void on_configuration(configuration_message message) = 0;
+    virtual void on_directory(directory_message message) = 0;
+    virtual void on_leader(leader_message const& message) = 0;
+    virtual void
+    on_endorsement(std::string const& host, endorsement_message const& message) = 0;
+    virtual void on_release(std::string const& host, release_message const& message) = 0;
+    virtual loan_message on_borrow(borrow_message const& message) = 0;
+    virtual void on_loan(loan_message const& message) = 0;
+    virtual void
+    on_reach_query(std::string const& database, std::function<void(bool)> done) = 0;
+    /// A host became usable, or is no longer.
+    virtual void on_peers_changed() = 0;
+    /// What this host tells of itself.
+    virtual alive_message own_state() = 0;
+    virtual bool reaches_store() const = 0;
+    virtual configuration_message own_configuration() = 0;
+    virtual directory_message own_directory() = 0;
+    virtual void on_hosts(hosts_message message) = 0;
+    virtual hosts_message own_hosts() = 0;
+};
+
+} // namespace persimmonpoint::engine
+
+#endif // PERSIMMONPOINT_ENGINE_MESH_OBSERVER_HPP_INCLUDED
--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -1,10 +1,11 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
-#include <optional>
 #include <persimmonpoint/core/membership/peer_health.hpp>
+#include <persimmonpoint/engine/peer_exchanges.hpp>
 #include <persimmonpoint/engine/peer_link.hpp>
 #include <persimmonpoint/engine/peer_mesh.hpp>
+#include <persimmonpoint/engine/peer_server.hpp>
 #include <persimmonpoint/net/tcp_options.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
 #include <set>
@@ -18,48 +19,21 @@
 namespace {
 
 constexpr auto tick_interval = std::chrono::milliseconds(75);
-/// An incoming link that is silent for so long is closed.
-constexpr duration incoming_silence_limit = std::chrono::milliseconds(1500);
 /// A link without orders is given up after this time in a large fleet.
 constexpr duration unused_limit = std::chrono::seconds(20);
 constexpr duration reach_limit = std::chrono::milliseconds(250);
 
-work_answer link_lost() {
-    work_answer answer;
-    answer.outcome = order_outcome::unknown;
-    answer.refusal = order_refusal::unreachable;
-    return answer;
-}
-
-work_answer no_link() {
-    work_answer answer;
-    answer.refusal = order_refusal::unreachable;
-    return answer;
-}
-
-struct reach_waiter {
-    std::function<void(bool)> done;
-    instant deadline;
-};
-
 struct outgoing {
     registered_host host;
     peer_health health;
     std::shared_ptr<tcp::socket> dialling;
     std::unique_ptr<peer_link> link;
     std::vector<peer_message> unsent; ///< Until the link is there.
-    std::map<std::uint64_t, answer_handler> orders;
-    std::map<std::uint64_t, reach_waiter> reach;
+    peer_exchanges exchanges;
     instant last_alive{};
     instant last_used{};
 };
 
-struct incoming {
-    std::unique_ptr<peer_link> link;
-    std::string host;
-    instant heard{};
-};
-
 } // namespace
 
 struct peer_mesh::implementation : std::enable_shared_from_this<implementation> {
@@ -73,160 +47,8 @@
           observer(observer),
           self(std::move(self)),
           ticker(loop),
-          acceptor(loop) {}
-
-    void listen() {
-        auto const endpoint = net::parse_endpoint(this->self.address);
-        if (!endpoint) {
-            throw std::invalid_argument(
-                "peers.address is no address: " + this->self.address);
-        }
-        this->acceptor.open(endpoint->protocol());
-        this->acceptor.set_option(tcp::acceptor::reuse_address(true));
-        this->acceptor.bind(*endpoint);
-        this->acceptor.listen();
-        this->accept();
-        this->tick();
-    }
-
-    // Incoming links
-
-    void accept() {
-        this->acceptor.async_accept(
-            [weak = this->weak_from_this()](
-                boost::system::error_code failure, tcp::socket socket) {
-                auto const self = weak.lock();
-                if (!self || self->closed) {
-                    return;
-                }
-                if (!failure) {
-                    self->accepted(std::move(socket));
-                }
-                self->accept();
-            });
-    }
-
-    void accepted(tcp::socket socket) {
-        order_source const source = ++this->last_source;
-        incoming& made = this->callers[source];
-        made.link = std::make_unique<peer_link>(std::move(socket));
-        made.heard = this->time.now();
-        made.link->start(
-            [this, source](peer_message message) {
-                this->take_incoming(source, std::move(message));
-            },
-            [this, source] { this->incoming_gone(source); });
-    }
-
-    void incoming_gone(order_source source) {
-        auto const found = this->callers.find(source);
-        if (found == this->callers.end()) {
-            return;
-        }
-        this->retired.push_back(std::move(found->second.link));
-        this->callers.erase(found);
-        this->observer.on_source_gone(source);
-    }
-
-    void reply(order_source source, peer_message const& message) {
-        auto const found = this->callers.find(source);
-        if (found != this->callers.end()) {
-            found->second.link->send(message);
-        }
-    }
-
-    void take_incoming(order_source source, peer_message message) {
-        auto const found = this->callers.find(source);
-        if (found == this->callers.end()) {
-            return;
-        }
-        incoming& from = found->second;
-        from.heard = this->time.now();
-        if (auto* const hello = std::get_if<hello_message>(&message)) {
-            from.host = hello->host;
-            if (hello->protocol != peer_protocol_version) {
-                this->incoming_gone(source);
-            }
-        } else if (auto* const order = std::get_if<order_message>(&message)) {
-            this->take_order(source, std::move(*order));
-        } else if (auto* const alive = std::get_if<alive_message>(&message)) {
-            this->reply(source, this->observer.own_state());
-            if (auto const wanted = this->news_to_ask(*alive)) {
-                this->reply(source, news_request_message{*wanted});
-            }
-        } else if (auto* const request = std::get_if<news_request_message>(&message)) {
-            for (peer_message const& news : this->news_since(request->versions)) {
-                this->reply(source, news);
-            }
-        } else if (auto* const backing = std::get_if<endorsement_message>(&message)) {
-            this->observer.on_endorsement(from.host, *backing);
-            if (backing->withdrawn) {
-                this->reply(source, release_message{backing->shard});
-            }
-        } else if (auto* const borrow = std::get_if<borrow_message>(&message)) {
-            this->reply(source, this->observer.on_borrow(*borrow));
-        } else if (auto* const query = std::get_if<reach_query_message>(&message)) {
-            this->observer.on_reach_query(
-                query->database, [weak = this->weak_from_this(), source,
-                                  number = query->number](bool reached) {
-                    if (auto const mesh = weak.lock()) {
-                        mesh->reply(source, reach_answer_message{number, reached});
-                    }
-                });
-        } else {
-            this->take_news(std::move(message));
-        }
-    }
-
-    void take_order(order_source source, order_message message) {
-        this->observer.on_order(
-            std::move(message.order), source,
-            [weak = this->weak_from_this(), source,
-             number = message.number](work_answer answer) {
-                if (auto const mesh = weak.lock()) {
-                    mesh->reply(source, answer_message{number, std::move(answer)});
-                }
-            });
-    }
-
-    void take_news(peer_message message) {
-        if (auto* const configuration = std::get_if<configuration_message>(&message)) {
-            this->observer.on_configuration(std::move(*configuration));
-        } else if (auto* const directory = std::get_if<directory_message>(&message)) {
-            this->observer.on_directory(std::move(*directory));
-        } else if (auto* const hosts = std::get_if<hosts_message>(&message)) {
-            this->observer.on_hosts(std::move(*hosts));
-        } else if (auto* const leader = std::get_if<leader_message>(&message)) {
-            this->observer.on_leader(*leader);
-        }
-    }
-
-    std::optional<news_versions> news_to_ask(alive_message const& theirs) {
-        news_desk::patience store;
-        if (this->observer.reaches_store()) {
-            store = {this->pace.store_patience, this->pace.hosts_patience};
-        }
-        return this->news.ask(
-            this->observer.own_state().versions, theirs.versions, store,
-            this->time.now());
-    }
-
-    std::vector<peer_message> news_since(news_versions const& theirs) {
-        news_versions const mine = this->observer.own_state().versions;
-        std::vector<peer_message> newer;
-        if (mine.configuration > theirs.configuration) {
-            newer.emplace_back(this->observer.own_configuration());
-        }
-        if (mine.databases > theirs.databases) {
-            newer.emplace_back(this->observer.own_directory());
-        }
-        if (mine.hosts > theirs.hosts) {
-            newer.emplace_back(this->observer.own_hosts());
-        }
-        return newer;
-    }
-
-    // Outgoing links
+          news(time, observer),
+          server(loop, time, observer, this->news, this->self.address) {}
 
     void set_hosts(std::span<registered_host const> hosts) {
         std::set<std::string> names;
@@ -252,6 +74,7 @@
             each = this->peers.erase(each);
         }
         this->pace = pace_for(this->peers.size() + 1);
+        this->news.set_pace(this->pace);
         auto const chosen = choose_neighbours(
             this->self.name, std::vector<std::string>(names.begin(), names.end()));
         this->neighbours = std::set<std::string>(chosen.begin(), chosen.end());
@@ -278,15 +101,7 @@
     void look() {
         instant const now = this->time.now();
         this->retired.clear();
-        std::vector<order_source> silent;
-        for (auto const& [source, from] : this->callers) {
-            if (now - from.heard > incoming_silence_limit) {
-                silent.push_back(source);
-            }
-        }
-        for (order_source const source : silent) {
-            this->incoming_gone(source);
-        }
+        this->server.look();
         std::vector<std::string> names;
         for (auto const& each : this->peers) {
             names.push_back(each.first);
@@ -300,8 +115,8 @@
     }
 
     void look_at(outgoing& peer, instant now) {
-        this->expire_reach(peer, now);
-        if (peer.orders.empty() && peer.reach.empty()) {
+        peer.exchanges.expire(now);
+        if (peer.exchanges.empty()) {
             peer.health.answered();
         }
         if (peer.health.overdue(this->pace, now)) {
@@ -344,26 +159,8 @@
                 each.second.link->send(state);
             }
         }
-        if (!this->pace.fully_linked) {
-            return;
-        }
-        for (auto& each : this->callers) {
-            each.second.link->send(state);
-        }
-    }
-
-    void expire_reach(outgoing& peer, instant now) {
-        std::vector<std::function<void(bool)>> expired;
-        for (auto each = peer.reach.begin(); each != peer.reach.end();) {
-            if (each->second.deadline <= now) {
-                expired.push_back(std::move(each->second.done));
-                each = peer.reach.erase(each);
-            } else {
-                ++each;
-            }
-        }
-        for (auto const& each : expired) {
-            each(false);
+        if (this->pace.fully_linked) {
+            this->server.tell(state);
         }
     }
 
@@ -437,15 +234,15 @@
                 observe::log_level::info, "peer_connected", {{"peer", name}});
         }
         if (auto* const answer = std::get_if<answer_message>(&message)) {
-            this->take_answer(peer, std::move(*answer));
+            peer.exchanges.take(std::move(*answer));
         } else if (auto* const alive = std::get_if<alive_message>(&message)) {
             peer.health.leaving(alive->leaving);
-            auto const wanted = this->news_to_ask(*alive);
+            auto const wanted = this->news.to_ask(*alive);
             if (wanted && peer.link) {
                 peer.link->send(news_request_message{*wanted});
             }
         } else if (auto* const request = std::get_if<news_request_message>(&message)) {
-            for (peer_message const& news : this->news_since(request->versions)) {
+            for (peer_message const& news : this->news.newer_than(request->versions)) {
                 if (peer.link) {
                     peer.link->send(news);
                 }
@@ -455,14 +252,9 @@
         } else if (auto* const release = std::get_if<release_message>(&message)) {
             this->observer.on_release(name, *release);
         } else if (auto* const reach = std::get_if<reach_answer_message>(&message)) {
-            auto const waiter = peer.reach.find(reach->number);
-            if (waiter != peer.reach.end()) {
-                auto const done = std::move(waiter->second.done);
-                peer.reach.erase(waiter);
-                done(reach->reached);
-            }
+            peer.exchanges.take(*reach);
         } else {
-            this->take_news(std::move(message));
+            this->news.take(std::move(message));
         }
         auto const again = this->peers.find(name);
         if (again != this->peers.end() && again->second.health.usable() != was_usable) {
@@ -470,16 +262,6 @@
         }
     }
 
-    void take_answer(outgoing& peer, answer_message message) {
-        auto const found = peer.orders.find(message.number);
-        if (found == peer.orders.end()) {
-            return;
-        }
-        answer_handler const done = std::move(found->second);
-        peer.orders.erase(found);
-        done(std::move(message.answer));
-    }
-
     /// Drops the link; what was sent over it has no known outcome.
     void lose(outgoing& peer, std::string_view reason) {
         bool const was_usable = peer.health.usable();
@@ -489,7 +271,7 @@
                 observe::log_level::warning, "peer_lost",
                 {{"peer", peer.host.name},
                  {"reason", reason},
-                 {"orders_open", peer.orders.size()}});
+                 {"orders_open", peer.exchanges.open_orders()}});
         }
         this->give_up(peer);
         if (was_usable) {
@@ -509,17 +291,10 @@
             peer.dialling.reset();
         }
         peer.unsent.clear();
-        auto const orders = std::exchange(peer.orders, {});
-        auto const reach = std::exchange(peer.reach, {});
         // The handlers may use the mesh; they run once it is consistent again.
-        asio::post(this->loop, [orders, reach, was_linked] {
-            for (auto const& each : orders) {
-                each.second(was_linked ? link_lost() : no_link());
-            }
-            for (auto const& each : reach) {
-                each.second.done(false);
-            }
-        });
+        auto const open = std::make_shared<peer_exchanges>();
+        std::swap(*open, peer.exchanges);
+        asio::post(this->loop, [open, was_linked] { open->drop(was_linked); });
     }
 
     bool send(outgoing& peer, peer_message const& message) {
@@ -544,16 +319,14 @@
     mesh_observer& observer;
     registered_host self;
     asio::steady_timer ticker;
-    tcp::acceptor acceptor;
     std::map<std::string, outgoing, std::less<>> peers;
-    std::map<order_source, incoming> callers;
     /// Links that were given up, possibly from within their own handlers.
     std::vector<std::unique_ptr<peer_link>> retired;
-    order_source last_source = 0;
     std::uint64_t last_number = 0;
     fleet_pace pace = pace_for(1);
     std::set<std::string> neighbours;
-    news_desk news;
+    peer_news news;
+    peer_server server;
     bool closed = false;
 };
 
@@ -563,7 +336,7 @@
     mesh_observer& observer,
     registered_host self)
     : impl(std::make_shared<implementation>(loop, clock, observer, std::move(self))) {
-    this->impl->listen();
+    this->impl->tick();
 }
 
 peer_mesh::~peer_mesh() {
@@ -650,7 +423,7 @@
         done(no_link());
         return;
     }
-    peer.orders.emplace(number, std::move(done));
+    peer.exchanges.add_order(number, std::move(done));
     this->impl->await(peer);
 }
 
@@ -683,17 +456,15 @@
         done(false);
         return;
     }
-    found->second.reach.emplace(
-        number, reach_waiter{std::move(done), this->impl->time.now() + reach_limit});
+    found->second.exchanges.add_reach(
+        number, this->impl->time.now() + reach_limit, std::move(done));
     this->impl->await(found->second);
 }
 
 void peer_mesh::announce() {
     alive_message const state = this->impl->observer.own_state();
     this->broadcast(state);
-    for (auto& each : this->impl->callers) {
-        each.second.link->send(state);
-    }
+    this->impl->server.tell(state);
 }
 
 void peer_mesh::tell_news() {
@@ -704,13 +475,11 @@
     if (std::exchange(this->impl->closed, true)) {
         return;
     }
-    boost::system::error_code ignored;
-    this->impl->acceptor.close(ignored);
+    this->impl->server.close();
     this->impl->ticker.cancel();
     for (auto& each : this->impl->peers) {
         this->impl->give_up(each.second);
     }
-    this->impl->callers.clear();
 }
 
 } // namespace persimmonpoint::engine
--- /dev/null
+++ b/src/persimmonpoint/engine/peer_news.cpp
@@ -0,0 +1,49 @@
+#include <persimmonpoint/engine/peer_news.hpp>
+#include <utility>
+
+namespace persimmonpoint::engine {
+
+peer_news::peer_news(clock const& time, mesh_observer& observer)
+    : time(time), observer(observer) {}
+
+void peer_news::set_pace(fleet_pace const& pace) {
+    this->pace = pace;
+}
+
+std::optional<news_versions> peer_news::to_ask(alive_message const& theirs) {
+    news_desk::patience store;
+    if (this->observer.reaches_store()) {
+        store = {this->pace.store_patience, this->pace.hosts_patience};
+    }
+    return this->desk.ask(
+        this->observer.own_state().versions, theirs.versions, store, this->time.now());
+}
+
+std::vector<peer_message> peer_news::newer_than(news_versions const& theirs) const {
+    news_versions const mine = this->observer.own_state().versions;
+    std::vector<peer_message> newer;
+    if (mine.configuration > theirs.configuration) {
+        newer.emplace_back(this->observer.own_configuration());
+    }
+    if (mine.databases > theirs.databases) {
+        newer.emplace_back(this->observer.own_directory());
+    }
+    if (mine.hosts > theirs.hosts) {
+        newer.emplace_back(this->observer.own_hosts());
+    }
+    return newer;
+}
+
+void peer_news::take(peer_message message) {
+    if (auto* const configuration = std::get_if<configuration_message>(&message)) {
+        this->observer.on_configuration(std::move(*configuration));
+    } else if (auto* const directory = std::get_if<directory_message>(&message)) {
+        this->observer.on_directory(std::move(*directory));
+    } else if (auto* const hosts = std::get_if<hosts_message>(&message)) {
+        this->observer.on_hosts(std::move(*hosts));
+    } else if (auto* const leader = std::get_if<leader_message>(&message)) {
+        this->observer.on_leader(*leader);
+    }
+}
+
+} // namespace persimmonpoint::engine
--- /dev/null
+++ b/src/persimmonpoint/engine/peer_news.hpp
@@ -0,0 +1,37 @@
+#ifndef PERSIMMONPOINT_ENGINE_PEER_NEWS_HPP_INCLUDED
+#define PERSIMMONPOINT_ENGINE_PEER_NEWS_HPP_INCLUDED
+
+#include <optional>
+#include <persimmonpoint/core/membership/fleet_pace.hpp>
+#include <persimmonpoint/core/membership/news_desk.hpp>
+#include <persimmonpoint/engine/mesh_observer.hpp>
+#include <persimmonpoint/interfaces/clock.hpp>
+#include <vector>
+
+namespace persimmonpoint::engine {
+
+/// What two linked hosts tell each other of configuration, databases and hosts. The same
+/// in both directions of a link.
+class peer_news {
+public:
+    peer_news(clock const& time, mesh_observer& observer);
+
+    /// How long the store is waited for depends on the fleet's size.
+    void set_pace(fleet_pace const& pace);
+    /// The versions to ask the other host to go beyond; empty if it need not be asked.
+    std::optional<news_versions> to_ask(alive_message const& theirs);
+    /// What this host knows that is newer.
+    std::vector<peer_message> newer_than(news_versions const& theirs) const;
+    /// Passes news on to the observer. Other messages are left alone.
+    void take(peer_message message);
+
+private:
+    clock const& time;
+    mesh_observer& observer;
+    fleet_pace pace = pace_for(1);
+    news_desk desk;
+};
+
+} // namespace persimmonpoint::engine
+
+#endif // PERSIMMONPOINT_ENGINE_PEER_NEWS_HPP_INCLUDED
