--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -436,6 +436,14 @@
         }
     }
 
+    void tell_suspicion(
+        std::string const& database, void (primary_suspicion::*event)(instant)) {
+        instant const now = this->now();
+        this->tell(database, [now, event](watched_group& group) {
+            (*group.suspicion.*event)(now);
+        });
+    }
+
     run_context& context;
     leadership_authority& authority;
     boost::asio::steady_timer timer;
@@ -500,27 +508,19 @@
 }
 
 void leadership_keeper::on_refused(std::string const& database) {
-    instant const now = this->impl->now();
-    this->impl->tell(
-        database, [now](watched_group& group) { group.suspicion->refused(now); });
+    this->impl->tell_suspicion(database, &primary_suspicion::refused);
 }
 
 void leadership_keeper::on_silent(std::string const& database) {
-    instant const now = this->impl->now();
-    this->impl->tell(
-        database, [now](watched_group& group) { group.suspicion->unanswered(now); });
+    this->impl->tell_suspicion(database, &primary_suspicion::unanswered);
 }
 
 void leadership_keeper::on_commit_sent(std::string const& database) {
-    instant const now = this->impl->now();
-    this->impl->tell(
-        database, [now](watched_group& group) { group.suspicion->commit_sent(now); });
+    this->impl->tell_suspicion(database, &primary_suspicion::commit_sent);
 }
 
 void leadership_keeper::on_commit_answered(std::string const& database) {
-    instant const now = this->impl->now();
-    this->impl->tell(
-        database, [now](watched_group& group) { group.suspicion->commit_answered(now); });
+    this->impl->tell_suspicion(database, &primary_suspicion::commit_answered);
 }
 
 std::uint64_t leadership_keeper::changes_finished() const {
--- a/src/persimmonpoint/engine/peer_link.cpp
+++ b/src/persimmonpoint/engine/peer_link.cpp
@@ -1,5 +1,5 @@
-#include <array>
 #include <persimmonpoint/engine/peer_link.hpp>
+#include <persimmonpoint/net/read_loop.hpp>
 #include <persimmonpoint/net/send_queue.hpp>
 #include <persimmonpoint/net/tcp_options.hpp>
 #include <utility>
@@ -20,7 +20,13 @@
 
 struct peer_link::implementation : std::enable_shared_from_this<implementation> {
     explicit implementation(tcp::socket given)
-        : socket(std::move(given)), outgoing(this->socket, [this](bool written) {
+        : socket(std::move(given)),
+          incoming(
+              this->socket,
+              read_bytes,
+              [this](std::string_view bytes) { return this->take(bytes); },
+              [this] { this->broken(); }),
+          outgoing(this->socket, [this](bool written) {
               if (!written) {
                   this->broken();
               }
@@ -28,21 +34,10 @@
         net::set_tcp_options(this->socket, unacknowledged_limit);
     }
 
-    void read() {
-        this->socket.async_read_some(
-            asio::buffer(this->received),
-            [self = this->shared_from_this()](
-                boost::system::error_code failure, std::size_t size) {
-                if (failure) {
-                    self->broken();
-                    return;
-                }
-                self->decoder.add(std::string_view(self->received.data(), size));
-                self->take_messages();
-                if (!self->closed) {
-                    self->read();
-                }
-            });
+    bool take(std::string_view bytes) {
+        this->decoder.add(bytes);
+        this->take_messages();
+        return !this->closed;
     }
 
     void take_messages() {
@@ -93,7 +88,7 @@
     tcp::socket socket;
     message_handler on_message;
     closed_handler on_closed;
-    std::array<char, read_bytes> received{};
+    net::read_loop incoming;
     peer_decoder decoder;
     net::send_queue outgoing;
     bool closed = false;
@@ -109,7 +104,7 @@
 void peer_link::start(message_handler on_message, closed_handler on_closed) {
     this->impl->on_message = std::move(on_message);
     this->impl->on_closed = std::move(on_closed);
-    this->impl->read();
+    this->impl->incoming.start(this->impl);
 }
 
 void peer_link::send(peer_message const& message) {
--- a/src/persimmonpoint/platform/fleet_decoder.cpp
+++ b/src/persimmonpoint/platform/fleet_decoder.cpp
@@ -98,6 +98,15 @@
     json::object const& object;
 };
 
+/// What was decoded, if each of its fields could be read.
+template <class Decoded>
+result<Decoded> checked(field_reader const& fields, Decoded decoded) {
+    if (!fields.problem.empty()) {
+        return unreadable(fields.problem);
+    }
+    return decoded;
+}
+
 std::optional<json::object> parse_object(std::string_view body) {
     boost::system::error_code failure;
     json::value parsed = json::parse(body, failure);
@@ -199,10 +208,7 @@
         field_reader limit_fields(limits->as_object());
         out.transaction_idle = limit_fields.optional_milliseconds("transaction_idle_ms");
     }
-    if (!fields.problem.empty()) {
-        return unreadable(fields.problem);
-    }
-    return out;
+    return checked(fields, std::move(out));
 }
 
 result<registered_database> decode_database(std::string_view id, std::string_view body) {
@@ -232,10 +238,7 @@
     if (!is_plain_word(out.id) || !is_plain_word(out.group)) {
         fields.fail("service");
     }
-    if (!fields.problem.empty()) {
-        return unreadable(fields.problem);
-    }
-    return out;
+    return checked(fields, std::move(out));
 }
 
 std::string encode_host(registered_host const& host) {
@@ -255,10 +258,7 @@
     out.name = name;
     out.address = fields.text("address");
     out.availability_zone = fields.text("availability_zone");
-    if (!fields.problem.empty()) {
-        return unreadable(fields.problem);
-    }
-    return out;
+    return checked(fields, std::move(out));
 }
 
 std::string encode_lease(leadership_lease const& lease) {
@@ -279,10 +279,7 @@
     out.holder = fields.text("holder");
     out.token = fields.number("token");
     out.taken_at_ms = fields.number("taken_at_ms");
-    if (!fields.problem.empty()) {
-        return unreadable(fields.problem);
-    }
-    return out;
+    return checked(fields, std::move(out));
 }
 
 std::string encode_base64(std::string_view bytes) {
--- a/src/persimmonpoint/platform/line_connection.cpp
+++ b/src/persimmonpoint/platform/line_connection.cpp
@@ -1,7 +1,7 @@
-#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <persimmonpoint/net/read_loop.hpp>
 #include <persimmonpoint/net/send_queue.hpp>
 #include <persimmonpoint/net/tcp_options.hpp>
 #include <persimmonpoint/platform/line_connection.hpp>
@@ -24,11 +24,20 @@
                               public std::enable_shared_from_this<line_connection> {
 public:
     explicit line_connection(asio::io_context& loop)
-        : socket(loop), timer(loop), outgoing(this->socket, [this](bool written) {
-              if (!written) {
-                  this->broken();
-              }
-          }) {}
+        : socket(loop),
+          timer(loop),
+          outgoing(
+              this->socket,
+              [this](bool written) {
+                  if (!written) {
+                      this->broken();
+                  }
+              }),
+          incoming(
+              this->socket,
+              read_bytes,
+              [this](std::string_view bytes) { return this->take(bytes); },
+              [this] { this->broken(); }) {}
 
     void open(upstream_target const& target, open_handler handler) override {
         this->opened = std::move(handler);
@@ -85,24 +94,13 @@
         }
         net::set_tcp_options(this->socket, unacknowledged_limit);
         this->outgoing.add(this->greeting, this->shared_from_this());
-        this->read();
+        this->incoming.start(this->shared_from_this());
     }
 
-    void read() {
-        this->socket.async_read_some(
-            asio::buffer(this->received),
-            [self = this->shared_from_this()](
-                boost::system::error_code failure, std::size_t size) {
-                if (failure) {
-                    self->broken();
-                    return;
-                }
-                self->lines.add(std::string_view(self->received.data(), size));
-                self->take_lines();
-                if (!self->closed) {
-                    self->read();
-                }
-            });
+    bool take(std::string_view bytes) {
+        this->lines.add(bytes);
+        this->take_lines();
+        return !this->closed;
     }
 
     void take_lines() {
@@ -224,7 +222,7 @@
     std::string greeting;
     net::send_queue outgoing;
     bool closed = false;
-    std::array<char, read_bytes> received{};
+    net::read_loop incoming;
     line_reader lines;
     upstream_answer answer;
     bool complete = false;
--- a/src/persimmonpoint/standin/line_group.cpp
+++ b/src/persimmonpoint/standin/line_group.cpp
@@ -1,9 +1,9 @@
 #include <algorithm>
-#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <list>
+#include <persimmonpoint/net/read_loop.hpp>
 #include <persimmonpoint/net/send_queue.hpp>
 #include <persimmonpoint/platform/line_codec.hpp>
 #include <persimmonpoint/platform/line_reader.hpp>
@@ -116,30 +116,22 @@
 
 namespace {
 
+constexpr std::size_t read_bytes = 4096;
+
 class session : public std::enable_shared_from_this<session> {
 public:
     session(line_group::implementation& group, member& home, tcp::socket given)
         : group(group),
           home(home),
           socket(std::move(given)),
+          incoming(
+              this->socket,
+              read_bytes,
+              [this](std::string_view bytes) { return this->take(bytes); },
+              [this] { this->shut(); }),
           outgoing(this->socket, [](bool) {}) {}
 
-    void read() {
-        this->socket.async_read_some(
-            asio::buffer(this->received),
-            [self = this->shared_from_this()](
-                boost::system::error_code failure, std::size_t size) {
-                if (failure) {
-                    self->shut();
-                    return;
-                }
-                self->lines.add(std::string_view(self->received.data(), size));
-                self->take_lines();
-                if (!self->closed) {
-                    self->read();
-                }
-            });
-    }
+    void read() { this->incoming.start(this->shared_from_this()); }
 
     void shut() {
         if (std::exchange(this->closed, true)) {
@@ -153,6 +145,12 @@
 private:
     bool leads() const { return this->group.primary == &this->home; }
 
+    bool take(std::string_view bytes) {
+        this->lines.add(bytes);
+        this->take_lines();
+        return !this->closed;
+    }
+
     void take_lines() {
         while (!this->closed && !this->busy) {
             auto const line = this->lines.next();
@@ -370,7 +368,7 @@
     line_group::implementation& group;
     member& home;
     tcp::socket socket;
-    std::array<char, 4096> received{};
+    net::read_loop incoming;
     platform::line_reader lines;
     net::send_queue outgoing;
     std::string team;
