--- a/src/persimmonpoint/control/database_probe.hpp
+++ b/src/persimmonpoint/control/database_probe.hpp
@@ -6,7 +6,7 @@
 #include <memory>
 #include <optional>
 #include <persimmonpoint/core/time.hpp>
-#include <persimmonpoint/interfaces/database_connection.hpp>
+#include <persimmonpoint/postgres/database_connection.hpp>
 #include <string>
 #include <vector>
 
--- a/src/persimmonpoint/control/group_monitor.hpp
+++ b/src/persimmonpoint/control/group_monitor.hpp
@@ -7,7 +7,7 @@
 #include <persimmonpoint/core/catalog/catalog.hpp>
 #include <persimmonpoint/core/recovery/group_watch.hpp>
 #include <persimmonpoint/interfaces/control_link.hpp>
-#include <persimmonpoint/interfaces/database_connection.hpp>
+#include <persimmonpoint/postgres/database_connection.hpp>
 #include <string>
 
 namespace persimmonpoint::control {
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -1,9 +1,9 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <list>
 #include <map>
 #include <optional>
+#include <persimmonpoint/core/limits/waiting_line.hpp>
 #include <persimmonpoint/engine/database_owner.hpp>
 #include <persimmonpoint/engine/order_commands.hpp>
 #include <utility>
@@ -40,8 +40,6 @@
     order_source source = 0;
     answer_handler handler;
     instant deadline{};
-    instant start_by{}; ///< If it has not begun to run by then, it is refused.
-    std::uint64_t arrival = 0;
 };
 
 struct lane {
@@ -81,22 +79,19 @@
         duration const wait = order.wait_ms > 0
                                   ? duration(std::chrono::milliseconds(order.wait_ms))
                                   : budget;
-        pending_order pending{std::move(order),
-                              source,
-                              std::move(handler),
-                              now + budget,
-                              now + std::min(wait, budget),
-                              ++this->arrivals};
+        line_place const place{
+            is_control(order.kind), order.priority, now + std::min(wait, budget)};
+        pending_order pending{std::move(order), source, std::move(handler), now + budget};
         if (this->closed) {
             this->reply(pending, not_run(order_refusal::unreachable));
             return;
         }
         if (pending.order.lane != 0) {
             this->run_on_open_lane(std::move(pending));
-        } else if (this->waiting.size() >= most_waiting) {
+        } else if (this->waiting.full()) {
             this->reply(pending, not_run(order_refusal::queue_full));
         } else {
-            this->waiting.push_back(std::move(pending));
+            this->waiting.push(place, std::move(pending));
             this->pump();
         }
         this->watch_deadlines();
@@ -129,31 +124,13 @@
 
     // Choice of a connection
 
-    /// Starts what can be started. Higher priority first, then by arrival.
+    /// Starts what can be started.
     void pump() {
-        this->waiting.sort([](pending_order const& left, pending_order const& right) {
-            return std::make_tuple(
-                       !is_control(left.order.kind), left.order.priority, left.arrival) <
-                   std::make_tuple(
-                       !is_control(right.order.kind), right.order.priority,
-                       right.arrival);
-        });
-        for (auto each = this->waiting.begin(); each != this->waiting.end();) {
-            bool const control = is_control(each->order.kind);
-            if (!control && this->running >= this->limits.running) {
-                ++each;
-                continue;
-            }
-            lane* const chosen = control ? this->lane_for_control(each->order)
-                                         : this->lane_for(each->order);
-            if (chosen == nullptr) {
-                ++each;
-                continue;
-            }
-            pending_order pending = std::move(*each);
-            each = this->waiting.erase(each);
-            this->run(*chosen, std::move(pending));
-        }
+        this->waiting.start_what_can(
+            [this](pending_order const& each) { return this->lane_for(each.order); },
+            [this](lane* chosen, pending_order pending) {
+                this->run(*chosen, std::move(pending));
+            });
     }
 
     std::vector<lane_view const*> views() const {
@@ -183,7 +160,16 @@
         }
     }
 
+    /// Where the order can run now; null if it has to wait.
     lane* lane_for(work_order const& order) {
+        if (is_control(order.kind)) {
+            return this->lane_for_control(order);
+        }
+        return this->running < this->limits.running ? this->lane_for_work(order)
+                                                    : nullptr;
+    }
+
+    lane* lane_for_work(work_order const& order) {
         auto const all = this->views();
         lane_decision const decision = choose_lane(order, all, this->present_limits());
         switch (decision.next) {
@@ -276,7 +262,7 @@
 
     /// Those that wait are better off elsewhere.
     void refuse_waiting() {
-        std::list<pending_order> refused = std::exchange(this->waiting, {});
+        std::vector<pending_order> refused = this->waiting.take_all();
         for (pending_order& each : refused) {
             this->reply(each, not_run(order_refusal::unreachable));
         }
@@ -507,14 +493,7 @@
 
     void sweep() {
         instant const now = this->time.now();
-        std::list<pending_order> expired;
-        for (auto each = this->waiting.begin(); each != this->waiting.end();) {
-            auto const next = std::next(each);
-            if (each->start_by <= now) {
-                expired.splice(expired.end(), this->waiting, each);
-            }
-            each = next;
-        }
+        std::vector<pending_order> expired = this->waiting.take_expired(now);
         std::vector<std::uint64_t> overdue;
         bool transactions = false;
         for (auto const& [id, on] : this->lanes) {
@@ -540,7 +519,8 @@
     }
 
     void forget(order_source source) {
-        this->waiting.remove_if(
+        // Whoever waited for them is gone: nobody is told.
+        this->waiting.take_if(
             [source](pending_order const& each) { return each.source == source; });
         std::vector<std::uint64_t> abandoned;
         for (auto& [id, on] : this->lanes) {
@@ -593,10 +573,9 @@
     asio::steady_timer sweeper;
     asio::io_context& loop;
     lane_limits limits;
-    std::list<pending_order> waiting;
+    waiting_line<pending_order> waiting{most_waiting};
     std::map<std::uint64_t, lane> lanes;
     std::uint64_t last_lane = 0;
-    std::uint64_t arrivals = 0;
     std::uint64_t opened_count = 0;
     std::uint32_t running = 0;
     instant open_again{};
--- a/src/persimmonpoint/postgres/libpq_connection.hpp
+++ b/src/persimmonpoint/postgres/libpq_connection.hpp
@@ -2,7 +2,7 @@
 #define PERSIMMONPOINT_POSTGRES_LIBPQ_CONNECTION_HPP_INCLUDED
 
 #include <boost/asio/io_context.hpp>
-#include <persimmonpoint/interfaces/database_connection.hpp>
+#include <persimmonpoint/postgres/database_connection.hpp>
 
 namespace persimmonpoint::postgres {
 
--- a/src/persimmonpoint/traffic/connection_pool.hpp
+++ b/src/persimmonpoint/traffic/connection_pool.hpp
@@ -7,7 +7,7 @@
 #include <persimmonpoint/core/error.hpp>
 #include <persimmonpoint/core/routing/read_router.hpp>
 #include <persimmonpoint/core/time.hpp>
-#include <persimmonpoint/interfaces/database_connection.hpp>
+#include <persimmonpoint/postgres/database_connection.hpp>
 #include <persimmonpoint/traffic/connection_chart.hpp>
 #include <string>
 #include <string_view>
--- a/src/persimmonpoint/traffic/ledger.hpp
+++ b/src/persimmonpoint/traffic/ledger.hpp
@@ -6,7 +6,7 @@
 /// other is.
 
 #include <optional>
-#include <persimmonpoint/interfaces/database_connection.hpp>
+#include <persimmonpoint/postgres/database_connection.hpp>
 #include <persimmonpoint/traffic/answer_buffer.hpp>
 #include <string>
 #include <string_view>
