News of a new leader are passed on: in a large fleet every host learns of it

Found with `persimmonpoint report` and leader_learned (no host had logged it). Ruled out: full databases (load), quotas, the leader check. Each host passes a group's newest term on once.

--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <filesystem>
 #include <persimmonpoint/core/membership/fleet_pace.hpp>
+#include <persimmonpoint/core/membership/leader_news.hpp>
 #include <persimmonpoint/core/routing/owner_ranking.hpp>
 #include <persimmonpoint/engine/boot_clock.hpp>
 #include <persimmonpoint/engine/caller_session.hpp>
@@ -390,7 +391,19 @@
         }
     }
     void on_leader(leader_message const& message) override {
-        this->view.group(message.group).leader_proved(message.database, message.term);
+        group_routing& group = this->view.group(message.group);
+        if (group.leader_proved(message.database, message.term)) {
+            observe::log_event(
+                observe::log_level::info, "leader_learned",
+                {{"database", message.database},
+                 {"term", message.term},
+                 {"group", message.group},
+                 {"from", "another host"}});
+        }
+        std::uint64_t const known = group.leader() ? group.leader()->term : 0;
+        if (this->leaders_told.worth_telling(message.group, message.term, known)) {
+            this->mesh.broadcast(message);
+        }
     }
     void
     on_endorsement(std::string const& host, endorsement_message const& message) override {
@@ -547,6 +560,7 @@
     quota_keeper quotas;
     leadership_keeper keeper;
     peer_mesh mesh;
+    leader_news leaders_told;
     session_context sessions_context;
     std::map<caller_session*, std::shared_ptr<caller_session>> sessions;
     std::unique_ptr<platform::line_listener> listener;
--- a/tests/introspective/membership.tests.cpp
+++ b/tests/introspective/membership.tests.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
+#include <map>
 #include <persimmonpoint/core/membership/directory_tracker.hpp>
+#include <persimmonpoint/core/membership/leader_news.hpp>
 #include <persimmonpoint/core/membership/news_desk.hpp>
 #include <persimmonpoint/core/membership/peer_health.hpp>
 #include <set>
@@ -145,6 +147,46 @@
     }
 }
 
+TEST_CASE("A new leader is known to every host, at one message a link", "[peers]") {
+    // Without passing the news on, only the neighbours of the host that promoted learned
+    // of it: 33 of 62 hosts went on asking the dead primary for seconds.
+    for (std::size_t const size : {17U, 62U, 690U}) {
+        std::vector<std::string> names;
+        for (std::size_t i = 0; i < size; ++i) {
+            names.push_back("host-" + std::to_string(1000 + i));
+        }
+        std::map<std::string, leader_news> hosts;
+        std::vector<std::string> to_pass_on = {names.front()};
+        std::set<std::string> reached = {names.front()};
+        std::size_t messages = 0;
+        while (!to_pass_on.empty()) {
+            std::string const from = to_pass_on.back();
+            to_pass_on.pop_back();
+            std::vector<std::string> others = names;
+            std::erase(others, from);
+            for (std::string const& each : choose_neighbours(from, others)) {
+                ++messages;
+                reached.insert(each);
+                if (hosts[each].worth_telling("g", 7, 7)) {
+                    to_pass_on.push_back(each);
+                }
+            }
+        }
+        CHECK(reached.size() == size);
+        CHECK(messages <= 10 * (size + 1));
+    }
+}
+
+TEST_CASE("Old news of a leader are not passed on", "[peers]") {
+    leader_news news;
+    CHECK(news.worth_telling("g", 2, 2));
+    CHECK_FALSE(news.worth_telling("g", 2, 2));
+    CHECK_FALSE(news.worth_telling("g", 1, 2));
+    CHECK_FALSE(news.worth_telling("g", 3, 4));
+    CHECK(news.worth_telling("g", 4, 4));
+    CHECK(news.worth_telling("h", 1, 0));
+}
+
 TEST_CASE("News are asked from one host at a time", "[peers]") {
     news_desk desk;
     news_versions const mine{5, 5, 5};
