Commits that stall leave half of a primary's slots to reads

Writes of open transactions pass by this: their commit can't wait. The rest is two of three databases gone: one has 5 slots for 200 reads a second.

--- /dev/null
+++ b/src/persimmonpoint/core/limits/commit_share.hpp
@@ -0,0 +1,29 @@
+#ifndef PERSIMMONPOINT_CORE_LIMITS_COMMIT_SHARE_HPP_INCLUDED
+#define PERSIMMONPOINT_CORE_LIMITS_COMMIT_SHARE_HPP_INCLUDED
+
+#include <cstdint>
+#include <persimmonpoint/core/time.hpp>
+
+namespace persimmonpoint {
+
+/// How many of a primary's slots commits may take.
+///
+/// Load it answers: a primary that hears nothing of its replicas answers no commit, and
+/// each commit keeps its slot meanwhile. Reads need no replica's word; they would find no
+/// slot. While commits stall, half of the slots are kept for the rest. A write that waits
+/// instead can still be refused as not run, a stalled one only ends in doubt.
+class commit_share {
+public:
+    void started(instant now);
+    void ended(instant now);
+    /// True if one more commit may take one of the database's `slots`.
+    bool may_start(std::uint32_t slots, instant now) const;
+
+private:
+    std::uint32_t open = 0;
+    instant last_progress{};
+};
+
+} // namespace persimmonpoint
+
+#endif // PERSIMMONPOINT_CORE_LIMITS_COMMIT_SHARE_HPP_INCLUDED
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <optional>
+#include <persimmonpoint/core/limits/commit_share.hpp>
 #include <persimmonpoint/core/limits/waiting_line.hpp>
 #include <persimmonpoint/engine/database_owner.hpp>
 #include <persimmonpoint/engine/order_commands.hpp>
@@ -165,8 +166,12 @@
         if (is_control(order.kind)) {
             return this->lane_for_control(order);
         }
-        return this->running < this->limits.running ? this->lane_for_work(order)
-                                                    : nullptr;
+        bool const may_commit =
+            !changes_log(order) ||
+            this->commits.may_start(this->limits.running, this->time.now());
+        return may_commit && this->running < this->limits.running
+                   ? this->lane_for_work(order)
+                   : nullptr;
     }
 
     lane* lane_for_work(work_order const& order) {
@@ -298,6 +303,7 @@
         if (next.is_main) {
             on.main_sent = true;
             if (on.counts_as_commit) {
+                this->commits.started(this->time.now());
                 this->observer.on_commit_sent(this->database.id);
             }
         }
@@ -386,6 +392,7 @@
     void main_answered(lane& on, upstream_answer answer) {
         work_order const& order = on.current->order;
         if (std::exchange(on.counts_as_commit, false)) {
+            this->commits.ended(this->time.now());
             this->observer.on_commit_answered(this->database.id);
         }
         work_answer out;
@@ -462,6 +469,7 @@
         }
         bool const sent = on.main_sent;
         if (std::exchange(on.counts_as_commit, false) && sent) {
+            this->commits.ended(this->time.now());
             this->observer.on_commit_answered(this->database.id);
         }
         this->drop(id);
@@ -574,6 +582,7 @@
     asio::io_context& loop;
     lane_limits limits;
     waiting_line<pending_order> waiting{most_waiting};
+    commit_share commits;
     std::map<std::uint64_t, lane> lanes;
     std::uint64_t last_lane = 0;
     std::uint64_t opened_count = 0;
