An answer on its way is no lost answer: a connection is given up at the second word only

"Idle" gave the connection up, though the answer could be on its way or already half forwarded: sent before the word, seen after it.

--- a/src/persimmonpoint/traffic/statement_runner.cpp
+++ b/src/persimmonpoint/traffic/statement_runner.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <persimmonpoint/core/digest.hpp>
+#include <persimmonpoint/core/recovery/silence_judge.hpp>
 #include <persimmonpoint/postgres/group_state_query.hpp>
 #include <persimmonpoint/traffic/ledger.hpp>
 #include <persimmonpoint/traffic/statement_runner.hpp>
@@ -261,6 +262,7 @@
         this->running = next;
         this->error_query = no_query;
         ++this->run_count;
+        this->silence.reset();
         this->arm_probe();
         this->lease->link().run(std::move(batch), this->shared_from_this());
     }
@@ -666,7 +668,11 @@
         return view.primary && *view.primary != index;
     }
 
-    void disarm_probe() { this->timer.cancel(); }
+    /// The answer has begun to come, or nothing is waited for.
+    void disarm_probe() {
+        this->silence.reset();
+        this->timer.cancel();
+    }
 
     /// True while the batch that was begun as number `run` has no answer yet.
     bool is_still(std::uint64_t run) const {
@@ -677,19 +683,27 @@
         this->worker.control.probe(
             this->job.facts.group, this->lease->database(),
             this->lease->link().backend_pid(),
-            [self = this->shared_from_this(),
-             run = this->run_count](std::optional<bool> active) {
-                if (!self->is_still(run)) {
-                    return;
-                }
-                if (active.has_value() && !*active) {
-                    self->give_up_connection();
-                } else {
-                    self->arm_probe();
+            [self = this->shared_from_this(), run = this->run_count,
+             question = this->silence.ask()](std::optional<bool> active) {
+                if (self->is_still(run)) {
+                    self->judge_silence(self->silence.answered(question, active));
                 }
             });
     }
 
+    void judge_silence(silence_verdict verdict) {
+        switch (verdict) {
+        case silence_verdict::give_up:
+            this->give_up_connection();
+            return;
+        case silence_verdict::wait:
+            this->arm_probe();
+            return;
+        case silence_verdict::heard:
+            return;
+        }
+    }
+
     void give_up_connection() {
         this->lease->discard();
         this->lease.reset();
@@ -783,6 +797,7 @@
     phase running = phase::none;
     std::uint64_t run_count = 0;
     instant silent_since;
+    silence_judge silence;
     std::size_t statement_query = no_query;
     std::size_t state_query = no_query;
     std::size_t ledger_query = no_query;
