Idle sessions are told of a planned stop before they are closed

Cause: a host that stops closed its idle sessions, and a request that was on its way to one of them heard nothing at all: for a write no promise, so no retry. Ruled out: a cut of a request that the host had taken (none of the sessions it closed was busy), the end of the grace (2.5 s behind the stop).

Change: such a session hears ERROR BUSY, which the protocol allows while nothing is outstanding. A caller whose request crossed takes it for the answer, so READY I follows, and the last word again. The connection closes once the caller has, or after 1 s.

The soak's callers look at a session no more before they use it.

--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -465,6 +465,7 @@
     bool busy = false;  ///< A request is not answered yet.
     bool running = false;
     bool closed = false;
+    bool dismissed = false; ///< The caller was told that the session ends.
     bool was_idle_too_long = false;
     std::string current_id;
     instant received{};
@@ -494,13 +495,13 @@
     this->impl->end();
 }
 
-bool caller_session::close_if_idle() {
-    if (this->impl->busy || this->impl->state.state() != transaction_state::idle) {
-        return false;
+void caller_session::dismiss_if_idle() {
+    bool const in_use =
+        this->impl->busy || this->impl->state.state() != transaction_state::idle;
+    if (in_use || std::exchange(this->impl->dismissed, true)) {
+        return;
     }
-    this->impl->channel->close();
-    this->impl->end();
-    return true;
+    this->impl->channel->dismiss("the host is stopping");
 }
 
 } // namespace persimmonpoint::engine
--- a/src/persimmonpoint/engine/caller_session.hpp
+++ b/src/persimmonpoint/engine/caller_session.hpp
@@ -32,9 +32,8 @@
     void on_statement(statement const& what) override;
     void on_closed() override;
 
-    /// Closes the session if it is outside a transaction and has no request outstanding.
-    /// True if it is closed.
-    bool close_if_idle();
+    /// Ends the session if it is outside a transaction and has no request outstanding.
+    void dismiss_if_idle();
 
 private:
     struct implementation;
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -288,7 +288,7 @@
     void drain() {
         auto const passed = std::chrono::steady_clock::now() - this->drain_began;
         if (passed >= this->settings.rotation || !this->listener) {
-            this->close_idle_sessions();
+            this->dismiss_idle_sessions();
         }
         bool const over = passed >= this->grace - end_margin;
         bool const done = this->sessions.empty() && this->orders.load() == 0 &&
@@ -305,13 +305,13 @@
         });
     }
 
-    void close_idle_sessions() {
+    void dismiss_idle_sessions() {
         std::vector<std::shared_ptr<caller_session>> open;
         for (auto const& each : this->sessions) {
             open.push_back(each.second);
         }
         for (auto const& each : open) {
-            each->close_if_idle();
+            each->dismiss_if_idle();
         }
     }
 
--- a/src/persimmonpoint/interfaces/caller_channel.hpp
+++ b/src/persimmonpoint/interfaces/caller_channel.hpp
@@ -40,8 +40,10 @@
     virtual void accept() = 0;
     virtual void refuse(statement_error error, std::string_view text) = 0;
     virtual void answer(caller_answer const& answer) = 0;
-    /// Closes; the observer hears nothing more.
-    virtual void close() = 0;
+    /// Tells the caller, who has no request outstanding, that the session ends. Requests
+    /// that cross this word are answered as not run; the observer hears nothing of them.
+    /// It hears on_closed once the caller has closed, or has been given its time for it.
+    virtual void dismiss(std::string_view reason) = 0;
 };
 
 /// Gives each new caller its observer.
--- a/src/persimmonpoint/platform/line_listener.cpp
+++ b/src/persimmonpoint/platform/line_listener.cpp
@@ -16,6 +16,8 @@
 constexpr auto unacknowledged_limit = std::chrono::milliseconds(5000);
 constexpr auto accept_pause = std::chrono::milliseconds(20);
 constexpr std::size_t read_bytes = 2048;
+/// Time for a caller to close after it was told that its session ends.
+constexpr auto dismissal_limit = std::chrono::milliseconds(1000);
 
 /// One caller.
 class line_channel final : public caller_channel,
@@ -48,13 +50,19 @@
         this->request_done();
     }
 
-    void close() override {
-        this->observer.reset();
-        if (!this->outgoing.is_idle()) {
-            this->close_after_write = true;
-            return;
-        }
-        this->shut();
+    void dismiss(std::string_view reason) override {
+        this->dismissal = reason;
+        this->send_error(statement_error::busy, this->dismissal);
+        this->dismissal_timer =
+            std::make_unique<asio::steady_timer>(this->socket.get_executor());
+        this->dismissal_timer->expires_after(dismissal_limit);
+        this->dismissal_timer->async_wait(
+            [weak = this->weak_from_this()](boost::system::error_code failure) {
+                auto const self = weak.lock();
+                if (self && !failure) {
+                    self->gone();
+                }
+            });
     }
 
 private:
@@ -95,7 +103,9 @@
     void take_line(std::string_view line) {
         std::string_view rest = line;
         std::string_view const word = take_word(rest);
-        if (has_stray_control(line)) {
+        if (this->dismissal_timer) {
+            this->take_line_after_dismissal(word);
+        } else if (has_stray_control(line)) {
             this->break_off("stray control character", statement_error::malformed);
         } else if (!this->started && word == "START") {
             std::string_view const database = take_word(rest);
@@ -110,6 +120,17 @@
         }
     }
 
+    /// The caller takes the ERROR of the dismissal for the answer to a request that
+    /// crossed it: the rest of that answer follows, and the next last word behind it.
+    void take_line_after_dismissal(std::string_view word) {
+        if (!this->started || word != "QUERY") {
+            this->gone();
+            return;
+        }
+        this->send(format_ready(transaction_state::idle, std::nullopt));
+        this->send_error(statement_error::busy, this->dismissal);
+    }
+
     void take_query(std::string_view rest) {
         std::string_view const id = take_word(rest);
         auto const parsed = parse_statement(id, rest);
@@ -177,6 +198,9 @@
         if (std::exchange(this->closed, true)) {
             return;
         }
+        if (this->dismissal_timer) {
+            this->dismissal_timer->cancel();
+        }
         boost::system::error_code ignored;
         this->socket.shutdown(tcp::socket::shutdown_both, ignored);
         this->socket.close(ignored);
@@ -187,6 +211,8 @@
     std::array<char, read_bytes> received{};
     line_reader lines;
     net::send_queue outgoing;
+    std::unique_ptr<asio::steady_timer> dismissal_timer; ///< Set once it is dismissed.
+    std::string dismissal;                               ///< What the caller was told.
     bool started = false;
     bool busy = false; ///< A request is outstanding.
     bool reading = false;
--- a/src/persimmonpoint/standin/line_group.cpp
+++ b/src/persimmonpoint/standin/line_group.cpp
@@ -391,6 +391,8 @@
         if (!self || failure) {
             return;
         }
+        boost::system::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
         auto const made = std::make_shared<session>(*self, on, std::move(socket));
         on.sessions.insert(made);
         made->read();
--- a/src/persimmonpoint/standin/row_store.cpp
+++ b/src/persimmonpoint/standin/row_store.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <list>
@@ -292,4 +293,11 @@
     return this->impl->call_count;
 }
 
+std::size_t row_store::rows_of(std::string const& table) const {
+    return static_cast<std::size_t>(std::count_if(
+        this->impl->rows.begin(), this->impl->rows.end(), [&table](auto const& each) {
+            return std::get<0>(each.first) == table && !each.second.removed;
+        }));
+}
+
 } // namespace persimmonpoint::standin
--- a/src/persimmonpoint/standin/row_store.hpp
+++ b/src/persimmonpoint/standin/row_store.hpp
@@ -36,6 +36,8 @@
     /// Promotions are not touched by it.
     void set_fault(store_fault fault);
     std::uint64_t calls() const;
+    /// Rows that a table has.
+    std::size_t rows_of(std::string const& table) const;
 
 private:
     struct implementation;
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -87,9 +87,7 @@
             std::this_thread::sleep_for(pause_after_failure);
             continue;
         }
-        // A host that stops may close a session outside transactions while it waits.
-        while (!this->field.over && on->operations_left-- > 0 &&
-               !on->line->closed_while_idle() && this->act(*on)) {
+        while (!this->field.over && on->operations_left-- > 0 && this->act(*on)) {
             std::this_thread::sleep_for(milliseconds(this->draw(0, 12)));
         }
     }
--- a/tests/support/fleet_stage.cpp
+++ b/tests/support/fleet_stage.cpp
@@ -171,6 +171,12 @@
                               : 0;
 }
 
+std::size_t fleet_stage::registered_hosts() {
+    std::size_t count = 0;
+    this->with_standins([&] { count = this->store->rows_of("hosts"); });
+    return count;
+}
+
 bool eventually(std::function<bool()> const& condition) {
     auto const end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
     while (std::chrono::steady_clock::now() < end) {
--- a/tests/support/fleet_stage.hpp
+++ b/tests/support/fleet_stage.hpp
@@ -27,6 +27,8 @@
     std::uint16_t caller_port(std::size_t host) const;
     /// Status of a host's readiness; 0 if it doesn't answer.
     unsigned readiness(std::size_t host) const;
+    /// Hosts that the store knows.
+    std::size_t registered_hosts();
 
     /// Runs on the stand-ins' thread and waits for it.
     void with_standins(std::function<void()> action);
--- a/tests/support/line_caller.cpp
+++ b/tests/support/line_caller.cpp
@@ -31,10 +31,10 @@
     this->close();
 }
 
-bool line_caller::closed_while_idle() const {
+bool line_caller::has_unread() const {
     char byte = 0;
-    return this->socket < 0 ||
-           ::recv(this->socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
+    return this->socket >= 0 &&
+           ::recv(this->socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >= 0;
 }
 
 void line_caller::close() {
--- a/tests/support/line_caller.hpp
+++ b/tests/support/line_caller.hpp
@@ -33,12 +33,13 @@
     /// Sends bytes as they are and reads one answer.
     reply raw(std::string const& bytes);
     bool connected() const { return this->socket >= 0; }
-    /// True if the other side has closed although nothing is outstanding.
-    bool closed_while_idle() const;
+    /// True if the other side has sent something, or its end, that was not read yet.
+    bool has_unread() const;
+    /// Reads one answer, whether or not something was asked.
+    reply read_reply();
     void close();
 
 private:
-    reply read_reply();
     std::string read_line(bool& closed);
 
     int socket = -1;
