A planned stop leaves the transactions of other hosts' callers their time

Cause: a host that stops leaves the list of hosts at once. The stop itself didn't wait for transactions between two statements either, if their callers were at other hosts.

Change: a host that announced its stop keeps its links until they close (peer_mesh, `departed`); it is given no new work.

--- a/src/persimmonpoint/core/membership/peer_health.cpp
+++ b/src/persimmonpoint/core/membership/peer_health.cpp
@@ -28,7 +28,7 @@
 void peer_health::lost(instant now) {
     this->current = state::lost;
     this->reconnecting = false;
-    this->is_leaving = false;
+    this->leaves = false;
     this->awaited_since.reset();
     this->since = now;
     if (!this->lost_since) {
--- a/src/persimmonpoint/core/membership/peer_health.hpp
+++ b/src/persimmonpoint/core/membership/peer_health.hpp
@@ -18,11 +18,12 @@
     void lost(instant now);
     /// Nothing listens at its address: the process has stopped.
     void ended() { this->is_ended = true; }
-    void leaving(bool value) { this->is_leaving = value; }
+    void leaving(bool value) { this->leaves = value; }
 
-    bool usable() const { return !this->is_leaving && this->current != state::lost; }
+    bool is_leaving() const { return this->leaves; }
+    bool usable() const { return !this->leaves && this->current != state::lost; }
     /// True if it has certainly stopped, or takes no more work.
-    bool has_ended() const { return this->is_ended || this->is_leaving; }
+    bool has_ended() const { return this->is_ended || this->leaves; }
     bool heard_within(duration age, instant now) const {
         return this->current == state::connected && now - this->since <= age;
     }
@@ -42,7 +43,7 @@
 private:
     enum class state { untried, connecting, connected, lost };
     state current = state::untried;
-    bool is_leaving = false;
+    bool leaves = false;
     bool is_ended = false;
     bool reconnecting = false;
     std::optional<instant> awaited_since;
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -265,6 +265,13 @@
             }));
     }
 
+    std::size_t open_transactions() const {
+        return static_cast<std::size_t>(
+            std::count_if(this->lanes.begin(), this->lanes.end(), [](auto const& each) {
+                return each.second.view.state == lane_state::in_transaction;
+            }));
+    }
+
     /// Those that wait are better off elsewhere.
     void refuse_waiting() {
         std::vector<pending_order> refused = this->waiting.take_all();
@@ -637,6 +644,10 @@
     return this->impl->load();
 }
 
+std::size_t database_owner::open_transactions() const {
+    return this->impl->open_transactions();
+}
+
 std::size_t database_owner::connections() const {
     return this->impl->lanes.size();
 }
--- a/src/persimmonpoint/engine/database_owner.hpp
+++ b/src/persimmonpoint/engine/database_owner.hpp
@@ -53,6 +53,8 @@
     void close();
 
     std::uint32_t load() const;
+    /// Transactions that wait for their next statement.
+    std::size_t open_transactions() const;
     std::size_t connections() const;
     std::uint64_t connections_opened() const;
 
--- a/src/persimmonpoint/engine/dispatcher.cpp
+++ b/src/persimmonpoint/engine/dispatcher.cpp
@@ -260,4 +260,12 @@
     return sum;
 }
 
+std::size_t dispatcher::open_transactions() const {
+    std::size_t sum = 0;
+    for (auto const& each : this->impl->owners) {
+        sum += each.second->open_transactions();
+    }
+    return sum;
+}
+
 } // namespace persimmonpoint::engine
--- a/src/persimmonpoint/engine/dispatcher.hpp
+++ b/src/persimmonpoint/engine/dispatcher.hpp
@@ -46,6 +46,8 @@
     std::uint64_t connections_opened() const;
     std::size_t connections() const;
     std::uint32_t load() const;
+    /// Transactions that are open at databases and wait for their next statement.
+    std::size_t open_transactions() const;
 
 private:
     struct implementation;
--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -32,6 +32,9 @@
     peer_exchanges exchanges;
     instant last_alive{};
     instant last_used{};
+    /// It left the list of hosts by a planned stop. Its link stays until it closes, for
+    /// the transactions that it still runs for callers of this host.
+    bool departed = false;
 };
 
 } // namespace
@@ -64,12 +67,18 @@
                 this->peers.erase(found);
             }
             this->peers[each.name].host = each;
+            this->peers[each.name].departed = false;
         }
         for (auto each = this->peers.begin(); each != this->peers.end();) {
             if (names.count(each->first) > 0) {
                 ++each;
                 continue;
             }
+            if (each->second.link && each->second.health.is_leaving()) {
+                each->second.departed = true;
+                ++each;
+                continue;
+            }
             this->give_up(each->second);
             each = this->peers.erase(each);
         }
@@ -112,6 +121,9 @@
                 this->look_at(found->second, now);
             }
         }
+        std::erase_if(this->peers, [](auto const& each) {
+            return each.second.departed && !each.second.link;
+        });
     }
 
     void look_at(outgoing& peer, instant now) {
@@ -123,8 +135,8 @@
             this->lose(peer, "silent");
             return;
         }
-        bool const wanted =
-            this->is_neighbour(peer.host.name) || now - peer.last_used < unused_limit;
+        bool const wanted = !peer.departed && (this->is_neighbour(peer.host.name) ||
+                                               now - peer.last_used < unused_limit);
         if (wanted && peer.health.may_connect(now)) {
             this->dial(peer, now);
             return;
@@ -206,8 +218,11 @@
             },
             [this, name] {
                 auto const broken = this->peers.find(name);
-                if (broken != this->peers.end()) {
-                    this->lose(broken->second, "closed by the other side");
+                if (broken == this->peers.end()) {
+                    return;
+                }
+                this->lose(broken->second, "closed by the other side");
+                if (!broken->second.departed) {
                     // Whether the process is gone shows at once.
                     this->dial(broken->second, this->time.now());
                 }
--- a/tests/usage/planned_stop.tests.cpp
+++ b/tests/usage/planned_stop.tests.cpp
@@ -52,3 +52,29 @@
     CHECK(last.state.empty());
     CHECK(last.closed);
 }
+
+TEST_CASE(
+    "A planned stop leaves the transactions of other hosts' callers their time",
+    "[front][stop]") {
+    // Whichever host owns the primary's connections, one of the two callers is remote.
+    auto const stopped = GENERATE(std::size_t(0), std::size_t(1));
+    fleet_stage stage;
+    line_caller remote(stage.caller_port(1 - stopped));
+    REQUIRE(remote.start("alerts", "key-1").state == "I");
+    REQUIRE(remote.query("BEGIN").state == "T");
+    REQUIRE(remote.query("WRITE far " + std::to_string(stopped)).state == "T");
+    host_stopping const stopping(stage, stopped);
+    // The list of hosts, which the stopping one leaves at once, has reached the other.
+    REQUIRE(eventually([&] { return stage.registered_hosts() == 1; }));
+    for (int i = 0; i < 6; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        auto const inside = remote.query("READ far");
+        REQUIRE(inside.error.empty());
+        CHECK(inside.rows.at(0) == std::to_string(stopped));
+    }
+    auto const committed = remote.query("COMMIT");
+    CHECK(committed.error.empty());
+    CHECK(committed.state == "I");
+    stage.with_standins(
+        [&] { CHECK(stage.group->data("far") == std::to_string(stopped)); });
+}
