Half of a database's connections last, more are kept while in use

The connections of a host without power linger for 3 s at the databases; its owner had up to 12 of 16, so whoever stepped in had 4 for 8 teams, and 87 were reset over the cap. Ruled out: the start of a host (20 ms), the store.

Change: a first owner keeps half of the connections, and those beyond them only while it uses them (2 s). Decided in core/routing/connection_budget and lane_choice.

--- a/src/persimmonpoint/core/routing/connection_budget.hpp
+++ b/src/persimmonpoint/core/routing/connection_budget.hpp
@@ -8,12 +8,13 @@
 
 namespace persimmonpoint {
 
-/// How long an owner that stepped in keeps connections that it does not use.
-inline constexpr duration stand_in_idle_life = std::chrono::seconds(2);
+/// How long an owner keeps connections beyond its lasting ones that it does not use.
+inline constexpr duration spare_idle_life = std::chrono::seconds(2);
 
 /// Connections and statements at a time of the owner at `rank`, out of what a database
-/// takes from all hosts. The first owner has most of them; the rest is kept for owners
-/// that step in, since the connections of a host that died linger.
+/// takes from all hosts. Connections of a host that lost its power linger for seconds, so
+/// the first owner keeps half of them at most and borrows more while it has use for them:
+/// whoever steps in finds the other half free.
 inline lane_limits
 owner_limits(std::size_t rank, std::uint32_t max_connections, std::uint32_t slots) {
     std::uint32_t const part = rank == 0   ? max_connections - max_connections / 4
@@ -24,7 +25,8 @@
     // One more than the database runs at a time covers the way there and back.
     limits.running = rank == 0 ? slots + 1 : slots;
     limits.per_team = slots;
-    limits.idle_life = rank == 0 ? duration(0) : stand_in_idle_life;
+    limits.lasting = rank == 0 ? max_connections / 2 : 0;
+    limits.idle_life = spare_idle_life;
     return limits;
 }
 
--- a/src/persimmonpoint/core/routing/lane_choice.cpp
+++ b/src/persimmonpoint/core/routing/lane_choice.cpp
@@ -80,16 +80,16 @@
         idle.begin(), idle.end(), [](lane_view const* left, lane_view const* right) {
             return left->last_used < right->last_used;
         });
-    std::size_t excess =
-        lanes.size() > limits.connections ? lanes.size() - limits.connections : 0;
+    std::size_t left = lanes.size();
     std::vector<std::uint64_t> surplus;
     for (lane_view const* const each : idle) {
         bool const stale =
             limits.idle_life > duration(0) && now - each->last_used > limits.idle_life;
-        if (excess == 0 && !stale) {
+        bool const spare = left > limits.lasting && stale;
+        if (left <= limits.connections && !spare) {
             break;
         }
-        excess -= excess > 0 ? 1 : 0;
+        --left;
         surplus.push_back(each->id);
     }
     return surplus;
--- a/src/persimmonpoint/core/routing/lane_choice.hpp
+++ b/src/persimmonpoint/core/routing/lane_choice.hpp
@@ -30,8 +30,10 @@
     std::uint32_t running = 1;
     /// Connections of one team that aren't held by open transactions.
     std::uint32_t per_team = 1;
-    /// Idle connections are closed after this time; 0: never.
+    /// Idle connections beyond the lasting ones are closed after this time; 0: never.
     duration idle_life{0};
+    /// Connections that may stay however long they are idle.
+    std::uint32_t lasting = 0;
 };
 
 struct lane_decision {
--- a/tests/introspective/routing.tests.cpp
+++ b/tests/introspective/routing.tests.cpp
@@ -227,6 +227,26 @@
     CHECK(surplus_lanes(lanes, {8, 2, 2, seconds(2)}, start + seconds(90)).size() == 2);
 }
 
+TEST_CASE("Lasting connections stay, those beyond them only while in use", "[lanes]") {
+    lane_view const oldest = lane(1, "a", lane_state::idle);
+    lane_view const old = lane(2, "b", lane_state::idle);
+    lane_view const newest = lane(3, "c", lane_state::idle);
+    std::vector<lane_view const*> const lanes = {&newest, &oldest, &old};
+    lane_limits const limits{8, 2, 2, seconds(2), 2};
+    CHECK(surplus_lanes(lanes, limits, start + seconds(1)).empty());
+    CHECK(surplus_lanes(lanes, limits, start + seconds(90)).size() == 1);
+}
+
+TEST_CASE(
+    "Whoever steps in for a host without power finds connections free", "[owners]") {
+    for (std::uint32_t const most : {16U, 36U, 56U, 250U}) {
+        // Those of the dark host linger; the next owner is the first by now.
+        lane_limits const owner = owner_limits(0, most, 2);
+        CHECK(owner.lasting + owner.lasting <= most);
+        CHECK(owner.lasting >= most / 4);
+    }
+}
+
 TEST_CASE(
     "A connection is reset before a session that lacks one of its values", "[lanes]") {
     lane_view used = lane(1, "team", lane_state::idle);
