--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -47,9 +47,9 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
-asio::ip::tcp::endpoint endpoint_of(std::string const &text) {
-  // The settings were checked when they were loaded.
-  return net::parse_endpoint(text).value_or(asio::ip::tcp::endpoint());
+asio::ip::tcp::endpoint endpoint_of(std::string const& text) {
+    // The settings were checked when they were loaded.
+    return net::parse_endpoint(text).value_or(asio::ip::tcp::endpoint());
 }
 
 } // namespace
@@ -57,517 +57,526 @@
 struct front_host::implementation final : mesh_observer,
                                           leadership_authority,
                                           store_observer {
-  explicit implementation(settings::front_settings given)
-      : settings(std::move(given)), course(settings.grace, settings.rotation),
-        self{settings.name, settings.peers, settings.availability_zone},
-        connector(traffic_loop), store(control_loop, settings.store),
-        promotion(control_loop, settings.promotion, settings.name),
-        watch(control_loop, time, store, *this, self), evidence(*this),
-        orders(traffic_loop, connector, time, evidence, view, settings.name),
-        runs{traffic_loop, time, view, orders, settings.availability_zone},
-        quotas(traffic_loop, time, view, settings.name, settings.quotas),
-        keeper(runs, *this),
-        mesh(traffic_loop, time, *this, self), sessions_context{runs, quotas,
-                                                                counts},
-        hosts_timer(traffic_loop), lost_timer(traffic_loop),
-        drain_timer(traffic_loop), settings_timer(control_loop),
-        signals(control_loop, SIGTERM, SIGINT, SIGHUP) {
-    this->orders.use(this->mesh);
-    this->quotas.start(this->mesh);
-    this->keeper.start(this->mesh);
-    this->mesh.set_seeds(this->settings.seeds);
-    this->remove_lost_hosts();
-  }
-
-  /// The keeper is made after the dispatcher, which tells it what it sees.
-  struct evidence_relay final : owner_observer {
-    explicit evidence_relay(implementation &host) : host(host) {}
-    void on_answer(std::string const &database) override {
-      this->host.keeper.on_answer(database);
-    }
-    void on_refused(std::string const &database) override {
-      this->host.keeper.on_refused(database);
-    }
-    void on_silent(std::string const &database) override {
-      this->host.keeper.on_silent(database);
-    }
-    void on_commit_sent(std::string const &database) override {
-      this->host.keeper.on_commit_sent(database);
-    }
-    void on_commit_answered(std::string const &database) override {
-      this->host.keeper.on_commit_answered(database);
-    }
-    implementation &host;
-  };
-
-  // Threads
-
-  void run() {
-    observe::log_event(observe::log_level::info, "started",
-                       {{"zone", this->settings.availability_zone},
-                        {"callers", this->settings.callers},
-                        {"peers", this->settings.peers}});
-    net::http_responder readiness(
-        this->control_loop, endpoint_of(this->settings.readiness),
-        [this](net::http_question const &, net::http_responder::reply reply) {
-          reply(this->answer_readiness());
+    explicit implementation(settings::front_settings given)
+        : settings(std::move(given)),
+          course(settings.grace, settings.rotation),
+          self{settings.name, settings.peers, settings.availability_zone},
+          connector(traffic_loop),
+          store(control_loop, settings.store),
+          promotion(control_loop, settings.promotion, settings.name),
+          watch(control_loop, time, store, *this, self),
+          evidence(*this),
+          orders(traffic_loop, connector, time, evidence, view, settings.name),
+          runs{traffic_loop, time, view, orders, settings.availability_zone},
+          quotas(traffic_loop, time, view, settings.name, settings.quotas),
+          keeper(runs, *this),
+          mesh(traffic_loop, time, *this, self),
+          sessions_context{runs, quotas, counts},
+          hosts_timer(traffic_loop),
+          lost_timer(traffic_loop),
+          drain_timer(traffic_loop),
+          settings_timer(control_loop),
+          signals(control_loop, SIGTERM, SIGINT, SIGHUP) {
+        this->orders.use(this->mesh);
+        this->quotas.start(this->mesh);
+        this->keeper.start(this->mesh);
+        this->mesh.set_seeds(this->settings.seeds);
+        this->remove_lost_hosts();
+    }
+
+    /// The keeper is made after the dispatcher, which tells it what it sees.
+    struct evidence_relay final : owner_observer {
+        explicit evidence_relay(implementation& host) : host(host) {}
+        void on_answer(std::string const& database) override {
+            this->host.keeper.on_answer(database);
+        }
+        void on_refused(std::string const& database) override {
+            this->host.keeper.on_refused(database);
+        }
+        void on_silent(std::string const& database) override {
+            this->host.keeper.on_silent(database);
+        }
+        void on_commit_sent(std::string const& database) override {
+            this->host.keeper.on_commit_sent(database);
+        }
+        void on_commit_answered(std::string const& database) override {
+            this->host.keeper.on_commit_answered(database);
+        }
+        implementation& host;
+    };
+
+    // Threads
+
+    void run() {
+        observe::log_event(
+            observe::log_level::info, "started",
+            {{"zone", this->settings.availability_zone},
+             {"callers", this->settings.callers},
+             {"peers", this->settings.peers}});
+        net::http_responder readiness(
+            this->control_loop, endpoint_of(this->settings.readiness),
+            [this](net::http_question const&, net::http_responder::reply reply) {
+                reply(this->answer_readiness());
+            });
+        std::unique_ptr<net::http_responder> metrics;
+        if (!this->settings.metrics.empty()) {
+            metrics = std::make_unique<net::http_responder>(
+                this->control_loop, endpoint_of(this->settings.metrics),
+                [this](net::http_question const&, net::http_responder::reply reply) {
+                    this->answer_metrics(std::move(reply));
+                });
+        }
+        this->wait_for_signal();
+        if (!this->settings.file.empty()) {
+            std::error_code missing;
+            this->settings_written =
+                std::filesystem::last_write_time(this->settings.file, missing);
+            this->watch_settings();
+        }
+        this->watch.start();
+        auto const keep_traffic = asio::make_work_guard(this->traffic_loop);
+        auto const keep_control = asio::make_work_guard(this->control_loop);
+        std::thread traffic([this] { this->traffic_loop.run(); });
+        this->control_loop.run();
+        traffic.join();
+        observe::log_event(observe::log_level::info, "stopped", {});
+    }
+
+    void wait_for_signal() {
+        this->signals.async_wait([this](boost::system::error_code failure, int signal) {
+            if (failure) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                this->reread_settings();
+                this->wait_for_signal();
+                return;
+            }
+            this->stop();
         });
-    std::unique_ptr<net::http_responder> metrics;
-    if (!this->settings.metrics.empty()) {
-      metrics = std::make_unique<net::http_responder>(
-          this->control_loop, endpoint_of(this->settings.metrics),
-          [this](net::http_question const &, net::http_responder::reply reply) {
-            this->answer_metrics(std::move(reply));
-          });
-    }
-    this->wait_for_signal();
-    if (!this->settings.file.empty()) {
-      std::error_code missing;
-      this->settings_written =
-          std::filesystem::last_write_time(this->settings.file, missing);
-      this->watch_settings();
-    }
-    this->watch.start();
-    auto const keep_traffic = asio::make_work_guard(this->traffic_loop);
-    auto const keep_control = asio::make_work_guard(this->control_loop);
-    std::thread traffic([this] { this->traffic_loop.run(); });
-    this->control_loop.run();
-    traffic.join();
-    observe::log_event(observe::log_level::info, "stopped", {});
-  }
-
-  void wait_for_signal() {
-    this->signals.async_wait(
-        [this](boost::system::error_code failure, int signal) {
-          if (failure) {
+    }
+
+    void stop() {
+        asio::post(this->control_loop, [this] {
+            if (this->leaving.exchange(true)) {
+                return;
+            }
+            observe::log_event(observe::log_level::info, "stopping", {});
+            this->watch.leave();
+            asio::post(this->traffic_loop, [this] { this->begin_drain(); });
+        });
+    }
+
+    /// Takes over what can change while the process runs: the grace and the
+    /// seeds. An address needs a restart.
+    void reread_settings() {
+        if (this->settings.file.empty()) {
             return;
-          }
-          if (signal == SIGHUP) {
-            this->reread_settings();
-            this->wait_for_signal();
+        }
+        auto const loaded = settings::load_front_file(this->settings.file);
+        if (!loaded.findings.empty()) {
+            observe::log_event(
+                observe::log_level::error, "settings_unusable",
+                {{"finding", to_string(loaded.findings.front())}});
             return;
-          }
-          this->stop();
+        }
+        observe::log_event(
+            observe::log_level::info, "settings_reread",
+            {{"grace_ms", loaded.values.grace.count()}});
+        asio::post(this->traffic_loop, [this, values = loaded.values] {
+            this->course.set_grace(values.grace);
+            if (this->view.hosts_version == 0) {
+                this->mesh.set_seeds(values.seeds);
+            }
         });
-  }
-
-  void stop() {
-    asio::post(this->control_loop, [this] {
-      if (this->leaving.exchange(true)) {
-        return;
-      }
-      observe::log_event(observe::log_level::info, "stopping", {});
-      this->watch.leave();
-      asio::post(this->traffic_loop, [this] { this->begin_drain(); });
-    });
-  }
-
-  /// Takes over what can change while the process runs: the grace and the
-  /// seeds. An address needs a restart.
-  void reread_settings() {
-    if (this->settings.file.empty()) {
-      return;
-    }
-    auto const loaded = settings::load_front_file(this->settings.file);
-    if (!loaded.findings.empty()) {
-      observe::log_event(observe::log_level::error, "settings_unusable",
-                         {{"finding", to_string(loaded.findings.front())}});
-      return;
-    }
-    observe::log_event(observe::log_level::info, "settings_reread",
-                       {{"grace_ms", loaded.values.grace.count()}});
-    asio::post(this->traffic_loop, [this, values = loaded.values] {
-      this->course.set_grace(values.grace);
-      if (this->view.hosts_version == 0) {
-        this->mesh.set_seeds(values.seeds);
-      }
-    });
-  }
-
-  /// The file may change without a signal.
-  void watch_settings() {
-    this->settings_timer.expires_after(settings_interval);
-    this->settings_timer.async_wait([this](boost::system::error_code failure) {
-      if (failure) {
-        return;
-      }
-      std::error_code missing;
-      auto const written =
-          std::filesystem::last_write_time(this->settings.file, missing);
-      if (!missing && written != this->settings_written) {
-        this->settings_written = written;
-        this->reread_settings();
-      }
-      this->watch_settings();
-    });
-  }
-
-  // Traffic thread: callers
-
-  void open_for_callers() {
-    if (this->listener || !this->view.is_ready()) {
-      return;
-    }
-    if (this->view.hosts_version == 0 && !this->waited_for_hosts) {
-      this->wait_for_hosts();
-      return;
-    }
-    this->listener = std::make_unique<platform::line_listener>(
-        this->traffic_loop, endpoint_of(this->settings.callers),
-        [this](std::shared_ptr<caller_channel> channel) {
-          auto session = std::make_shared<caller_session>(
-              this->sessions_context, std::move(channel),
-              [this](caller_session *ended) { this->sessions.erase(ended); });
-          this->sessions.emplace(session.get(), session);
-          return session;
+    }
+
+    /// The file may change without a signal.
+    void watch_settings() {
+        this->settings_timer.expires_after(settings_interval);
+        this->settings_timer.async_wait([this](boost::system::error_code failure) {
+            if (failure) {
+                return;
+            }
+            std::error_code missing;
+            auto const written =
+                std::filesystem::last_write_time(this->settings.file, missing);
+            if (!missing && written != this->settings_written) {
+                this->settings_written = written;
+                this->reread_settings();
+            }
+            this->watch_settings();
         });
-    this->ready = true;
-    observe::log_event(
-        observe::log_level::info, "ready",
-        {{"configuration", this->view.configuration->version},
-         {"databases", this->view.directory.current().databases.size()},
-         {"hosts", this->view.hosts.size()}});
-  }
-
-  /// Hosts that are gone for good must not be counted, nor waited for.
-  void remove_lost_hosts() {
-    this->lost_timer.expires_after(lost_check_interval);
-    this->lost_timer.async_wait([this](boost::system::error_code failure) {
-      if (failure) {
-        return;
-      }
-      auto const ranked = rank_owners("store", {}, this->mesh.usable_hosts());
-      fleet_pace const pace = pace_for(this->view.host_count());
-      auto const lost = this->mesh.lost_hosts(pace.lost_limit);
-      // A host that has lost many others is more likely to be cut off itself.
-      bool const cut_off =
-          static_cast<double>(lost.size()) >=
-          pace.most_lost * static_cast<double>(this->view.hosts.size());
-      if (ranked.front() == this->settings.name && !cut_off && !this->leaving) {
-        for (std::string const &each : lost) {
-          asio::post(this->control_loop,
-                     [this, each] { this->watch.remove_host(each); });
+    }
+
+    // Traffic thread: callers
+
+    void open_for_callers() {
+        if (this->listener || !this->view.is_ready()) {
+            return;
         }
-      }
-      this->remove_lost_hosts();
-    });
-  }
-
-  /// Without the other hosts this one would take all databases for its own; but
-  /// they may not come to be known for as long as the store is away.
-  void wait_for_hosts() {
-    this->hosts_timer.expires_after(hosts_patience);
-    this->hosts_timer.async_wait([this](boost::system::error_code failure) {
-      if (!failure) {
-        this->waited_for_hosts = true;
-        this->open_for_callers();
-      }
-    });
-  }
-
-  void begin_drain() {
-    if (this->draining) {
-      return;
-    }
-    this->draining = true;
-    this->drain_began = this->time.now();
-    this->quotas.retire();
-    this->mesh.announce();
-    this->drain();
-  }
-
-  void drain() {
-    stop_work const work{this->sessions.size(), this->orders.load(),
-                         this->orders.open_transactions()};
-    duration const passed = this->time.now() - this->drain_began;
-    stop_step const step = this->course.decide(passed, work);
-    if (step.ends || !this->listener) {
-      this->end();
-      return;
-    }
-    if (step.dismisses_idle_sessions) {
-      this->dismiss_idle_sessions();
-    }
-    if (!step.takes_sessions) {
-      this->listener->stop();
-    }
-    this->drain_timer.expires_after(drain_tick);
-    this->drain_timer.async_wait([this](boost::system::error_code failure) {
-      if (!failure) {
+        if (this->view.hosts_version == 0 && !this->waited_for_hosts) {
+            this->wait_for_hosts();
+            return;
+        }
+        this->listener = std::make_unique<platform::line_listener>(
+            this->traffic_loop, endpoint_of(this->settings.callers),
+            [this](std::shared_ptr<caller_channel> channel) {
+                auto session = std::make_shared<caller_session>(
+                    this->sessions_context, std::move(channel),
+                    [this](caller_session* ended) { this->sessions.erase(ended); });
+                this->sessions.emplace(session.get(), session);
+                return session;
+            });
+        this->ready = true;
+        observe::log_event(
+            observe::log_level::info, "ready",
+            {{"configuration", this->view.configuration->version},
+             {"databases", this->view.directory.current().databases.size()},
+             {"hosts", this->view.hosts.size()}});
+    }
+
+    /// Hosts that are gone for good must not be counted, nor waited for.
+    void remove_lost_hosts() {
+        this->lost_timer.expires_after(lost_check_interval);
+        this->lost_timer.async_wait([this](boost::system::error_code failure) {
+            if (failure) {
+                return;
+            }
+            auto const ranked = rank_owners("store", {}, this->mesh.usable_hosts());
+            fleet_pace const pace = pace_for(this->view.host_count());
+            auto const lost = this->mesh.lost_hosts(pace.lost_limit);
+            // A host that has lost many others is more likely to be cut off itself.
+            bool const cut_off =
+                static_cast<double>(lost.size()) >=
+                pace.most_lost * static_cast<double>(this->view.hosts.size());
+            if (ranked.front() == this->settings.name && !cut_off && !this->leaving) {
+                for (std::string const& each : lost) {
+                    asio::post(this->control_loop, [this, each] {
+                        this->watch.remove_host(each);
+                    });
+                }
+            }
+            this->remove_lost_hosts();
+        });
+    }
+
+    /// Without the other hosts this one would take all databases for its own; but
+    /// they may not come to be known for as long as the store is away.
+    void wait_for_hosts() {
+        this->hosts_timer.expires_after(hosts_patience);
+        this->hosts_timer.async_wait([this](boost::system::error_code failure) {
+            if (!failure) {
+                this->waited_for_hosts = true;
+                this->open_for_callers();
+            }
+        });
+    }
+
+    void begin_drain() {
+        if (this->draining) {
+            return;
+        }
+        this->draining = true;
+        this->drain_began = this->time.now();
+        this->quotas.retire();
+        this->mesh.announce();
         this->drain();
-      }
-    });
-  }
-
-  void dismiss_idle_sessions() {
-    std::vector<std::shared_ptr<caller_session>> open;
-    for (auto const &each : this->sessions) {
-      open.push_back(each.second);
-    }
-    for (auto const &each : open) {
-      each->dismiss_if_idle();
-    }
-  }
-
-  void end() {
-    this->orders.close();
-    this->mesh.close();
-    this->control_loop.stop();
-    this->traffic_loop.stop();
-  }
-
-  // Traffic thread: news
-
-  void use_configuration(std::uint64_t row, std::string body) {
-    if (row <= this->view.configuration_row) {
-      return;
-    }
-    auto decoded = platform::decode_configuration(body);
-    if (!decoded) {
-      observe::log_event(observe::log_level::error, "configuration_unreadable",
-                         {{"row", row}, {"reason", decoded.error().message}});
-      return;
-    }
-    if (decoded.value().version < this->view.configuration->version) {
-      return;
-    }
-    this->view.configuration_row = row;
-    this->view.configuration_body = std::move(body);
-    this->view.configuration =
-        std::make_shared<fleet_configuration>(std::move(decoded.value()));
-    observe::log_event(
-        observe::log_level::info, "configuration_in_force",
-        {{"configuration", this->view.configuration->version}, {"row", row}});
-    this->quotas.refresh();
-    this->orders.refresh();
-    this->mesh.tell_news();
-    this->open_for_callers();
-  }
-
-  void directory_changed() {
-    this->view.share_out_databases();
-    observe::log_event(
-        observe::log_level::info, "databases_changed",
-        {{"directory", this->view.directory.current().version},
-         {"databases", this->view.directory.current().databases.size()}});
-    this->orders.refresh();
-    this->mesh.tell_news();
-    this->open_for_callers();
-  }
-
-  void use_hosts(std::uint64_t version, host_directory hosts) {
-    if (version <= this->view.hosts_version) {
-      return;
-    }
-    this->view.hosts_version = version;
-    this->view.hosts = std::move(hosts);
-    observe::log_event(observe::log_level::info, "hosts_changed",
-                       {{"hosts", this->view.hosts.size()}});
-    this->mesh.set_hosts(this->view.hosts);
-    this->quotas.refresh();
-    this->open_for_callers();
-  }
-
-  // mesh_observer
-
-  void on_order(work_order order, order_source source,
-                answer_handler done) override {
-    this->orders.run_here(std::move(order), source, std::move(done));
-  }
-  void on_source_gone(order_source source) override {
-    this->orders.forget(source);
-  }
-  void on_configuration(configuration_message message) override {
-    this->use_configuration(message.revision, std::move(message.body));
-  }
-  void on_directory(directory_message message) override {
-    if (this->view.directory.received(message.directory)) {
-      this->directory_changed();
-    }
-  }
-  void on_leader(leader_message const &message) override {
-    group_routing &group = this->view.group(message.group);
-    if (group.leader_proved(message.database, message.term)) {
-      observe::log_event(observe::log_level::info, "leader_learned",
-                         {{"database", message.database},
-                          {"term", message.term},
-                          {"group", message.group},
-                          {"from", "another host"}});
-    }
-    std::uint64_t const known = group.leader() ? group.leader()->term : 0;
-    if (this->leaders_told.worth_telling(message.group, message.term, known)) {
-      this->mesh.broadcast(message);
-    }
-  }
-  void on_endorsement(std::string const &host,
-                      endorsement_message const &message) override {
-    this->quotas.on_endorsement(host, message);
-  }
-  void on_release(std::string const &host,
-                  release_message const &message) override {
-    this->quotas.on_release(host, message);
-  }
-  loan_message on_borrow(borrow_message const &message) override {
-    return this->quotas.on_borrow(message);
-  }
-  void on_loan(loan_message const &message) override {
-    this->quotas.on_loan(message);
-  }
-  void on_reach_query(std::string const &database,
-                      std::function<void(bool)> done) override {
-    this->keeper.probe(database, std::move(done));
-  }
-  void on_peers_changed() override {
-    this->orders.refresh();
-    auto const ranked = rank_owners("store", {}, this->mesh.usable_hosts());
-    auto const at =
-        std::find(ranked.begin(), ranked.end(), this->settings.name);
-    this->watch.set_leading_reader(
-        static_cast<std::size_t>(at - ranked.begin()) < leading_readers);
-  }
-  news_versions own_versions() const {
-    return news_versions{this->view.configuration_row,
-                         this->view.directory.current().version,
-                         this->view.hosts_version};
-  }
-  bool reaches_store() const override { return this->watch.reaches_store(); }
-  alive_message own_state() override {
-    return alive_message{this->leaving, this->own_versions()};
-  }
-  configuration_message own_configuration() override {
-    return configuration_message{this->view.configuration_row,
-                                 this->view.configuration_body};
-  }
-  directory_message own_directory() override {
-    return directory_message{this->view.directory.current()};
-  }
-
-  void on_hosts(hosts_message message) override {
-    this->use_hosts(message.version, std::move(message.hosts));
-  }
-  hosts_message own_hosts() override {
-    return hosts_message{this->view.hosts_version, this->view.hosts};
-  }
-
-  // leadership_authority, called on the traffic thread
-
-  void
-  ask_token(std::string const &group, token_need need,
-            std::function<void(std::optional<std::uint64_t>)> done) override {
-    std::set<std::string> alive;
-    for (registered_host const &each : this->view.hosts) {
-      if (!this->mesh.has_ended(each.name)) {
-        alive.insert(each.name);
-      }
-    }
-    asio::post(this->control_loop, [this, group, need, alive = std::move(alive),
-                                    done = std::move(done)] {
-      this->watch.ask_token(
-          group, need,
-          [alive](std::string const &host) { return alive.count(host) > 0; },
-          [this, done](std::optional<std::uint64_t> token) {
-            asio::post(this->traffic_loop, [done, token] { done(token); });
-          });
-    });
-  }
-
-  void promote(std::string const &group, std::string const &database,
-               std::uint64_t token,
-               std::function<void(promotion_result)> done) override {
-    asio::post(this->control_loop, [this, group, database, token,
-                                    done = std::move(done)] {
-      this->promotion.promote(
-          group, database, token, [this, done](promotion_result result) {
-            asio::post(this->traffic_loop, [done, result] { done(result); });
-          });
-    });
-  }
-
-  // store_observer, called on the control thread
-
-  void on_stored_configuration(stored_configuration read) override {
-    asio::post(this->traffic_loop, [this, read = std::move(read)]() mutable {
-      this->use_configuration(read.revision, std::move(read.body));
-    });
-  }
-  void on_stored_databases(database_directory read) override {
-    asio::post(this->traffic_loop, [this, read = std::move(read)] {
-      if (this->view.directory.read(read, this->time.now())) {
-        this->directory_changed();
-      }
-    });
-  }
-  void on_stored_hosts(stored_hosts read) override {
-    asio::post(this->traffic_loop, [this, read = std::move(read)]() mutable {
-      this->use_hosts(read.version, std::move(read.hosts));
-    });
-  }
-
-  // Control thread: HTTP
-
-  net::http_response answer_readiness() const {
-    bool const yes = this->ready && !this->leaving;
-    return net::http_response{yes ? status_ok : status_unavailable,
-                              "text/plain", yes ? "ready\n" : "no\n"};
-  }
-
-  /// The figures belong to the traffic thread.
-  void answer_metrics(net::http_responder::reply reply) {
-    asio::post(this->traffic_loop, [this, reply = std::move(reply)] {
-      net::http_response response;
-      response.body = format_metrics(this->counts, this->gauges());
-      asio::post(this->control_loop,
-                 [reply, response = std::move(response)] { reply(response); });
-    });
-  }
-
-  host_gauges gauges() const {
-    host_gauges now;
-    now.configuration = this->view.configuration->version;
-    now.directory = this->view.directory.current().version;
-    now.sessions = this->sessions.size();
-    now.peers_connected = this->mesh.connected_hosts().size();
-    now.database_connections = this->orders.connections();
-    now.database_connections_opened = this->orders.connections_opened();
-    now.orders_open = this->orders.load();
-    now.leadership_changes = this->keeper.changes_finished();
-    now.log_lines_dropped = observe::dropped_log_lines();
-    return now;
-  }
-
-  settings::front_settings settings;
-  planned_stop course; ///< Of the traffic thread.
-  registered_host self;
-  boot_clock time;
-  asio::io_context control_loop{1};
-  asio::io_context traffic_loop{1};
-  fleet_view view;
-  traffic_counts counts;
-  platform::line_connector connector;
-  platform::store_client store;
-  platform::operator_client promotion;
-  store_watch watch;
-  evidence_relay evidence;
-  dispatcher orders;
-  run_context runs;
-  quota_keeper quotas;
-  leadership_keeper keeper;
-  peer_mesh mesh;
-  leader_news leaders_told;
-  session_context sessions_context;
-  std::map<caller_session *, std::shared_ptr<caller_session>> sessions;
-  std::unique_ptr<platform::line_listener> listener;
-  asio::steady_timer hosts_timer;
-  asio::steady_timer lost_timer;
-  asio::steady_timer drain_timer;
-  asio::steady_timer settings_timer;
-  std::filesystem::file_time_type settings_written{};
-  asio::signal_set signals;
-  instant drain_began{};
-  bool waited_for_hosts = false;
-  bool draining = false;
-  std::atomic<bool> ready{false};
-  std::atomic<bool> leaving{false};
+    }
+
+    void drain() {
+        stop_work const work{
+            this->sessions.size(), this->orders.load(), this->orders.open_transactions()};
+        duration const passed = this->time.now() - this->drain_began;
+        stop_step const step = this->course.decide(passed, work);
+        if (step.ends || !this->listener) {
+            this->end();
+            return;
+        }
+        if (step.dismisses_idle_sessions) {
+            this->dismiss_idle_sessions();
+        }
+        if (!step.takes_sessions) {
+            this->listener->stop();
+        }
+        this->drain_timer.expires_after(drain_tick);
+        this->drain_timer.async_wait([this](boost::system::error_code failure) {
+            if (!failure) {
+                this->drain();
+            }
+        });
+    }
+
+    void dismiss_idle_sessions() {
+        std::vector<std::shared_ptr<caller_session>> open;
+        for (auto const& each : this->sessions) {
+            open.push_back(each.second);
+        }
+        for (auto const& each : open) {
+            each->dismiss_if_idle();
+        }
+    }
+
+    void end() {
+        this->orders.close();
+        this->mesh.close();
+        this->control_loop.stop();
+        this->traffic_loop.stop();
+    }
+
+    // Traffic thread: news
+
+    void use_configuration(std::uint64_t row, std::string body) {
+        if (row <= this->view.configuration_row) {
+            return;
+        }
+        auto decoded = platform::decode_configuration(body);
+        if (!decoded) {
+            observe::log_event(
+                observe::log_level::error, "configuration_unreadable",
+                {{"row", row}, {"reason", decoded.error().message}});
+            return;
+        }
+        if (decoded.value().version < this->view.configuration->version) {
+            return;
+        }
+        this->view.configuration_row = row;
+        this->view.configuration_body = std::move(body);
+        this->view.configuration =
+            std::make_shared<fleet_configuration>(std::move(decoded.value()));
+        observe::log_event(
+            observe::log_level::info, "configuration_in_force",
+            {{"configuration", this->view.configuration->version}, {"row", row}});
+        this->quotas.refresh();
+        this->orders.refresh();
+        this->mesh.tell_news();
+        this->open_for_callers();
+    }
+
+    void directory_changed() {
+        this->view.share_out_databases();
+        observe::log_event(
+            observe::log_level::info, "databases_changed",
+            {{"directory", this->view.directory.current().version},
+             {"databases", this->view.directory.current().databases.size()}});
+        this->orders.refresh();
+        this->mesh.tell_news();
+        this->open_for_callers();
+    }
+
+    void use_hosts(std::uint64_t version, host_directory hosts) {
+        if (version <= this->view.hosts_version) {
+            return;
+        }
+        this->view.hosts_version = version;
+        this->view.hosts = std::move(hosts);
+        observe::log_event(
+            observe::log_level::info, "hosts_changed",
+            {{"hosts", this->view.hosts.size()}});
+        this->mesh.set_hosts(this->view.hosts);
+        this->quotas.refresh();
+        this->open_for_callers();
+    }
+
+    // mesh_observer
+
+    void on_order(work_order order, order_source source, answer_handler done) override {
+        this->orders.run_here(std::move(order), source, std::move(done));
+    }
+    void on_source_gone(order_source source) override { this->orders.forget(source); }
+    void on_configuration(configuration_message message) override {
+        this->use_configuration(message.revision, std::move(message.body));
+    }
+    void on_directory(directory_message message) override {
+        if (this->view.directory.received(message.directory)) {
+            this->directory_changed();
+        }
+    }
+    void on_leader(leader_message const& message) override {
+        group_routing& group = this->view.group(message.group);
+        if (group.leader_proved(message.database, message.term)) {
+            observe::log_event(
+                observe::log_level::info, "leader_learned",
+                {{"database", message.database},
+                 {"term", message.term},
+                 {"group", message.group},
+                 {"from", "another host"}});
+        }
+        std::uint64_t const known = group.leader() ? group.leader()->term : 0;
+        if (this->leaders_told.worth_telling(message.group, message.term, known)) {
+            this->mesh.broadcast(message);
+        }
+    }
+    void
+    on_endorsement(std::string const& host, endorsement_message const& message) override {
+        this->quotas.on_endorsement(host, message);
+    }
+    void on_release(std::string const& host, release_message const& message) override {
+        this->quotas.on_release(host, message);
+    }
+    loan_message on_borrow(borrow_message const& message) override {
+        return this->quotas.on_borrow(message);
+    }
+    void on_loan(loan_message const& message) override { this->quotas.on_loan(message); }
+    void
+    on_reach_query(std::string const& database, std::function<void(bool)> done) override {
+        this->keeper.probe(database, std::move(done));
+    }
+    void on_peers_changed() override {
+        this->orders.refresh();
+        auto const ranked = rank_owners("store", {}, this->mesh.usable_hosts());
+        auto const at = std::find(ranked.begin(), ranked.end(), this->settings.name);
+        this->watch.set_leading_reader(
+            static_cast<std::size_t>(at - ranked.begin()) < leading_readers);
+    }
+    news_versions own_versions() const {
+        return news_versions{
+            this->view.configuration_row, this->view.directory.current().version,
+            this->view.hosts_version};
+    }
+    bool reaches_store() const override { return this->watch.reaches_store(); }
+    alive_message own_state() override {
+        return alive_message{this->leaving, this->own_versions()};
+    }
+    configuration_message own_configuration() override {
+        return configuration_message{
+            this->view.configuration_row, this->view.configuration_body};
+    }
+    directory_message own_directory() override {
+        return directory_message{this->view.directory.current()};
+    }
+
+    void on_hosts(hosts_message message) override {
+        this->use_hosts(message.version, std::move(message.hosts));
+    }
+    hosts_message own_hosts() override {
+        return hosts_message{this->view.hosts_version, this->view.hosts};
+    }
+
+    // leadership_authority, called on the traffic thread
+
+    void ask_token(
+        std::string const& group,
+        token_need need,
+        std::function<void(std::optional<std::uint64_t>)> done) override {
+        std::set<std::string> alive;
+        for (registered_host const& each : this->view.hosts) {
+            if (!this->mesh.has_ended(each.name)) {
+                alive.insert(each.name);
+            }
+        }
+        asio::post(
+            this->control_loop,
+            [this, group, need, alive = std::move(alive), done = std::move(done)] {
+                this->watch.ask_token(
+                    group, need,
+                    [alive](std::string const& host) { return alive.count(host) > 0; },
+                    [this, done](std::optional<std::uint64_t> token) {
+                        asio::post(this->traffic_loop, [done, token] { done(token); });
+                    });
+            });
+    }
+
+    void promote(
+        std::string const& group,
+        std::string const& database,
+        std::uint64_t token,
+        std::function<void(promotion_result)> done) override {
+        asio::post(
+            this->control_loop, [this, group, database, token, done = std::move(done)] {
+                this->promotion.promote(
+                    group, database, token, [this, done](promotion_result result) {
+                        asio::post(this->traffic_loop, [done, result] { done(result); });
+                    });
+            });
+    }
+
+    // store_observer, called on the control thread
+
+    void on_stored_configuration(stored_configuration read) override {
+        asio::post(this->traffic_loop, [this, read = std::move(read)]() mutable {
+            this->use_configuration(read.revision, std::move(read.body));
+        });
+    }
+    void on_stored_databases(database_directory read) override {
+        asio::post(this->traffic_loop, [this, read = std::move(read)] {
+            if (this->view.directory.read(read, this->time.now())) {
+                this->directory_changed();
+            }
+        });
+    }
+    void on_stored_hosts(stored_hosts read) override {
+        asio::post(this->traffic_loop, [this, read = std::move(read)]() mutable {
+            this->use_hosts(read.version, std::move(read.hosts));
+        });
+    }
+
+    // Control thread: HTTP
+
+    net::http_response answer_readiness() const {
+        bool const yes = this->ready && !this->leaving;
+        return net::http_response{
+            yes ? status_ok : status_unavailable, "text/plain", yes ? "ready\n" : "no\n"};
+    }
+
+    /// The figures belong to the traffic thread.
+    void answer_metrics(net::http_responder::reply reply) {
+        asio::post(this->traffic_loop, [this, reply = std::move(reply)] {
+            net::http_response response;
+            response.body = format_metrics(this->counts, this->gauges());
+            asio::post(this->control_loop, [reply, response = std::move(response)] {
+                reply(response);
+            });
+        });
+    }
+
+    host_gauges gauges() const {
+        host_gauges now;
+        now.configuration = this->view.configuration->version;
+        now.directory = this->view.directory.current().version;
+        now.sessions = this->sessions.size();
+        now.peers_connected = this->mesh.connected_hosts().size();
+        now.database_connections = this->orders.connections();
+        now.database_connections_opened = this->orders.connections_opened();
+        now.orders_open = this->orders.load();
+        now.leadership_changes = this->keeper.changes_finished();
+        now.log_lines_dropped = observe::dropped_log_lines();
+        return now;
+    }
+
+    settings::front_settings settings;
+    planned_stop course; ///< Of the traffic thread.
+    registered_host self;
+    boot_clock time;
+    asio::io_context control_loop{1};
+    asio::io_context traffic_loop{1};
+    fleet_view view;
+    traffic_counts counts;
+    platform::line_connector connector;
+    platform::store_client store;
+    platform::operator_client promotion;
+    store_watch watch;
+    evidence_relay evidence;
+    dispatcher orders;
+    run_context runs;
+    quota_keeper quotas;
+    leadership_keeper keeper;
+    peer_mesh mesh;
+    leader_news leaders_told;
+    session_context sessions_context;
+    std::map<caller_session*, std::shared_ptr<caller_session>> sessions;
+    std::unique_ptr<platform::line_listener> listener;
+    asio::steady_timer hosts_timer;
+    asio::steady_timer lost_timer;
+    asio::steady_timer drain_timer;
+    asio::steady_timer settings_timer;
+    std::filesystem::file_time_type settings_written{};
+    asio::signal_set signals;
+    instant drain_began{};
+    bool waited_for_hosts = false;
+    bool draining = false;
+    std::atomic<bool> ready{false};
+    std::atomic<bool> leaving{false};
 };
 
 front_host::front_host(settings::front_settings settings)
@@ -575,8 +584,12 @@
 
 front_host::~front_host() = default;
 
-void front_host::run() { this->impl->run(); }
+void front_host::run() {
+    this->impl->run();
+}
 
-void front_host::stop() { this->impl->stop(); }
+void front_host::stop() {
+    this->impl->stop();
+}
 
 } // namespace persimmonpoint::host
