--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -33,7 +33,7 @@
     resume,
     promote,
     finished, ///< `database` leads `term`.
-    abandoned ///< Nothing was promoted; all copies that were held have been resumed.
+    abandoned ///< Nothing was promoted, and no copy is held but for another host.
 };
 
 struct change_action {
@@ -62,10 +62,14 @@
 /// other copies stay held and only the same candidate is promoted again.
 ///
 /// Two hosts may work at the same group, each cut off from the other. Each holds copies
-/// under a term of its own, made of its fencing token, and resumes only what it holds
-/// itself. One that finds copies held by another waits until a promotion of that one
-/// would show, and then goes through with its own: until a newer token has been used,
-/// nobody can know that the other's call will not be carried out.
+/// under a term of its own, made of its fencing token. One that finds copies held by
+/// another waits until a promotion of that one would show, and then goes through with its
+/// own: until a newer token has been used, nobody can know that the other's call will not
+/// be carried out.
+///
+/// A RESUME carries no term: it would also free a copy that another host has held since,
+/// and relies on. So copies are resumed only behind a promotion, and a change that has
+/// held one is not called off.
 class leadership_change {
 public:
     leadership_change(
@@ -77,7 +81,7 @@
 
     /// Databases come and go while the change runs.
     void set_copies(std::vector<group_copy> copies);
-    /// The old primary answered, and can commit.
+    /// The old primary answered: a false alarm, unless a copy has been held already.
     void primary_seen();
     void token_granted(std::uint64_t token);
     /// Another host holds the group, or the store can't be asked.
@@ -135,6 +139,7 @@
     leadership_machine machine;
     std::uint64_t token = 0;
     std::set<std::uint64_t> own_holds; ///< Terms under which this change has held copies.
+    bool has_held = false;             ///< A copy was asked to be held.
     std::optional<instant> other_seen; ///< Copies were found held by another host.
     bool outdated = false;             ///< The last token was refused.
     bool leaves_holds = false;         ///< A newer holder resumes them.
