A commit counts as stalled also if its primary was not watched yet

Cause: usage test "A primary that can commit nothing is replaced" failed 8 of 8 times once the stand-in database answered without delay. From the log: the write that stalls is sent 1 ms behind `ready`, 20 ms before the owner begins to watch the primary; the evidence of it was dropped, so the primary was left alone until another write came, 10 s later.

Change: commits under way are counted for each database at all times (core/recovery/ commit_progress), and the verdict on a primary reads them. An owner that ends tells of its own.

--- a/src/persimmonpoint/core/recovery/primary_suspicion.hpp
+++ b/src/persimmonpoint/core/recovery/primary_suspicion.hpp
@@ -2,6 +2,7 @@
 #define PERSIMMONPOINT_CORE_RECOVERY_PRIMARY_SUSPICION_HPP_INCLUDED
 
 #include <optional>
+#include <persimmonpoint/core/recovery/commit_progress.hpp>
 #include <persimmonpoint/core/time.hpp>
 
 namespace persimmonpoint {
@@ -19,21 +20,16 @@
     explicit primary_suspicion(instant now);
 
     void answered(instant now);
-    void commit_sent(instant now);
-    /// A write or COMMIT came back, with whatever answer, or its connection broke.
-    void commit_answered(instant now);
     void refused(instant now);
     void unanswered(instant now);
 
-    primary_verdict judge(instant now) const;
+    primary_verdict judge(instant now, commit_progress const& commits) const;
 
 private:
     instant last_answer;
     std::optional<instant> first_refusal; ///< Since the last answer.
     std::optional<instant> first_silence; ///< Since the last answer.
     unsigned refusals = 0;
-    unsigned commits_open = 0;
-    instant last_commit_progress;
 };
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -398,10 +398,7 @@
 
     void main_answered(lane& on, upstream_answer answer) {
         work_order const& order = on.current->order;
-        if (std::exchange(on.counts_as_commit, false)) {
-            this->commits.ended(this->time.now());
-            this->observer.on_commit_answered(this->database.id);
-        }
+        this->commit_ended(on);
         work_answer out;
         out.outcome = order_outcome::answered;
         out.error = answer.error;
@@ -431,6 +428,13 @@
         this->pump();
     }
 
+    void commit_ended(lane& on) {
+        if (std::exchange(on.counts_as_commit, false) && on.main_sent) {
+            this->commits.ended(this->time.now());
+            this->observer.on_commit_answered(this->database.id);
+        }
+    }
+
     pending_order take_current(lane& on) {
         --this->running;
         pending_order pending = std::move(*on.current);
@@ -475,10 +479,7 @@
             pending = this->take_current(on);
         }
         bool const sent = on.main_sent;
-        if (std::exchange(on.counts_as_commit, false) && sent) {
-            this->commits.ended(this->time.now());
-            this->observer.on_commit_answered(this->database.id);
-        }
+        this->commit_ended(on);
         this->drop(id);
         if (pending) {
             work_answer out = not_run(order_refusal::unreachable);
@@ -567,6 +568,7 @@
         }
         std::vector<pending_order> lost;
         for (auto& each : this->lanes) {
+            this->commit_ended(each.second);
             if (each.second.current) {
                 lost.push_back(std::move(*each.second.current));
             }
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -123,8 +123,14 @@
         this->judge(name, group, time);
     }
 
+    primary_verdict verdict_on(watched_group const& group, instant time) const {
+        auto const found = this->commits.find(group.primary);
+        return group.suspicion->judge(
+            time, found == this->commits.end() ? commit_progress() : found->second);
+    }
+
     void judge(std::string const& name, watched_group& group, instant time) {
-        switch (group.suspicion->judge(time)) {
+        switch (this->verdict_on(group, time)) {
         case primary_verdict::gone:
             this->begin(name, group, change_reason::primary_lost);
             return;
@@ -233,7 +239,7 @@
         }
         bool const still =
             group.suspicion && !group.change && group.primary == primary &&
-            group.suspicion->judge(this->now()) != primary_verdict::healthy;
+            this->verdict_on(group, this->now()) != primary_verdict::healthy;
         if (still) {
             this->begin(name, group, change_reason::primary_lost);
         }
@@ -450,6 +456,7 @@
     peer_mesh* mesh = nullptr;
     std::map<std::string, watched_group, std::less<>> groups;
     std::map<std::string, instant, std::less<>> answered_at;
+    std::map<std::string, commit_progress, std::less<>> commits; ///< By database.
     /// A change is kept until it is no longer on the stack.
     std::unique_ptr<leadership_change> retired;
     std::uint64_t finished = 0;
@@ -516,11 +523,18 @@
 }
 
 void leadership_keeper::on_commit_sent(std::string const& database) {
-    this->impl->tell_suspicion(database, &primary_suspicion::commit_sent);
+    this->impl->commits[database].sent(this->impl->now());
 }
 
 void leadership_keeper::on_commit_answered(std::string const& database) {
-    this->impl->tell_suspicion(database, &primary_suspicion::commit_answered);
+    auto const found = this->impl->commits.find(database);
+    if (found == this->impl->commits.end()) {
+        return;
+    }
+    found->second.ended(this->impl->now());
+    if (found->second.empty()) {
+        this->impl->commits.erase(found);
+    }
 }
 
 std::uint64_t leadership_keeper::changes_finished() const {
--- a/tests/introspective/leadership_change.tests.cpp
+++ b/tests/introspective/leadership_change.tests.cpp
@@ -335,29 +335,45 @@
 }
 
 TEST_CASE("A primary is lost once its address refuses twice", "[suspicion]") {
+    commit_progress const none;
     primary_suspicion suspicion(start);
     suspicion.refused(start);
-    CHECK(suspicion.judge(start) == primary_verdict::healthy);
+    CHECK(suspicion.judge(start, none) == primary_verdict::healthy);
     suspicion.refused(start + milliseconds(60));
-    CHECK(suspicion.judge(start + milliseconds(60)) == primary_verdict::gone);
+    CHECK(suspicion.judge(start + milliseconds(60), none) == primary_verdict::gone);
     suspicion.answered(start + milliseconds(70));
-    CHECK(suspicion.judge(start + milliseconds(70)) == primary_verdict::healthy);
+    CHECK(suspicion.judge(start + milliseconds(70), none) == primary_verdict::healthy);
 }
 
 TEST_CASE("A silent primary is suspected, an idle one is not", "[suspicion]") {
+    commit_progress const none;
     primary_suspicion suspicion(start);
-    CHECK(suspicion.judge(start + seconds(60)) == primary_verdict::healthy);
+    CHECK(suspicion.judge(start + seconds(60), none) == primary_verdict::healthy);
     suspicion.unanswered(start + seconds(60));
-    CHECK(suspicion.judge(start + seconds(60)) == primary_verdict::silent);
+    CHECK(suspicion.judge(start + seconds(60), none) == primary_verdict::silent);
 }
 
 TEST_CASE("A primary that acknowledges no commit can't commit", "[suspicion]") {
     primary_suspicion suspicion(start);
-    suspicion.commit_sent(start);
+    commit_progress commits;
+    commits.sent(start);
     suspicion.answered(start + milliseconds(800));
-    CHECK(suspicion.judge(start + milliseconds(800)) == primary_verdict::cannot_commit);
-    suspicion.commit_answered(start + milliseconds(801));
-    CHECK(suspicion.judge(start + milliseconds(801)) == primary_verdict::healthy);
+    CHECK(
+        suspicion.judge(start + milliseconds(800), commits) ==
+        primary_verdict::cannot_commit);
+    commits.ended(start + milliseconds(801));
+    CHECK(commits.empty());
+    CHECK(
+        suspicion.judge(start + milliseconds(801), commits) == primary_verdict::healthy);
+}
+
+TEST_CASE("A commit counts that stalled before its primary was watched", "[suspicion]") {
+    commit_progress commits;
+    commits.sent(start);
+    primary_suspicion const suspicion(start + milliseconds(500));
+    CHECK(
+        suspicion.judge(start + milliseconds(800), commits) ==
+        primary_verdict::cannot_commit);
 }
 
 TEST_CASE("A lease is taken from a holder that lives only after its time", "[lease]") {
