No refusals within the rate when a lender of quotas leaves or changes

A host that stops lent nothing from its first moment, its peers chose another lender at their next tick (100 ms; 310 ms in a fleet of 62), and a refusal of the old lender was remembered for 300 ms. An operation that came in the round trip between two lenders was refused too.

Change: a host that leaves lends on to those that still endorse it; it gives up its own endorsement, so that all lenders together still lend the whole once. Hosts follow a new lender as soon as hosts come or go.

--- a/src/persimmonpoint/core/membership/peer_health.hpp
+++ b/src/persimmonpoint/core/membership/peer_health.hpp
@@ -22,6 +22,7 @@
 
     bool is_leaving() const { return this->leaves; }
     bool usable() const { return !this->leaves && this->current != state::lost; }
+    bool has_stopped() const { return this->is_ended; }
     /// True if it has certainly stopped, or takes no more work.
     bool has_ended() const { return this->is_ended || this->leaves; }
     bool heard_within(duration age, instant now) const {
--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -396,6 +396,14 @@
     return found == this->impl->peers.end() || found->second.health.has_ended();
 }
 
+bool peer_mesh::has_stopped(std::string_view host) const {
+    if (host == this->impl->self.name) {
+        return false;
+    }
+    auto const found = this->impl->peers.find(host);
+    return found == this->impl->peers.end() || found->second.health.has_stopped();
+}
+
 bool peer_mesh::heard_within(std::string_view host, duration age) const {
     if (host == this->impl->self.name) {
         return true;
--- a/src/persimmonpoint/engine/peer_mesh.hpp
+++ b/src/persimmonpoint/engine/peer_mesh.hpp
@@ -32,6 +32,8 @@
     /// This host and the others that may be given work, by name.
     std::vector<registered_host> usable_hosts() const;
     bool is_usable(std::string_view host) const;
+    /// True if a process of that name has certainly stopped.
+    bool has_stopped(std::string_view host) const;
     /// True if a process of that name has certainly stopped, or takes no more work.
     bool has_ended(std::string_view host) const;
     /// True if the host said something within `age`; always true for this one.
--- a/src/persimmonpoint/engine/quota_keeper.hpp
+++ b/src/persimmonpoint/engine/quota_keeper.hpp
@@ -36,7 +36,9 @@
     /// Takes one operation of a team. The handler may be called at once.
     void take(std::string_view team, handler done);
 
-    /// This host takes no more work; it lends nothing from now on.
+    /// Other hosts may be given work now than before.
+    void hosts_changed();
+    /// This host is leaving: it lends to those only that have not found another lender.
     void retire();
 
     void on_endorsement(std::string const& host, endorsement_message const& message);
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -424,6 +424,7 @@
     }
     void on_peers_changed() override {
         this->orders.refresh();
+        this->quotas.hosts_changed();
         auto const ranked = rank_owners("store", {}, this->mesh.usable_hosts());
         auto const at = std::find(ranked.begin(), ranked.end(), this->settings.name);
         this->watch.set_leading_reader(
--- a/tests/usage/planned_stop.tests.cpp
+++ b/tests/usage/planned_stop.tests.cpp
@@ -78,3 +78,30 @@
     stage.with_standins(
         [&] { CHECK(stage.group->data("far") == std::to_string(stopped)); });
 }
+
+TEST_CASE(
+    "A team within its rate is not refused while a host stops", "[front][stop][quota]") {
+    // One of the three lends the team's quota.
+    auto const stopped = GENERATE(std::size_t(0), std::size_t(1), std::size_t(2));
+    fleet_stage stage(3);
+    constexpr double rate = 200;
+    constexpr double burst = 10;
+    constexpr std::chrono::milliseconds pause(6); // About three quarters of the rate.
+    stage.configure({"key-1"}, rate, false, burst);
+    line_caller steady(stage.caller_port((stopped + 1) % 3));
+    REQUIRE(steady.start("browse", "key-1").state == "I");
+    std::size_t refused = 0;
+    auto const ask = [&](int times) {
+        for (int i = 0; i < times; ++i) {
+            refused += steady.query("READ a").error.empty() ? 0 : 1;
+            std::this_thread::sleep_for(pause);
+        }
+    };
+    // A lower rate is in force after a while, and what was saved up before is used up.
+    std::this_thread::sleep_for(quota_rules().lower_delay);
+    ask(100);
+    refused = 0;
+    host_stopping const stopping(stage, stopped);
+    ask(150);
+    CHECK(refused == 0);
+}
