Front host and quota keeper: the settings file and the lending of quotas are classes of their own

No change of what they do. host/settings_watch reads the file again; engine/quota_lending endorses and lends, quota_keeper spends.

--- a/src/persimmonpoint/engine/quota_keeper.cpp
+++ b/src/persimmonpoint/engine/quota_keeper.cpp
@@ -1,13 +1,10 @@
 #include <algorithm>
-#include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
-#include <persimmonpoint/core/limits/quota_lender.hpp>
 #include <persimmonpoint/core/limits/quota_pacing.hpp>
-#include <persimmonpoint/core/membership/fleet_pace.hpp>
-#include <persimmonpoint/core/routing/owner_ranking.hpp>
 #include <persimmonpoint/engine/peer_mesh.hpp>
 #include <persimmonpoint/engine/quota_keeper.hpp>
+#include <persimmonpoint/engine/quota_lending.hpp>
 #include <utility>
 #include <vector>
 
@@ -15,8 +12,6 @@
 
 namespace {
 
-/// Teams are lent in this many parts, each by one host.
-constexpr std::size_t shard_count = 4;
 /// A loan without an answer is given up.
 constexpr duration loan_limit = std::chrono::milliseconds(60);
 /// What a caller is told if no lender answered.
@@ -24,10 +19,6 @@
 /// A host that leaves one lender for another has the new one in about this time.
 constexpr duration lender_change_wait = std::chrono::milliseconds(15);
 
-std::size_t shard_of(std::string_view team) {
-    return rendezvous_weight("team", team) % shard_count;
-}
-
 /// A team's quota as this host spends it.
 struct team_quota {
     quota_bucket own;
@@ -62,125 +53,21 @@
           view(view),
           self(std::move(self)),
           rules(rules),
-          timer(loop),
           loan_timer(loop),
           pacing_timer(loop),
-          lenders(shard_count, quota_lender(rules)) {}
-
-    void tick() {
-        this->timer.expires_after(this->pace().endorse_interval);
-        this->timer.async_wait(
-            [weak = this->weak_from_this()](boost::system::error_code failure) {
-                auto const keeper = weak.lock();
-                if (keeper && !failure) {
-                    keeper->endorse();
-                    keeper->tick();
-                }
-            });
-    }
-
-    fleet_pace pace() const { return pace_for(this->view.host_count()); }
-
-    /// Hosts that may lend from now on.
-    std::vector<registered_host> candidates() const {
-        std::vector<registered_host> hosts = this->mesh->usable_hosts();
-        if (this->leaving && hosts.size() > 1) {
-            std::erase_if(
-                hosts, [this](auto const& each) { return each.name == this->self; });
-        }
-        return hosts;
-    }
-
-    std::string
-    wanted_lender(std::uint32_t index, std::span<registered_host const> hosts) const {
-        return rank_owners("quota " + std::to_string(index), {}, hosts).front();
-    }
-
-    void endorse() {
-        std::vector<registered_host> const hosts = this->candidates();
-        instant const now = this->time.now();
-        for (std::uint32_t i = 0; i < shard_count; ++i) {
-            this->endorse_shard(i, this->wanted_lender(i, hosts), now);
-        }
-    }
-
-    /// Lenders that are others by now are followed at once.
-    void follow_lenders() {
-        std::vector<registered_host> const hosts = this->candidates();
-        instant const now = this->time.now();
-        for (std::uint32_t i = 0; i < shard_count; ++i) {
-            std::string const wanted = this->wanted_lender(i, hosts);
-            if (wanted != this->choices[i].current()) {
-                this->endorse_shard(i, wanted, now);
-            }
-        }
-    }
-
-    void endorse_shard(std::uint32_t index, std::string const& wanted, instant now) {
-        lender_choice& choice = this->choices[index];
-        std::string const before = choice.current();
-        fleet_pace const pace = this->pace();
-        auto const next = choice.choose(
-            wanted, this->mesh->has_stopped(before),
-            this->mesh->heard_within(before, pace.lender_silence), pace.endorsement_life,
-            now);
-        if (next == lender_choice::step::wait) {
-            return;
-        }
-        endorsement_message const message{
-            index, next == lender_choice::step::withdraw,
-            static_cast<std::uint32_t>(
-                std::chrono::duration_cast<std::chrono::milliseconds>(
-                    pace.endorsement_life)
-                    .count())};
-        std::string const lender = choice.current();
-        if (lender != this->self) {
-            this->mesh->send(lender, message);
-        } else {
-            this->on_endorsement(this->self, message);
-            if (message.withdrawn) {
-                choice.released();
-                this->endorse_shard(index, wanted, now);
-                return;
-            }
-        }
-        if (lender != before) {
-            this->forget_refusals(index);
-        }
-    }
+          lending(loop, time, view, this->self, rules, [this](std::size_t shard) {
+              this->forget_refusals(shard);
+          }) {}
 
     /// What the lender before had no more of, the present one may have.
-    void forget_refusals(std::uint32_t index) {
+    void forget_refusals(std::size_t shard) {
         for (auto& [team, quota] : this->quotas) {
-            if (shard_of(team) == index) {
+            if (quota_lending::shard_of(team) == shard) {
                 quota.refused_until = instant();
             }
         }
     }
 
-    void on_endorsement(std::string const& host, endorsement_message const& message) {
-        if (message.shard >= shard_count) {
-            return;
-        }
-        quota_lender& lender = this->lenders[message.shard];
-        if (message.withdrawn) {
-            lender.withdrawn(host, this->time.now());
-        } else {
-            lender.endorsed(
-                host, std::chrono::milliseconds(message.life_ms), this->time.now());
-        }
-    }
-
-    void on_release(std::string const& host, release_message const& message) {
-        bool const known =
-            message.shard < shard_count && this->choices[message.shard].current() == host;
-        if (!known) {
-            return;
-        }
-        this->choices[message.shard].released();
-        this->endorse();
-    }
-
     void refresh() {
         instant const now = this->time.now();
         std::size_t const hosts = this->view.host_count();
@@ -188,13 +75,11 @@
         std::erase_if(this->quotas, [&](auto const& each) {
             bool const gone = teams.count(each.first) == 0;
             if (gone) {
-                this->lenders[shard_of(each.first)].forget_team(each.first);
+                this->lending.forget_team(each.first);
             }
             return gone;
         });
-        for (quota_lender& each : this->lenders) {
-            each.set_host_count(hosts);
-        }
+        this->lending.set_host_count(hosts);
         for (auto const& [name, team] : teams) {
             quota_part const whole{team.rate, team.burst};
             team_quota const fresh{
@@ -205,7 +90,7 @@
                 lowering_of(quota.whole, whole));
             quota.whole = whole;
             quota.refused_until = instant();
-            this->lenders[shard_of(name)].set_limit(name, whole, now);
+            this->lending.set_limit(name, whole);
         }
     }
 
@@ -221,16 +106,15 @@
             operation.done(duration(0));
             return;
         }
-        std::size_t const shard = shard_of(operation.team);
         if (now < found->second.refused_until) {
             this->wait_or_refuse(
                 std::move(operation), std::min(wait, found->second.refused_until - now));
-        } else if (!this->choices[shard].may_borrow()) {
+        } else if (this->lending.lender_of(operation.team).empty()) {
             this->wait_or_refuse(
                 std::move(operation),
                 operation.paced ? std::min(wait, no_answer_wait) : lender_change_wait);
         } else {
-            this->borrow(std::move(operation), shard);
+            this->borrow(std::move(operation));
         }
     }
 
@@ -272,27 +156,19 @@
         this->watch_pacing();
     }
 
-    void borrow(open_operation operation, std::size_t shard) {
+    void borrow(open_operation operation) {
         borrow_message const message{++this->last_number, operation.team};
-        std::string const lender = this->choices[shard].current();
+        std::string const lender(this->lending.lender_of(operation.team));
         this->loans.emplace(
             message.number, open_loan{std::move(operation), lender, this->time.now()});
         if (lender == this->self) {
-            this->on_loan(this->on_borrow(message));
+            this->on_loan(this->lending.on_borrow(message));
             return;
         }
         this->mesh->send(lender, message);
         this->watch_loans();
     }
 
-    loan_message on_borrow(borrow_message const& message) {
-        duration const wait =
-            this->lenders[shard_of(message.team)].borrow(message.team, this->time.now());
-        return loan_message{
-            message.number,
-            std::chrono::duration_cast<std::chrono::microseconds>(wait).count()};
-    }
-
     void on_loan(loan_message const& message) {
         auto const found = this->loans.find(message.number);
         if (found == this->loans.end()) {
@@ -307,7 +183,7 @@
         }
         std::string const& team = loan.operation.team;
         auto const quota = this->quotas.find(team);
-        bool const present = this->choices[shard_of(team)].current() == loan.lender;
+        bool const present = this->lending.lender_of(team) == loan.lender;
         if (present && quota != this->quotas.end()) {
             quota->second.refused_until =
                 this->time.now() + std::min(wait, no_answer_wait);
@@ -354,19 +230,16 @@
     fleet_view const& view;
     std::string self;
     quota_rules rules;
-    boost::asio::steady_timer timer;
     boost::asio::steady_timer loan_timer;
     boost::asio::steady_timer pacing_timer;
     peer_mesh* mesh = nullptr;
     std::map<std::string, team_quota, std::less<>> quotas;
-    std::vector<quota_lender> lenders;
-    std::array<lender_choice, shard_count> choices;
     std::map<std::uint64_t, open_loan> loans;
+    quota_lending lending;
     quota_pacing pacing;
     std::map<std::uint64_t, open_operation> paced; ///< Those that `pacing` has.
     std::uint64_t last_number = 0;
     bool watching = false;
-    bool leaving = false;
 };
 
 quota_keeper::quota_keeper(
@@ -378,14 +251,13 @@
     : impl(std::make_shared<implementation>(loop, clock, view, std::move(self), rules)) {}
 
 quota_keeper::~quota_keeper() {
-    this->impl->timer.cancel();
     this->impl->loan_timer.cancel();
     this->impl->pacing_timer.cancel();
 }
 
 void quota_keeper::start(peer_mesh& mesh) {
     this->impl->mesh = &mesh;
-    this->impl->tick();
+    this->impl->lending.start(mesh);
 }
 
 void quota_keeper::refresh() {
@@ -393,9 +265,7 @@
 }
 
 void quota_keeper::hosts_changed() {
-    if (this->impl->mesh != nullptr) {
-        this->impl->follow_lenders();
-    }
+    this->impl->lending.hosts_changed();
 }
 
 void quota_keeper::take(std::string_view team, handler done) {
@@ -404,20 +274,19 @@
 
 void quota_keeper::on_endorsement(
     std::string const& host, endorsement_message const& message) {
-    this->impl->on_endorsement(host, message);
+    this->impl->lending.on_endorsement(host, message);
 }
 
 void quota_keeper::on_release(std::string const& host, release_message const& message) {
-    this->impl->on_release(host, message);
+    this->impl->lending.on_release(host, message);
 }
 
 void quota_keeper::retire() {
-    this->impl->leaving = true;
-    this->impl->endorse();
+    this->impl->lending.retire();
 }
 
 loan_message quota_keeper::on_borrow(borrow_message const& message) {
-    return this->impl->on_borrow(message);
+    return this->impl->lending.on_borrow(message);
 }
 
 void quota_keeper::on_loan(loan_message const& message) {
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
-#include <filesystem>
 #include <persimmonpoint/core/membership/fleet_pace.hpp>
 #include <persimmonpoint/core/membership/leader_news.hpp>
 #include <persimmonpoint/core/recovery/planned_stop.hpp>
@@ -18,6 +17,7 @@
 #include <persimmonpoint/engine/quota_keeper.hpp>
 #include <persimmonpoint/engine/store_watch.hpp>
 #include <persimmonpoint/host/front_host.hpp>
+#include <persimmonpoint/host/settings_watch.hpp>
 #include <persimmonpoint/net/http_responder.hpp>
 #include <persimmonpoint/net/tcp_options.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
@@ -42,7 +42,6 @@
 /// How long a host that is otherwise ready waits to learn of the others.
 constexpr auto hosts_patience = std::chrono::milliseconds(300);
 constexpr auto lost_check_interval = std::chrono::seconds(2);
-constexpr auto settings_interval = std::chrono::seconds(2);
 constexpr auto drain_tick = std::chrono::milliseconds(50);
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
@@ -75,7 +74,10 @@
           hosts_timer(traffic_loop),
           lost_timer(traffic_loop),
           drain_timer(traffic_loop),
-          settings_timer(control_loop),
+          file_watch(
+              control_loop,
+              settings.file,
+              [this](settings::front_settings const& read) { this->use_settings(read); }),
           signals(control_loop, SIGTERM, SIGINT, SIGHUP) {
         this->orders.use(this->mesh);
         this->quotas.start(this->mesh);
@@ -127,12 +129,7 @@
                 });
         }
         this->wait_for_signal();
-        if (!this->settings.file.empty()) {
-            std::error_code missing;
-            this->settings_written =
-                std::filesystem::last_write_time(this->settings.file, missing);
-            this->watch_settings();
-        }
+        this->file_watch.start();
         this->watch.start();
         auto const keep_traffic = asio::make_work_guard(this->traffic_loop);
         auto const keep_control = asio::make_work_guard(this->control_loop);
@@ -148,7 +145,7 @@
                 return;
             }
             if (signal == SIGHUP) {
-                this->reread_settings();
+                this->file_watch.reread();
                 this->wait_for_signal();
                 return;
             }
@@ -167,23 +164,10 @@
         });
     }
 
-    /// Takes over what can change while the process runs: the grace and the
-    /// seeds. An address needs a restart.
-    void reread_settings() {
-        if (this->settings.file.empty()) {
-            return;
-        }
-        auto const loaded = settings::load_front_file(this->settings.file);
-        if (!loaded.findings.empty()) {
-            observe::log_event(
-                observe::log_level::error, "settings_unusable",
-                {{"finding", to_string(loaded.findings.front())}});
-            return;
-        }
-        observe::log_event(
-            observe::log_level::info, "settings_reread",
-            {{"grace_ms", loaded.values.grace.count()}});
-        asio::post(this->traffic_loop, [this, values = loaded.values] {
+    /// Takes over what can change while the process runs: the grace and the seeds. An
+    /// address needs a restart.
+    void use_settings(settings::front_settings const& values) {
+        asio::post(this->traffic_loop, [this, values] {
             this->course.set_grace(values.grace);
             if (this->view.hosts_version == 0) {
                 this->mesh.set_seeds(values.seeds);
@@ -191,24 +175,6 @@
         });
     }
 
-    /// The file may change without a signal.
-    void watch_settings() {
-        this->settings_timer.expires_after(settings_interval);
-        this->settings_timer.async_wait([this](boost::system::error_code failure) {
-            if (failure) {
-                return;
-            }
-            std::error_code missing;
-            auto const written =
-                std::filesystem::last_write_time(this->settings.file, missing);
-            if (!missing && written != this->settings_written) {
-                this->settings_written = written;
-                this->reread_settings();
-            }
-            this->watch_settings();
-        });
-    }
-
     // Traffic thread: callers
 
     void open_for_callers() {
@@ -570,8 +536,7 @@
     asio::steady_timer hosts_timer;
     asio::steady_timer lost_timer;
     asio::steady_timer drain_timer;
-    asio::steady_timer settings_timer;
-    std::filesystem::file_time_type settings_written{};
+    settings_watch file_watch;
     asio::signal_set signals;
     instant drain_began{};
     bool waited_for_hosts = false;
