--- a/src/persimmonpoint/engine/quota_keeper.cpp
+++ b/src/persimmonpoint/engine/quota_keeper.cpp
@@ -110,9 +110,9 @@
             this->wait_or_refuse(
                 std::move(operation), std::min(wait, found->second.refused_until - now));
         } else if (this->lending.lender_of(operation.team).empty()) {
-            this->wait_or_refuse(
-                std::move(operation),
-                operation.paced ? std::min(wait, no_answer_wait) : lender_change_wait);
+            duration const until_lender =
+                operation.paced ? std::min(wait, no_answer_wait) : lender_change_wait;
+            this->wait_or_refuse(std::move(operation), until_lender);
         } else {
             this->borrow(std::move(operation));
         }
