Commits under way are counted in one place

commit_share and commit_progress held the same counts. Each limit stands where it is used: 150 ms until half of the slots are kept for the rest, 600 ms until the primary is taken for stalled. No change of what is decided; all unit tests and the usage tests of failover pass.

--- a/src/persimmonpoint/core/limits/commit_share.cpp
+++ b/src/persimmonpoint/core/limits/commit_share.cpp
@@ -12,23 +12,9 @@
 
 } // namespace
 
-void commit_share::started(instant now) {
-    if (this->open == 0) {
-        this->last_progress = now;
-    }
-    ++this->open;
-}
-
-void commit_share::ended(instant now) {
-    if (this->open > 0) {
-        --this->open;
-    }
-    this->last_progress = now;
-}
-
 bool commit_share::may_start(std::uint32_t slots, instant now) const {
-    bool const stalled = this->open > 0 && now - this->last_progress > stalled_after;
-    return !stalled || this->open < std::max(slots / stalled_part, 1U);
+    bool const stalled = this->progress.stalled_for(now) > stalled_after;
+    return !stalled || this->progress.open() < std::max(slots / stalled_part, 1U);
 }
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/core/limits/commit_share.hpp
+++ b/src/persimmonpoint/core/limits/commit_share.hpp
@@ -2,7 +2,7 @@
 #define PERSIMMONPOINT_CORE_LIMITS_COMMIT_SHARE_HPP_INCLUDED
 
 #include <cstdint>
-#include <persimmonpoint/core/time.hpp>
+#include <persimmonpoint/core/recovery/commit_progress.hpp>
 
 namespace persimmonpoint {
 
@@ -14,14 +14,13 @@
 /// instead can still be refused as not run, a stalled one only ends in doubt.
 class commit_share {
 public:
-    void started(instant now);
-    void ended(instant now);
+    void started(instant now) { this->progress.sent(now); }
+    void ended(instant now) { this->progress.ended(now); }
     /// True if one more commit may take one of the database's `slots`.
     bool may_start(std::uint32_t slots, instant now) const;
 
 private:
-    std::uint32_t open = 0;
-    instant last_progress{};
+    commit_progress progress;
 };
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/core/recovery/commit_progress.cpp
+++ b/src/persimmonpoint/core/recovery/commit_progress.cpp
@@ -2,28 +2,22 @@
 
 namespace persimmonpoint {
 
-namespace {
-
-constexpr duration stall_limit = std::chrono::milliseconds(600);
-
-} // namespace
-
 void commit_progress::sent(instant now) {
-    if (this->open == 0) {
+    if (this->under_way == 0) {
         this->last_progress = now;
     }
-    ++this->open;
+    ++this->under_way;
 }
 
 void commit_progress::ended(instant now) {
-    if (this->open > 0) {
-        --this->open;
+    if (this->under_way > 0) {
+        --this->under_way;
     }
     this->last_progress = now;
 }
 
-bool commit_progress::stalled(instant now) const {
-    return this->open > 0 && now - this->last_progress > stall_limit;
+duration commit_progress::stalled_for(instant now) const {
+    return this->under_way > 0 ? now - this->last_progress : duration(0);
 }
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/core/recovery/commit_progress.hpp
+++ b/src/persimmonpoint/core/recovery/commit_progress.hpp
@@ -1,6 +1,7 @@
 #ifndef PERSIMMONPOINT_CORE_RECOVERY_COMMIT_PROGRESS_HPP_INCLUDED
 #define PERSIMMONPOINT_CORE_RECOVERY_COMMIT_PROGRESS_HPP_INCLUDED
 
+#include <cstdint>
 #include <persimmonpoint/core/time.hpp>
 
 namespace persimmonpoint {
@@ -15,12 +16,12 @@
     /// One came back, with whatever answer, or its connection broke.
     void ended(instant now);
 
-    bool empty() const { return this->open == 0; }
-    /// True if some are open and none has ended for long.
-    bool stalled(instant now) const;
+    std::uint32_t open() const { return this->under_way; }
+    /// How long some have been under way and none has ended; zero if none is.
+    duration stalled_for(instant now) const;
 
 private:
-    unsigned open = 0;
+    std::uint32_t under_way = 0;
     instant last_progress{};
 };
 
--- a/src/persimmonpoint/core/recovery/primary_suspicion.cpp
+++ b/src/persimmonpoint/core/recovery/primary_suspicion.cpp
@@ -7,6 +7,7 @@
 /// A single refusal can be a restart of the listener; two in this order are not.
 constexpr unsigned refusals_that_prove = 2;
 constexpr duration silence_limit = std::chrono::milliseconds(400);
+constexpr duration commit_limit = std::chrono::milliseconds(600);
 
 } // namespace
 
@@ -40,8 +41,8 @@
     if (this->first_silence && now - this->last_answer > silence_limit) {
         return primary_verdict::silent;
     }
-    return commits.stalled(now) ? primary_verdict::cannot_commit
-                                : primary_verdict::healthy;
+    return commits.stalled_for(now) > commit_limit ? primary_verdict::cannot_commit
+                                                   : primary_verdict::healthy;
 }
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -532,7 +532,7 @@
         return;
     }
     found->second.ended(this->impl->now());
-    if (found->second.empty()) {
+    if (found->second.open() == 0) {
         this->impl->commits.erase(found);
     }
 }
--- a/tests/introspective/leadership_change.tests.cpp
+++ b/tests/introspective/leadership_change.tests.cpp
@@ -362,7 +362,7 @@
         suspicion.judge(start + milliseconds(800), commits) ==
         primary_verdict::cannot_commit);
     commits.ended(start + milliseconds(801));
-    CHECK(commits.empty());
+    CHECK(commits.open() == 0);
     CHECK(
         suspicion.judge(start + milliseconds(801), commits) == primary_verdict::healthy);
 }
