Logs: why a configuration did not come, and from whom it came

Now each failed call says its reason, time and bytes, configuration_in_force says from whom, and configuration_asked_for says when another host is asked. No decision changes.

--- a/src/persimmonpoint/engine/peer_news.cpp
+++ b/src/persimmonpoint/engine/peer_news.cpp
@@ -1,4 +1,5 @@
 #include <persimmonpoint/engine/peer_news.hpp>
+#include <persimmonpoint/observe/event_log.hpp>
 #include <utility>
 
 namespace persimmonpoint::engine {
@@ -15,8 +16,16 @@
     if (this->observer.reaches_store()) {
         store = {this->pace.store_patience, this->pace.hosts_patience};
     }
-    return this->desk.ask(
-        this->observer.own_state().versions, theirs.versions, store, this->time.now());
+    news_versions const mine = this->observer.own_state().versions;
+    auto const wanted = this->desk.ask(mine, theirs.versions, store, this->time.now());
+    if (wanted && wanted->configuration < theirs.versions.configuration) {
+        observe::log_event(
+            observe::log_level::info, "configuration_asked_for",
+            {{"row", mine.configuration},
+             {"newer_row", theirs.versions.configuration},
+             {"reaches_store", this->observer.reaches_store()}});
+    }
+    return wanted;
 }
 
 std::vector<peer_message> peer_news::newer_than(news_versions const& theirs) const {
--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -60,15 +60,28 @@
             reached ? "store_reached" : "store_lost", {{"reason", reason}});
     }
 
+    /// A call that brings the configuration failed. Says how long it was waited for.
+    void note_failure(std::string_view event, error const& failure, instant began) {
+        observe::log_event(
+            observe::log_level::warning, event,
+            {{"reason", failure.message},
+             {"took_ms", to_seconds(this->time.now() - began) * 1000},
+             {"row", this->configuration_row}});
+    }
+
     // Configuration
 
     void read_configuration() {
         this->store.read_configuration(
-            [weak = this->weak_from_this()](result<stored_configuration> read) {
+            [weak = this->weak_from_this(),
+             began = this->time.now()](result<stored_configuration> read) {
                 auto const watch = weak.lock();
                 if (!watch || watch->stopped) {
                     return;
                 }
+                if (!read) {
+                    watch->note_failure("configuration_read_failed", read.error(), began);
+                }
                 if (!read || read.value().revision == 0) {
                     watch->note_store(
                         static_cast<bool>(read), read ? "" : read.error().message);
@@ -89,12 +102,15 @@
         auto const wait = this->leading ? leading_watch_wait : watch_wait;
         this->store.watch_configuration(
             this->configuration_row, wait,
-            [weak = this->weak_from_this()](result<watch_result> seen) {
+            [weak = this->weak_from_this(),
+             began = this->time.now()](result<watch_result> seen) {
                 auto const watch = weak.lock();
                 if (!watch || watch->stopped) {
                     return;
                 }
                 if (!seen) {
+                    watch->note_failure(
+                        "configuration_watch_failed", seen.error(), began);
                     watch->note_store(false, seen.error().message);
                     watch->after(
                         watch->configuration_timer, retry_interval,
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -292,7 +292,7 @@
 
     // Traffic thread: news
 
-    void use_configuration(std::uint64_t row, std::string body) {
+    void use_configuration(std::uint64_t row, std::string body, std::string_view from) {
         if (row <= this->view.configuration_row) {
             return;
         }
@@ -312,7 +312,9 @@
             std::make_shared<fleet_configuration>(std::move(decoded.value()));
         observe::log_event(
             observe::log_level::info, "configuration_in_force",
-            {{"configuration", this->view.configuration->version}, {"row", row}});
+            {{"configuration", this->view.configuration->version},
+             {"row", row},
+             {"from", from}});
         this->quotas.refresh();
         this->orders.refresh();
         this->mesh.tell_news();
@@ -352,7 +354,8 @@
     }
     void on_source_gone(order_source source) override { this->orders.forget(source); }
     void on_configuration(configuration_message message) override {
-        this->use_configuration(message.revision, std::move(message.body));
+        this->use_configuration(
+            message.revision, std::move(message.body), "another host");
     }
     void on_directory(directory_message message) override {
         if (this->view.directory.received(message.directory)) {
@@ -463,7 +466,7 @@
 
     void on_stored_configuration(stored_configuration read) override {
         asio::post(this->traffic_loop, [this, read = std::move(read)]() mutable {
-            this->use_configuration(read.revision, std::move(read.body));
+            this->use_configuration(read.revision, std::move(read.body), "store");
         });
     }
     void on_stored_databases(database_directory read) override {
--- a/src/persimmonpoint/platform/http_client.cpp
+++ b/src/persimmonpoint/platform/http_client.cpp
@@ -38,6 +38,7 @@
     }
 
     void connect() {
+        this->reply = {};
         boost::system::error_code failure;
         auto const ip = asio::ip::make_address(this->address, failure);
         if (failure) {
@@ -93,12 +94,14 @@
     }
 
     void finish_failed(beast::error_code failure, effect known) {
+        std::size_t const arrived = this->buffer.size() + this->reply.body().size();
         this->stream.reset();
         this->buffer.clear();
         this->complete(error{
             "58030",
             "platform at " + this->address + ":" + std::to_string(this->port) + ": " +
-                failure.message(),
+                failure.message() + " after " + std::to_string(arrived) +
+                " bytes of the answer",
             known});
     }
 
