A watch of the configuration whose connection fell silent is noticed

A watch waits 1.5 s or 12 s, but its call was given 16 s, and the connections to the store, unlike all others, had neither TCP_USER_TIMEOUT nor keep-alive. Other calls went on over new connections, so that the host said that it reached the store.

Change: a call's time limit counts from the end of the wait that it asked for, so that a reader notices after 2.5 s; connections to the store are probed while idle, so that all hosts notice within 3 s whatever their wait, without a call.

Evidence: the test failed before (no change in 10 s) and passes. The promotion calls use the same client and gain the same probing.

--- a/src/persimmonpoint/net/tcp_options.cpp
+++ b/src/persimmonpoint/net/tcp_options.cpp
@@ -7,6 +7,14 @@
 
 namespace persimmonpoint::net {
 
+namespace {
+
+constexpr int keep_alive_idle_s = 1;
+constexpr int keep_alive_interval_s = 1;
+constexpr int keep_alive_probes = 2;
+
+} // namespace
+
 void set_tcp_options(
     boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds unacknowledged) {
     boost::system::error_code ignored;
@@ -17,6 +25,20 @@
         socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
 }
 
+void set_keep_alive(boost::asio::ip::tcp::socket& socket) {
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    int const native = socket.native_handle();
+    // As above: without them the time-outs of the layers above remain.
+    ::setsockopt(
+        native, IPPROTO_TCP, TCP_KEEPIDLE, &keep_alive_idle_s, sizeof(keep_alive_idle_s));
+    ::setsockopt(
+        native, IPPROTO_TCP, TCP_KEEPINTVL, &keep_alive_interval_s,
+        sizeof(keep_alive_interval_s));
+    ::setsockopt(
+        native, IPPROTO_TCP, TCP_KEEPCNT, &keep_alive_probes, sizeof(keep_alive_probes));
+}
+
 std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(std::string_view text) {
     std::size_t const colon = text.rfind(':');
     if (colon == std::string_view::npos) {
--- a/src/persimmonpoint/net/tcp_options.hpp
+++ b/src/persimmonpoint/net/tcp_options.hpp
@@ -13,6 +13,10 @@
 void set_tcp_options(
     boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds unacknowledged);
 
+/// Probes a connection that is idle: it fails within about three seconds once the far end
+/// answers no more, also while nothing is sent.
+void set_keep_alive(boost::asio::ip::tcp::socket& socket);
+
 /// `IP:PORT`; nothing if it is anything else.
 std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(std::string_view text);
 
--- a/src/persimmonpoint/platform/http_client.cpp
+++ b/src/persimmonpoint/platform/http_client.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/http.hpp>
 #include <deque>
 #include <optional>
+#include <persimmonpoint/net/tcp_options.hpp>
 #include <persimmonpoint/platform/http_client.hpp>
 
 namespace persimmonpoint::platform {
@@ -16,6 +17,7 @@
     struct job {
         http::request<http::string_body> request;
         handler done;
+        std::chrono::milliseconds wait{0};
     };
 
     implementation(
@@ -54,7 +56,8 @@
                     self->finish_failed(failed, effect::not_run);
                     return;
                 }
-                self->stream->socket().set_option(tcp::no_delay(true));
+                net::set_tcp_options(self->stream->socket(), self->timeout);
+                net::set_keep_alive(self->stream->socket());
                 self->write();
             });
     }
@@ -74,6 +77,7 @@
 
     void read() {
         this->reply = {};
+        this->stream->expires_after(this->jobs.front().wait + this->timeout);
         http::async_read(
             *this->stream, this->buffer, this->reply,
             [self = this->shared_from_this()](beast::error_code failure, std::size_t) {
@@ -138,8 +142,10 @@
     std::string_view target,
     std::string body,
     handler handler,
-    std::span<http_header const> headers) {
+    std::span<http_header const> headers,
+    std::chrono::milliseconds wait) {
     implementation::job job;
+    job.wait = wait;
     job.request.method(http::string_to_verb(method));
     job.request.target(target);
     job.request.set(http::field::host, this->impl->address);
--- a/src/persimmonpoint/platform/http_client.hpp
+++ b/src/persimmonpoint/platform/http_client.hpp
@@ -35,13 +35,15 @@
         std::uint16_t port,
         std::chrono::milliseconds timeout);
     ~http_client();
-    /// `method`: GET, PUT, POST or DELETE.
+    /// `method`: GET, PUT, POST or DELETE. `wait`: how long the server was asked to hold
+    /// the answer back; the timeout counts from then on.
     void request(
         std::string_view method,
         std::string_view target,
         std::string body,
         handler handler,
-        std::span<http_header const> headers = {});
+        std::span<http_header const> headers = {},
+        std::chrono::milliseconds wait = std::chrono::milliseconds(0));
     /// Breaks the connection off; a request that is under way fails.
     void reset();
 
--- a/src/persimmonpoint/platform/store_client.cpp
+++ b/src/persimmonpoint/platform/store_client.cpp
@@ -14,8 +14,6 @@
 namespace {
 
 constexpr auto call_limit = std::chrono::milliseconds(1000);
-/// What a watch may take beyond the wait that it asks for.
-constexpr auto watch_limit = std::chrono::milliseconds(16000);
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_gone = 410;
@@ -113,9 +111,9 @@
         this->databases =
             std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
         this->configuration_watch =
-            std::make_unique<http_client>(loop, ip, endpoint->port(), watch_limit);
+            std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
         this->host_watch =
-            std::make_unique<http_client>(loop, ip, endpoint->port(), watch_limit);
+            std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
     }
 
     static void read(
@@ -141,7 +139,7 @@
         std::string const target = "/api/rows-feed?table=" + std::string(table) +
                                    "&after=" + std::to_string(version) +
                                    "&wait_ms=" + std::to_string(wait.count());
-        on.request("GET", target, {}, [done](result<http_reply> reply) {
+        auto const answered = [done](result<http_reply> reply) {
             if (!reply) {
                 done(reply.error());
                 return;
@@ -161,7 +159,8 @@
             out.changed = !page.value().rows.empty();
             out.version = page.value().version;
             done(out);
-        });
+        };
+        on.request("GET", target, {}, answered, {}, wait);
     }
 
     void transact(json::object body, std::function<void(result<bool>)> done) {
--- a/src/persimmonpoint/standin/row_store.cpp
+++ b/src/persimmonpoint/standin/row_store.cpp
@@ -289,6 +289,13 @@
     this->impl->fault = fault;
 }
 
+void row_store::silence_watches() {
+    for (watcher& each : this->impl->watchers) {
+        this->impl->unanswered.push_back(std::move(each.reply));
+    }
+    this->impl->watchers.clear();
+}
+
 std::uint64_t row_store::calls() const {
     return this->impl->call_count;
 }
--- a/src/persimmonpoint/standin/row_store.hpp
+++ b/src/persimmonpoint/standin/row_store.hpp
@@ -35,6 +35,8 @@
     void remove(std::string const& table, std::string const& key);
     /// Promotions are not touched by it.
     void set_fault(store_fault fault);
+    /// The watches that wait now get no answer, and their connections stay open.
+    void silence_watches();
     std::uint64_t calls() const;
     /// Rows that a table has.
     std::size_t rows_of(std::string const& table) const;
--- a/tests/usage/front_host.tests.cpp
+++ b/tests/usage/front_host.tests.cpp
@@ -405,3 +405,16 @@
         }
     });
 }
+
+TEST_CASE(
+    "A change is in force though the watch of the configuration fell silent",
+    "[front][configuration]") {
+    fleet_stage stage(1);
+    // The host waits for changes by now.
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    stage.with_standins([&] { stage.store->silence_watches(); });
+    stage.configure({"key-1"}, 10000, true);
+    CHECK(eventually([&] {
+        return line_caller(stage.caller_port(0)).start("added", "key-1").error.empty();
+    }));
+}
