A large configuration that is still arriving is not given up

Silence was measured in whole messages. A reading of the configuration had 1 s for all of it, which a link of 10 Mbit/s that is in use can't do for about 1 MB; each try began anew. The same cause stood in three other places: a link between hosts was given up while a large message arrived on it (client side 0.6 s, server side 1.5 s), and a second host was asked for the configuration after 0.4 s while the first one's copy was arriving.

Change: the time limit of an answer starts anew with each part of it (15 s for the whole); parts of a message count as a sign of life of a link; while a configuration arrives, from the store or from another host, no second host is asked. The configuration is read on the connection of its watch, so that a large one does not hold up leases.

Ruled out: slow decoding (the hosts of 0.12 cores that read it had it in force at once); the store's rate (no call was refused).

--- a/src/persimmonpoint/core/membership/news_desk.cpp
+++ b/src/persimmonpoint/core/membership/news_desk.cpp
@@ -6,6 +6,8 @@
 
 /// A host that has not answered in this time is no longer waited for.
 constexpr duration answer_limit = std::chrono::milliseconds(400);
+/// Only a configuration is so large.
+constexpr std::size_t large_message_bytes = 64 * 1024;
 
 } // namespace
 
@@ -49,4 +51,10 @@
     return wanted;
 }
 
+void news_desk::receiving(std::size_t bytes, instant now) {
+    if (this->asked && bytes >= large_message_bytes) {
+        this->asked = now;
+    }
+}
+
 } // namespace persimmonpoint
--- a/src/persimmonpoint/core/membership/news_desk.hpp
+++ b/src/persimmonpoint/core/membership/news_desk.hpp
@@ -1,6 +1,7 @@
 #ifndef PERSIMMONPOINT_CORE_MEMBERSHIP_NEWS_DESK_HPP_INCLUDED
 #define PERSIMMONPOINT_CORE_MEMBERSHIP_NEWS_DESK_HPP_INCLUDED
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <persimmonpoint/core/time.hpp>
@@ -36,6 +37,9 @@
         news_versions const& theirs,
         patience const& store,
         instant now);
+    /// A part of a message has arrived that is `bytes` long by now. While a large one
+    /// arrives no other host is asked.
+    void receiving(std::size_t bytes, instant now);
 
 private:
     /// Since when something newer is known to exist than a version of ours.
--- a/src/persimmonpoint/core/membership/peer_health.cpp
+++ b/src/persimmonpoint/core/membership/peer_health.cpp
@@ -25,6 +25,12 @@
     this->since = now;
 }
 
+void peer_health::receiving(instant now) {
+    if (this->current == state::connected) {
+        this->since = now;
+    }
+}
+
 void peer_health::lost(instant now) {
     this->current = state::lost;
     this->reconnecting = false;
--- a/src/persimmonpoint/core/membership/peer_health.hpp
+++ b/src/persimmonpoint/core/membership/peer_health.hpp
@@ -15,6 +15,8 @@
 public:
     void connecting(instant now);
     void heard(instant now);
+    /// A part of a message has arrived: a connected host is not silent.
+    void receiving(instant now);
     void lost(instant now);
     /// Nothing listens at its address: the process has stopped.
     void ended() { this->is_ended = true; }
--- a/src/persimmonpoint/engine/mesh_observer.hpp
+++ b/src/persimmonpoint/engine/mesh_observer.hpp
@@ -31,6 +31,8 @@
     /// What this host tells of itself.
     virtual alive_message own_state() = 0;
     virtual bool reaches_store() const = 0;
+    /// True while a configuration is on its way from the store.
+    virtual bool reads_configuration() const = 0;
     virtual configuration_message own_configuration() = 0;
     virtual directory_message own_directory() = 0;
     virtual void on_hosts(hosts_message message) = 0;
--- a/src/persimmonpoint/engine/peer_link.cpp
+++ b/src/persimmonpoint/engine/peer_link.cpp
@@ -50,6 +50,8 @@
         }
         if (this->decoder.broken()) {
             this->broken();
+        } else if (!this->closed && this->on_partial && this->decoder.pending() > 0) {
+            this->on_partial(this->decoder.pending());
         }
     }
 
@@ -81,6 +83,7 @@
             return;
         }
         this->on_closed = nullptr;
+        this->on_partial = nullptr;
         boost::system::error_code ignored;
         this->socket.close(ignored);
     }
@@ -88,6 +91,7 @@
     tcp::socket socket;
     message_handler on_message;
     closed_handler on_closed;
+    partial_handler on_partial;
     net::read_loop incoming;
     peer_decoder decoder;
     net::send_queue outgoing;
@@ -101,7 +105,9 @@
     this->impl->shut();
 }
 
-void peer_link::start(message_handler on_message, closed_handler on_closed) {
+void peer_link::start(
+    message_handler on_message, closed_handler on_closed, partial_handler on_partial) {
+    this->impl->on_partial = std::move(on_partial);
     this->impl->on_message = std::move(on_message);
     this->impl->on_closed = std::move(on_closed);
     this->impl->incoming.start(this->impl);
--- a/src/persimmonpoint/engine/peer_link.hpp
+++ b/src/persimmonpoint/engine/peer_link.hpp
@@ -13,12 +13,15 @@
 public:
     using message_handler = std::function<void(peer_message)>;
     using closed_handler = std::function<void()>;
+    /// Bytes have arrived of a message that is not whole yet: how many by now.
+    using partial_handler = std::function<void(std::size_t)>;
 
     explicit peer_link(boost::asio::ip::tcp::socket socket);
     ~peer_link();
 
     /// Starts to read. The closed handler is called once, not from `close`.
-    void start(message_handler on_message, closed_handler on_closed);
+    void start(
+        message_handler on_message, closed_handler on_closed, partial_handler on_partial);
     void send(peer_message const& message);
     void close();
 
--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -226,6 +226,13 @@
                     // Whether the process is gone shows at once.
                     this->dial(broken->second, this->time.now());
                 }
+            },
+            [this, name](std::size_t bytes) {
+                auto const from = this->peers.find(name);
+                if (from != this->peers.end()) {
+                    from->second.health.receiving(this->time.now());
+                    this->news.receiving(bytes);
+                }
             });
         peer.link->send(hello_message{peer_protocol_version, this->self.name});
         peer.last_alive = this->time.now();
--- a/src/persimmonpoint/engine/peer_messages.hpp
+++ b/src/persimmonpoint/engine/peer_messages.hpp
@@ -126,6 +126,8 @@
     void add(std::string_view bytes) { this->buffer.append(bytes); }
     /// The next whole message. Nothing if none is whole yet, or once `broken` is true.
     std::optional<peer_message> next();
+    /// Bytes of a message that is not whole yet.
+    std::size_t pending() const { return this->buffer.size(); }
     /// The bytes can't be read; the connection is to be closed.
     bool broken() const { return this->failed; }
 
--- a/src/persimmonpoint/engine/peer_news.cpp
+++ b/src/persimmonpoint/engine/peer_news.cpp
@@ -1,9 +1,17 @@
+#include <algorithm>
 #include <persimmonpoint/engine/peer_news.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
 #include <utility>
 
 namespace persimmonpoint::engine {
 
+namespace {
+
+/// Time for a configuration that is arriving from the store.
+constexpr duration reading_patience = std::chrono::seconds(2);
+
+} // namespace
+
 peer_news::peer_news(clock const& time, mesh_observer& observer)
     : time(time), observer(observer) {}
 
@@ -15,6 +23,9 @@
     news_desk::patience store;
     if (this->observer.reaches_store()) {
         store = {this->pace.store_patience, this->pace.hosts_patience};
+        if (this->observer.reads_configuration()) {
+            store.configuration = std::max(store.configuration, reading_patience);
+        }
     }
     news_versions const mine = this->observer.own_state().versions;
     auto const wanted = this->desk.ask(mine, theirs.versions, store, this->time.now());
@@ -28,6 +39,10 @@
     return wanted;
 }
 
+void peer_news::receiving(std::size_t bytes) {
+    this->desk.receiving(bytes, this->time.now());
+}
+
 std::vector<peer_message> peer_news::newer_than(news_versions const& theirs) const {
     news_versions const mine = this->observer.own_state().versions;
     std::vector<peer_message> newer;
--- a/src/persimmonpoint/engine/peer_news.hpp
+++ b/src/persimmonpoint/engine/peer_news.hpp
@@ -20,6 +20,8 @@
     void set_pace(fleet_pace const& pace);
     /// The versions to ask the other host to go beyond; empty if it need not be asked.
     std::optional<news_versions> to_ask(alive_message const& theirs);
+    /// A part of a message has arrived from another host.
+    void receiving(std::size_t bytes);
     /// What this host knows that is newer.
     std::vector<peer_message> newer_than(news_versions const& theirs) const;
     /// Passes news on to the observer. Other messages are left alone.
--- a/src/persimmonpoint/engine/peer_server.cpp
+++ b/src/persimmonpoint/engine/peer_server.cpp
@@ -69,7 +69,14 @@
             [this, source](peer_message message) {
                 this->take_incoming(source, std::move(message));
             },
-            [this, source] { this->incoming_gone(source); });
+            [this, source] { this->incoming_gone(source); },
+            [this, source](std::size_t bytes) {
+                auto const from = this->callers.find(source);
+                if (from != this->callers.end()) {
+                    from->second.heard = this->time.now();
+                    this->news.receiving(bytes);
+                }
+            });
     }
 
     void incoming_gone(order_source source) {
--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -72,6 +72,7 @@
     // Configuration
 
     void read_configuration() {
+        this->reading_configuration = true;
         this->store.read_configuration(
             [weak = this->weak_from_this(),
              began = this->time.now()](result<stored_configuration> read) {
@@ -79,6 +80,7 @@
                 if (!watch || watch->stopped) {
                     return;
                 }
+                watch->reading_configuration = false;
                 if (!read) {
                     watch->note_failure("configuration_read_failed", read.error(), began);
                 }
@@ -306,6 +308,7 @@
     std::size_t host_count = 0;
     std::atomic<bool> leading{true};
     std::atomic<bool> store_reached{true};
+    std::atomic<bool> reading_configuration{false};
     bool stopped = false;
 };
 
@@ -337,6 +340,10 @@
     this->impl->store.remove_host(name, [](result<void> const&) {});
 }
 
+bool store_watch::reads_configuration() const {
+    return this->impl->reading_configuration;
+}
+
 bool store_watch::reaches_store() const {
     return this->impl->store_reached;
 }
--- a/src/persimmonpoint/engine/store_watch.hpp
+++ b/src/persimmonpoint/engine/store_watch.hpp
@@ -45,6 +45,8 @@
     using token_handler = std::function<void(std::optional<std::uint64_t>)>;
     /// False while the last call to the store failed. Any thread.
     bool reaches_store() const;
+    /// True while a reading of the configuration is under way. Any thread.
+    bool reads_configuration() const;
     /// A fencing token for a group. `lives`: whether a host of that name may still be
     /// there, as far as this one can tell.
     void request_token(
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -406,6 +406,9 @@
             this->view.hosts_version};
     }
     bool reaches_store() const override { return this->watch.reaches_store(); }
+    bool reads_configuration() const override {
+        return this->watch.reads_configuration();
+    }
     alive_message own_state() override {
         return alive_message{this->leaving, this->own_versions()};
     }
--- a/src/persimmonpoint/platform/http_client.cpp
+++ b/src/persimmonpoint/platform/http_client.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -13,6 +14,14 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+namespace {
+
+constexpr std::size_t most_answer_bytes = 16 * 1024 * 1024;
+/// An answer that arrives in drops is given up after it.
+constexpr auto longest_transfer = std::chrono::seconds(15);
+
+} // namespace
+
 struct http_client::implementation : std::enable_shared_from_this<implementation> {
     struct job {
         http::request<http::string_body> request;
@@ -32,6 +41,7 @@
             return;
         }
         this->busy = true;
+        this->arrived = 0;
         if (this->stream) {
             this->write();
         } else {
@@ -40,7 +50,6 @@
     }
 
     void connect() {
-        this->reply = {};
         boost::system::error_code failure;
         auto const ip = asio::ip::make_address(this->address, failure);
         if (failure) {
@@ -76,35 +85,51 @@
     }
 
     void read() {
-        this->reply = {};
-        this->stream->expires_after(this->jobs.front().wait + this->timeout);
-        http::async_read(
-            *this->stream, this->buffer, this->reply,
-            [self = this->shared_from_this()](beast::error_code failure, std::size_t) {
+        this->parser.emplace();
+        this->parser->eager(true);
+        this->parser->body_limit(most_answer_bytes);
+        std::chrono::milliseconds const wait = this->jobs.front().wait;
+        this->answer_deadline =
+            std::chrono::steady_clock::now() + wait + longest_transfer;
+        this->read_some(wait + this->timeout);
+    }
+
+    /// `limit`: for the next bytes to arrive. An answer that keeps arriving is not
+    /// silent, however long the whole of it takes.
+    void read_some(std::chrono::milliseconds limit) {
+        auto const next = std::chrono::steady_clock::now() + limit;
+        this->stream->expires_at(std::min(next, this->answer_deadline));
+        http::async_read_some(
+            *this->stream, this->buffer, *this->parser,
+            [self =
+                 this->shared_from_this()](beast::error_code failure, std::size_t size) {
+                self->arrived += size;
                 if (failure) {
                     self->finish_failed(failure, effect::unknown);
-                    return;
+                } else if (self->parser->is_done()) {
+                    self->finish();
+                } else {
+                    self->read_some(self->timeout);
                 }
-                self->finish();
             });
     }
 
     void finish() {
-        if (!this->reply.keep_alive()) {
+        http::response<http::string_body> reply = this->parser->release();
+        if (!reply.keep_alive()) {
             this->stream.reset();
         }
-        http_reply out{this->reply.result_int(), std::move(this->reply.body())};
+        http_reply out{reply.result_int(), std::move(reply.body())};
         this->complete(std::move(out));
     }
 
     void finish_failed(beast::error_code failure, effect known) {
-        std::size_t const arrived = this->buffer.size() + this->reply.body().size();
         this->stream.reset();
         this->buffer.clear();
         this->complete(error{
             "58030",
             "platform at " + this->address + ":" + std::to_string(this->port) + ": " +
-                failure.message() + " after " + std::to_string(arrived) +
+                failure.message() + " after " + std::to_string(this->arrived) +
                 " bytes of the answer",
             known});
     }
@@ -123,7 +148,9 @@
     std::chrono::milliseconds timeout;
     std::optional<beast::tcp_stream> stream;
     beast::flat_buffer buffer;
-    http::response<http::string_body> reply;
+    std::optional<http::response_parser<http::string_body>> parser;
+    std::chrono::steady_clock::time_point answer_deadline;
+    std::size_t arrived = 0; ///< Bytes of the present answer.
     std::deque<job> jobs;
     bool busy = false;
 };
--- a/src/persimmonpoint/platform/http_client.hpp
+++ b/src/persimmonpoint/platform/http_client.hpp
@@ -24,7 +24,8 @@
 };
 
 /// Sends requests to one server, one after the other, over a connection kept open.
-/// An error says not run only if the request was never written.
+/// An error says not run only if the request was never written. The timeout is for
+/// silence: it starts anew with each part of the answer.
 class http_client {
 public:
     using handler = std::function<void(result<http_reply>)>;
--- a/src/persimmonpoint/platform/store_client.cpp
+++ b/src/persimmonpoint/platform/store_client.cpp
@@ -110,7 +110,7 @@
             std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
         this->databases =
             std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
-        this->configuration_watch =
+        this->configuration =
             std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
         this->host_watch =
             std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
@@ -186,7 +186,8 @@
 
     std::unique_ptr<http_client> calls;
     std::unique_ptr<http_client> databases;
-    std::unique_ptr<http_client> configuration_watch;
+    /// Read and watched in turn: a large one holds up no other call.
+    std::unique_ptr<http_client> configuration;
     std::unique_ptr<http_client> host_watch;
 };
 
@@ -217,26 +218,27 @@
 store_client::~store_client() = default;
 
 void store_client::read_configuration(handler<stored_configuration> done) {
-    implementation::read(*this->impl->calls, "op", "", [done](result<row_page> page) {
-        if (!page) {
-            done(page.error());
-            return;
-        }
-        stored_configuration out;
-        for (stored_row& each : page.value().rows) {
-            if (each.key == configuration_key) {
-                out.revision = each.version;
-                out.body = std::move(each.value);
+    implementation::read(
+        *this->impl->configuration, "op", "", [done](result<row_page> page) {
+            if (!page) {
+                done(page.error());
+                return;
             }
-        }
-        done(std::move(out));
-    });
+            stored_configuration out;
+            for (stored_row& each : page.value().rows) {
+                if (each.key == configuration_key) {
+                    out.revision = each.version;
+                    out.body = std::move(each.value);
+                }
+            }
+            done(std::move(out));
+        });
 }
 
 void store_client::watch_configuration(
     std::uint64_t version, std::chrono::milliseconds wait, handler<watch_result> done) {
     implementation::watch(
-        *this->impl->configuration_watch, "op", version, wait, std::move(done));
+        *this->impl->configuration, "op", version, wait, std::move(done));
 }
 
 void store_client::read_databases(handler<database_directory> done) {
--- a/tests/introspective/membership.tests.cpp
+++ b/tests/introspective/membership.tests.cpp
@@ -214,3 +214,31 @@
     news_desk cut_off;
     CHECK(cut_off.ask(mine, {6, 5, 5}, {}, start));
 }
+
+TEST_CASE("A link that carries a large message is not taken for silent", "[peers]") {
+    fleet_pace const pace = pace_for(79);
+    peer_health health;
+    health.connecting(start);
+    health.heard(start);
+    health.asked(start);
+    health.receiving(start + milliseconds(500));
+    CHECK_FALSE(health.overdue(pace, start + milliseconds(900)));
+    CHECK(health.overdue(pace, start + milliseconds(1200)));
+    health.lost(start + milliseconds(1200));
+    health.receiving(start + milliseconds(1300));
+    CHECK_FALSE(health.usable());
+}
+
+TEST_CASE("News that are still arriving are not asked of a second host", "[peers]") {
+    news_desk desk;
+    news_versions const mine{7, 1, 1};
+    news_versions const theirs{8, 1, 1};
+    news_desk::patience const none;
+    CHECK(desk.ask(mine, theirs, none, start));
+    desk.receiving(100000, start + milliseconds(300));
+    desk.receiving(200000, start + milliseconds(600));
+    CHECK_FALSE(desk.ask(mine, theirs, none, start + milliseconds(900)));
+    CHECK(desk.ask(mine, theirs, none, start + milliseconds(1100)));
+    desk.receiving(100, start + milliseconds(1400));
+    CHECK(desk.ask(mine, theirs, none, start + milliseconds(1600)));
+}
