The store may come back from an older copy: its versions are ordered by era

The store's counter alone was taken for 'newer', in the host, in watches and in news between hosts. After a restore it gives out numbers again.

Change, for the class: a version of the store has its era first (Store-Era of each answer), for databases, hosts and watches; a watch that is answered in another era reads again, and a new era seen in any answer breaks off all watches. The configuration is ordered by the operator's own version, which no restore changes; so a copy's older one is not taken, from the store or from another host. The same cause elsewhere: a fencing token that the copy lacks would have been given out again, so the tokens of an era begin above all before, in a row of their own, and a lease counts only if it was written in the era that it was read in; a live host that the copy lacks is kept until it has registered itself again; a database that was leaving is not ready again by the copy. Messages between hosts change (protocol 3).

--- a/src/persimmonpoint/core/catalog/database_directory.hpp
+++ b/src/persimmonpoint/core/catalog/database_directory.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <persimmonpoint/core/catalog/store_version.hpp>
 #include <persimmonpoint/core/time.hpp>
 #include <string>
 #include <vector>
@@ -27,7 +28,7 @@
 
 /// All registered databases as of one version of the store, by id.
 struct database_directory {
-    std::uint64_t version = 0;
+    store_version version;
     std::map<std::string, registered_database, std::less<>> databases;
 };
 
--- a/src/persimmonpoint/core/membership/directory_tracker.cpp
+++ b/src/persimmonpoint/core/membership/directory_tracker.cpp
@@ -15,6 +15,9 @@
     }
     database_directory next;
     next.databases = stored.databases;
+    if (stored.version.era > this->directory.version.era) {
+        this->keep_leaving(next);
+    }
     for (auto const& [id, entry] : this->directory.databases) {
         if (stored.databases.count(id) > 0) {
             this->missing_since.erase(id);
@@ -27,7 +30,8 @@
             next.databases.emplace(id, entry);
         }
     }
-    if (next.databases == this->directory.databases && this->directory.version > 0) {
+    if (next.databases == this->directory.databases &&
+        this->directory.version.is_known()) {
         return false;
     }
     next.version = stored.version;
@@ -35,6 +39,16 @@
     return true;
 }
 
+void directory_tracker::keep_leaving(database_directory& next) const {
+    for (auto& [id, entry] : next.databases) {
+        auto const before = this->directory.databases.find(id);
+        bool const left = before != this->directory.databases.end() &&
+                          before->second.leaving &&
+                          before->second.started_ms == entry.started_ms;
+        entry.leaving = entry.leaving || left;
+    }
+}
+
 bool directory_tracker::received(database_directory const& other) {
     if (other.version <= this->directory.version) {
         return false;
--- a/src/persimmonpoint/core/membership/directory_tracker.hpp
+++ b/src/persimmonpoint/core/membership/directory_tracker.hpp
@@ -21,6 +21,10 @@
     database_directory const& current() const { return this->directory; }
 
 private:
+    /// An older copy of the store may have a database as ready that has begun to leave;
+    /// it doesn't come back before it has started anew.
+    void keep_leaving(database_directory& next) const;
+
     database_directory directory;
     std::map<std::string, instant, std::less<>> missing_since;
 };
--- a/src/persimmonpoint/core/membership/news_desk.cpp
+++ b/src/persimmonpoint/core/membership/news_desk.cpp
@@ -11,17 +11,18 @@
 
 } // namespace
 
-std::uint64_t news_desk::version_to_ask(
-    lag& behind,
-    std::uint64_t mine,
-    std::uint64_t theirs,
+template <class Version>
+Version news_desk::version_to_ask(
+    lag<Version>& behind,
+    Version const& mine,
+    Version const& theirs,
     duration patience,
     instant now) {
     if (theirs <= mine) {
         return mine;
     }
     if (!behind.since || behind.version != mine) {
-        behind = lag{now, mine};
+        behind = lag<Version>{now, mine};
     }
     // While the store may still bring it, as if it were here.
     return now - *behind.since < patience ? theirs : mine;
--- a/src/persimmonpoint/core/membership/news_desk.hpp
+++ b/src/persimmonpoint/core/membership/news_desk.hpp
@@ -4,15 +4,16 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <persimmonpoint/core/catalog/store_version.hpp>
 #include <persimmonpoint/core/time.hpp>
 
 namespace persimmonpoint {
 
-/// How new what a host knows is, by the store's versions.
+/// How new what a host knows is.
 struct news_versions {
-    std::uint64_t configuration = 0;
-    std::uint64_t databases = 0;
-    std::uint64_t hosts = 0;
+    std::uint64_t configuration = 0; ///< The operator's own version.
+    store_version databases;
+    store_version hosts;
 
     friend bool operator==(news_versions const&, news_versions const&) = default;
 };
@@ -43,21 +44,23 @@
 
 private:
     /// Since when something newer is known to exist than a version of ours.
+    template <class Version>
     struct lag {
         std::optional<instant> since;
-        std::uint64_t version = 0;
+        Version version{};
     };
-    static std::uint64_t version_to_ask(
-        lag& behind,
-        std::uint64_t mine,
-        std::uint64_t theirs,
+    template <class Version>
+    static Version version_to_ask(
+        lag<Version>& behind,
+        Version const& mine,
+        Version const& theirs,
         duration patience,
         instant now);
 
     std::optional<instant> asked; ///< Until something has come, or too much time passed.
     news_versions asked_with;
-    lag configuration;
-    lag hosts;
+    lag<std::uint64_t> configuration;
+    lag<store_version> hosts;
 };
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/engine/fleet_view.hpp
+++ b/src/persimmonpoint/engine/fleet_view.hpp
@@ -21,11 +21,11 @@
 
     std::shared_ptr<fleet_configuration const> configuration =
         std::make_shared<fleet_configuration>();
-    std::uint64_t configuration_row = 0; ///< 0 until one has been read.
-    std::string configuration_body;      ///< As it lies in the store, for other hosts.
+    /// As it lies in the store, for other hosts; empty until one has been read.
+    std::string configuration_body;
     directory_tracker directory;
     host_directory hosts;
-    std::uint64_t hosts_version = 0; ///< 0 until they have been read.
+    store_version hosts_version; ///< Not known until they have been read.
 
     /// What is known of a group; made when it is asked for first.
     group_routing& group(std::string_view name) {
@@ -57,12 +57,14 @@
         }
     }
     bool is_ready() const {
-        return this->configuration_row > 0 && this->directory.current().version > 0;
+        return !this->configuration_body.empty() &&
+               this->directory.current().version.is_known();
     }
     /// Number of hosts that share quotas; a guess on the safe side until it is known.
     std::size_t host_count() const {
-        return this->hosts_version > 0 ? std::max<std::size_t>(this->hosts.size(), 1)
-                                       : assumed_hosts;
+        return this->hosts_version.is_known()
+                   ? std::max<std::size_t>(this->hosts.size(), 1)
+                   : assumed_hosts;
     }
 
 private:
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -275,7 +275,7 @@
             {{"group", name},
              {"database", group.primary},
              {"reason", to_string(reason)},
-             {"directory", this->context.view.directory.current().version}});
+             {"directory", this->context.view.directory.current().version.number}});
         this->step(name, group);
     }
 
--- a/src/persimmonpoint/engine/peer_messages.cpp
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -53,6 +53,11 @@
     archive(value.name, value.address, value.availability_zone);
 }
 
+template <class Archive>
+void serialize(Archive& archive, store_version& value) {
+    archive(value.era, value.number);
+}
+
 template <class Archive>
 void serialize(Archive& archive, news_versions& value) {
     archive(value.configuration, value.databases, value.hosts);
@@ -117,7 +122,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, configuration_message& value) {
-    archive(value.revision, value.body);
+    archive(value.body);
 }
 
 template <class Archive>
--- a/src/persimmonpoint/engine/peer_messages.hpp
+++ b/src/persimmonpoint/engine/peer_messages.hpp
@@ -15,7 +15,7 @@
 namespace persimmonpoint::engine {
 
 /// Raised when a message changes; hosts of other versions are not spoken to.
-inline constexpr std::uint32_t peer_protocol_version = 2;
+inline constexpr std::uint32_t peer_protocol_version = 3;
 
 /// The first message on a connection.
 struct hello_message {
@@ -46,7 +46,6 @@
 
 /// The operator's configuration as it lies in the store.
 struct configuration_message {
-    std::uint64_t revision = 0;
     std::string body;
 };
 
@@ -55,7 +54,7 @@
 };
 
 struct hosts_message {
-    std::uint64_t version = 0;
+    store_version version;
     host_directory hosts;
 };
 
--- a/src/persimmonpoint/engine/peer_news.cpp
+++ b/src/persimmonpoint/engine/peer_news.cpp
@@ -32,8 +32,8 @@
     if (wanted && wanted->configuration < theirs.versions.configuration) {
         observe::log_event(
             observe::log_level::info, "configuration_asked_for",
-            {{"row", mine.configuration},
-             {"newer_row", theirs.versions.configuration},
+            {{"configuration", mine.configuration},
+             {"newer", theirs.versions.configuration},
              {"reaches_store", this->observer.reaches_store()}});
     }
     return wanted;
--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -66,7 +66,20 @@
             observe::log_level::warning, event,
             {{"reason", failure.message},
              {"took_ms", to_seconds(this->time.now() - began) * 1000},
-             {"row", this->configuration_row}});
+             {"row", this->configuration_row.number}});
+    }
+
+    /// Each answer tells the store's era. In a new one nothing that is watched for goes
+    /// on from before, and what this host wrote may be gone: all is read again.
+    void note_era(std::uint64_t seen) {
+        std::uint64_t const before = std::exchange(this->era, std::max(this->era, seen));
+        if (before == this->era || before == 0) {
+            return;
+        }
+        observe::log_event(
+            observe::log_level::warning, "store_restored",
+            {{"era", this->era}, {"era_before", before}});
+        this->store.break_off_watches();
     }
 
     // Configuration
@@ -84,7 +97,7 @@
                 if (!read) {
                     watch->note_failure("configuration_read_failed", read.error(), began);
                 }
-                if (!read || read.value().revision == 0) {
+                if (!read || !read.value().row.is_known()) {
                     watch->note_store(
                         static_cast<bool>(read), read ? "" : read.error().message);
                     watch->after(
@@ -93,8 +106,8 @@
                     return;
                 }
                 watch->note_store(true, "configuration read");
-                watch->configuration_row =
-                    std::max(watch->configuration_row, read.value().revision);
+                watch->configuration_row = read.value().row;
+                watch->note_era(read.value().row.era);
                 watch->observer.on_stored_configuration(std::move(read.value()));
                 watch->watch_configuration();
             });
@@ -123,8 +136,7 @@
                     watch->read_configuration();
                     return;
                 }
-                watch->configuration_row =
-                    std::max(watch->configuration_row, seen.value().version);
+                watch->configuration_row = seen.value().version;
                 watch->watch_configuration();
             });
     }
@@ -140,6 +152,7 @@
             }
             if (read) {
                 watch->note_store(true, "databases read");
+                watch->note_era(read.value().version.era);
                 watch->observer.on_stored_databases(std::move(read.value()));
             } else {
                 watch->note_store(false, read.error().message);
@@ -186,6 +199,7 @@
                     return;
                 }
                 watch->hosts_version = read.value().version;
+                watch->note_era(read.value().version.era);
                 watch->host_count = read.value().hosts.size();
                 bool const registered = std::any_of(
                     read.value().hosts.begin(), read.value().hosts.end(),
@@ -303,8 +317,9 @@
     boost::asio::steady_timer hosts_timer;
     boost::asio::steady_timer register_timer;
     std::map<std::string, std::uint64_t> tokens;
-    std::uint64_t configuration_row = 0;
-    std::uint64_t hosts_version = 0;
+    std::uint64_t era = 0; ///< The newest that the store named.
+    store_version configuration_row;
+    store_version hosts_version;
     std::size_t host_count = 0;
     std::atomic<bool> leading{true};
     std::atomic<bool> store_reached{true};
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <persimmonpoint/core/membership/fleet_pace.hpp>
+#include <persimmonpoint/core/membership/host_merge.hpp>
 #include <persimmonpoint/core/membership/leader_news.hpp>
 #include <persimmonpoint/core/recovery/graceful_shutdown.hpp>
 #include <persimmonpoint/core/routing/owner_ranking.hpp>
@@ -169,7 +170,7 @@
     void use_settings(settings::front_settings const& values) {
         asio::post(this->traffic_loop, [this, values] {
             this->course.set_grace(values.grace);
-            if (this->view.hosts_version == 0) {
+            if (!this->view.hosts_version.is_known()) {
                 this->mesh.set_seeds(values.seeds);
             }
         });
@@ -181,7 +182,7 @@
         if (this->listener || !this->view.is_ready()) {
             return;
         }
-        if (this->view.hosts_version == 0 && !this->waited_for_hosts) {
+        if (!this->view.hosts_version.is_known() && !this->waited_for_hosts) {
             this->wait_for_hosts();
             return;
         }
@@ -292,29 +293,35 @@
 
     // Traffic thread: news
 
-    void use_configuration(std::uint64_t row, std::string body, std::string_view from) {
-        if (row <= this->view.configuration_row) {
+    /// Configurations are ordered by the operator's own version, which the store keeps as
+    /// it is. Its rows are numbered anew after it came back from an older copy.
+    void use_configuration(std::string body, std::string_view from) {
+        if (body == this->view.configuration_body) {
             return;
         }
         auto decoded = platform::decode_configuration(body);
         if (!decoded) {
             observe::log_event(
                 observe::log_level::error, "configuration_unreadable",
-                {{"row", row}, {"reason", decoded.error().message}});
+                {{"from", from}, {"reason", decoded.error().message}});
             return;
         }
-        if (decoded.value().version < this->view.configuration->version) {
+        std::uint64_t const version = decoded.value().version;
+        bool const first = this->view.configuration_body.empty();
+        if (!first && version <= this->view.configuration->version) {
+            observe::log_event(
+                observe::log_level::info, "configuration_not_newer",
+                {{"configuration", this->view.configuration->version},
+                 {"offered", version},
+                 {"from", from}});
             return;
         }
-        this->view.configuration_row = row;
         this->view.configuration_body = std::move(body);
         this->view.configuration =
             std::make_shared<fleet_configuration>(std::move(decoded.value()));
         observe::log_event(
             observe::log_level::info, "configuration_in_force",
-            {{"configuration", this->view.configuration->version},
-             {"row", row},
-             {"from", from}});
+            {{"configuration", this->view.configuration->version}, {"from", from}});
         this->quotas.refresh();
         this->orders.refresh();
         this->mesh.tell_news();
@@ -325,17 +332,22 @@
         this->view.share_out_databases();
         observe::log_event(
             observe::log_level::info, "databases_changed",
-            {{"directory", this->view.directory.current().version},
+            {{"directory", this->view.directory.current().version.number},
              {"databases", this->view.directory.current().databases.size()}});
         this->orders.refresh();
         this->mesh.tell_news();
         this->open_for_callers();
     }
 
-    void use_hosts(std::uint64_t version, host_directory hosts) {
+    void use_hosts(store_version const& version, host_directory hosts) {
         if (version <= this->view.hosts_version) {
             return;
         }
+        if (version.era > this->view.hosts_version.era) {
+            hosts = merge_live_hosts(
+                std::move(hosts), this->view.hosts,
+                [this](std::string const& name) { return this->mesh.is_usable(name); });
+        }
         this->view.hosts_version = version;
         this->view.hosts = std::move(hosts);
         observe::log_event(
@@ -354,8 +366,7 @@
     }
     void on_source_gone(order_source source) override { this->orders.forget(source); }
     void on_configuration(configuration_message message) override {
-        this->use_configuration(
-            message.revision, std::move(message.body), "another host");
+        this->use_configuration(std::move(message.body), "another host");
     }
     void on_directory(directory_message message) override {
         if (this->view.directory.received(message.directory)) {
@@ -402,7 +413,7 @@
     }
     news_versions own_versions() const {
         return news_versions{
-            this->view.configuration_row, this->view.directory.current().version,
+            this->view.configuration->version, this->view.directory.current().version,
             this->view.hosts_version};
     }
     bool reaches_store() const override { return this->watch.reaches_store(); }
@@ -413,8 +424,7 @@
         return alive_message{this->leaving, this->own_versions()};
     }
     configuration_message own_configuration() override {
-        return configuration_message{
-            this->view.configuration_row, this->view.configuration_body};
+        return configuration_message{this->view.configuration_body};
     }
     directory_message own_directory() override {
         return directory_message{this->view.directory.current()};
@@ -469,7 +479,7 @@
 
     void on_stored_configuration(stored_configuration read) override {
         asio::post(this->traffic_loop, [this, read = std::move(read)]() mutable {
-            this->use_configuration(read.revision, std::move(read.body), "store");
+            this->use_configuration(std::move(read.body), "store");
         });
     }
     void on_stored_databases(database_directory read) override {
@@ -507,7 +517,7 @@
     host_gauges gauges() const {
         host_gauges now;
         now.configuration = this->view.configuration->version;
-        now.directory = this->view.directory.current().version;
+        now.directory = this->view.directory.current().version.number;
         now.sessions = this->sessions.size();
         now.peers_connected = this->mesh.connected_hosts().size();
         now.database_connections = this->orders.connections();
--- a/src/persimmonpoint/interfaces/fleet_store.hpp
+++ b/src/persimmonpoint/interfaces/fleet_store.hpp
@@ -16,7 +16,7 @@
 
 /// The operator's configuration as it lies in the store.
 struct stored_configuration {
-    std::uint64_t revision = 0; ///< 0 if there is none yet.
+    store_version row; ///< Not known if there is none yet.
     std::string body;
 };
 
@@ -24,11 +24,11 @@
 struct watch_result {
     bool changed = false;
     bool history_lost = false; ///< Everything is to be read again.
-    std::uint64_t version = 0; ///< Watch on from here.
+    store_version version;     ///< Watch on from here.
 };
 
 struct stored_hosts {
-    std::uint64_t version = 0; ///< Watch on from here.
+    store_version version; ///< Watch on from here.
     host_directory hosts;
 };
 
@@ -37,8 +37,9 @@
     std::string holder;
     std::uint64_t token = 0;
     std::uint64_t taken_at_ms = 0; ///< By the store's steady clock.
-    std::uint64_t revision = 0;    ///< 0: nobody has held it yet.
+    std::uint64_t revision = 0;    ///< 0: nobody has held it in the store's era.
     std::uint64_t store_now_ms = 0;
+    std::uint64_t era = 0; ///< The store's, when the lease was read.
 };
 
 /// The platform's store as the fleet uses it. Handlers run on the caller's event loop; an
@@ -52,19 +53,22 @@
     virtual void read_configuration(handler<stored_configuration> done) = 0;
     /// Ends when the configuration has changed after `version`, or after `wait`.
     virtual void watch_configuration(
-        std::uint64_t version,
+        store_version const& version,
         std::chrono::milliseconds wait,
         handler<watch_result> done) = 0;
     virtual void read_databases(handler<database_directory> done) = 0;
     virtual void read_hosts(handler<stored_hosts> done) = 0;
     virtual void watch_hosts(
-        std::uint64_t version,
+        store_version const& version,
         std::chrono::milliseconds wait,
         handler<watch_result> done) = 0;
     virtual void register_host(registered_host const& host, handler<void> done) = 0;
     virtual void remove_host(std::string_view name, handler<void> done) = 0;
     virtual void read_lease(std::string_view group, handler<leadership_lease> done) = 0;
-    /// Writes the lease if its row still has `lease.revision`. False if it has not.
+    /// Ends the watches that are under way with an error.
+    virtual void break_off_watches() = 0;
+    /// Writes the lease if its row still has `lease.revision`, in the store's era that it
+    /// was read in. False if it has not.
     virtual void take_lease(
         std::string_view group, leadership_lease const& lease, handler<bool> done) = 0;
 };
--- a/src/persimmonpoint/net/http_responder.cpp
+++ b/src/persimmonpoint/net/http_responder.cpp
@@ -60,6 +60,9 @@
         this->response.keep_alive(request.keep_alive());
         this->response.result(made.status);
         this->response.set(http::field::content_type, made.content_type);
+        for (auto const& [name, value] : made.headers) {
+            this->response.set(name, value);
+        }
         this->response.body() = std::move(made.body);
         this->response.prepare_payload();
         this->stream.expires_after(idle_limit);
--- a/src/persimmonpoint/net/http_responder.hpp
+++ b/src/persimmonpoint/net/http_responder.hpp
@@ -8,6 +8,8 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace persimmonpoint::net {
 
@@ -15,6 +17,7 @@
     unsigned status = 200;
     std::string content_type = "text/plain";
     std::string body;
+    std::vector<std::pair<std::string, std::string>> headers = {}; ///< Name and value.
 };
 
 struct http_question {
--- a/src/persimmonpoint/platform/http_client.cpp
+++ b/src/persimmonpoint/platform/http_client.cpp
@@ -119,7 +119,11 @@
         if (!reply.keep_alive()) {
             this->stream.reset();
         }
-        http_reply out{reply.result_int(), std::move(reply.body())};
+        http_reply out{reply.result_int(), std::move(reply.body()), {}};
+        for (auto const& each : reply) {
+            out.headers.push_back(
+                {std::string(each.name_string()), std::string(each.value())});
+        }
         this->complete(std::move(out));
     }
 
@@ -155,6 +159,15 @@
     bool busy = false;
 };
 
+std::string_view http_reply::header(std::string_view name) const {
+    for (http_header const& each : this->headers) {
+        if (beast::iequals(each.name, name)) {
+            return each.value;
+        }
+    }
+    return {};
+}
+
 http_client::http_client(
     asio::io_context& loop,
     std::string address,
--- a/src/persimmonpoint/platform/http_client.hpp
+++ b/src/persimmonpoint/platform/http_client.hpp
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace persimmonpoint::platform {
 
@@ -21,6 +22,10 @@
 struct http_reply {
     unsigned status = 0;
     std::string body;
+    std::vector<http_header> headers;
+
+    /// Empty if it is absent.
+    std::string_view header(std::string_view name) const;
 };
 
 /// Sends requests to one server, one after the other, over a connection kept open.
--- a/src/persimmonpoint/platform/store_client.cpp
+++ b/src/persimmonpoint/platform/store_client.cpp
@@ -1,4 +1,5 @@
 #include <boost/json.hpp>
+#include <charconv>
 #include <persimmonpoint/net/tcp_options.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
 #include <persimmonpoint/platform/fleet_decoder.hpp>
@@ -23,6 +24,7 @@
 constexpr std::string_view hosts_table = "hosts";
 constexpr std::string_view leases_table = "leases";
 constexpr std::string_view lease_key = "leadership";
+constexpr std::string_view era_header = "Store-Era";
 
 struct stored_row {
     std::string key;
@@ -33,7 +35,7 @@
 
 struct row_page {
     std::vector<stored_row> rows;
-    std::uint64_t version = 0; ///< The store's newest.
+    store_version version; ///< The store's newest.
     std::uint64_t now_ms = 0;
 };
 
@@ -61,6 +63,25 @@
     return row;
 }
 
+/// 0 of a store that names none.
+std::uint64_t era_of(http_reply const& reply) {
+    std::string_view const text = reply.header(era_header);
+    std::uint64_t era = 0;
+    std::from_chars(text.data(), text.data() + text.size(), era);
+    return era;
+}
+
+/// A row of its own for each era: a call that was made in an earlier one can't match the
+/// version of a row of the present one by chance.
+std::string lease_key_of(std::uint64_t era) {
+    return std::string(lease_key) + "-" + std::to_string(era);
+}
+
+struct transaction_outcome {
+    bool committed = false; ///< False if an expected row has another version.
+    std::uint64_t era = 0;  ///< The store's, when it answered.
+};
+
 error refused(std::string_view call, unsigned status) {
     return error{
         "58030", std::string(call) + " answered status " + std::to_string(status),
@@ -79,7 +100,7 @@
     }
     json::object const& object = parsed.as_object();
     row_page page;
-    page.version = number_in(object, "row_version");
+    page.version = store_version{era_of(reply), number_in(object, "row_version")};
     page.now_ms = number_in(object, "now_ms");
     json::value const* const rows = object.if_contains("rows");
     if (rows != nullptr && rows->is_array()) {
@@ -133,18 +154,20 @@
     static void watch(
         http_client& on,
         std::string_view table,
-        std::uint64_t version,
+        store_version const& version,
         std::chrono::milliseconds wait,
         handler<watch_result> done) {
         std::string const target = "/api/rows-feed?table=" + std::string(table) +
-                                   "&after=" + std::to_string(version) +
+                                   "&after=" + std::to_string(version.number) +
                                    "&wait_ms=" + std::to_string(wait.count());
-        auto const answered = [done](result<http_reply> reply) {
+        auto const answered = [done, era = version.era](result<http_reply> reply) {
             if (!reply) {
                 done(reply.error());
                 return;
             }
-            if (reply.value().status == status_gone) {
+            bool const restored =
+                reply.value().status == status_ok && era_of(reply.value()) != era;
+            if (reply.value().status == status_gone || restored) {
                 watch_result out;
                 out.history_lost = true;
                 done(out);
@@ -163,7 +186,8 @@
         on.request("GET", target, {}, answered, {}, wait);
     }
 
-    void transact(json::object body, std::function<void(result<bool>)> done) {
+    void transact(
+        json::object const& body, std::function<void(result<transaction_outcome>)> done) {
         this->calls->request(
             "POST", "/api/rows-tx", json::serialize(body),
             [done](result<http_reply> reply) {
@@ -171,16 +195,12 @@
                     done(reply.error());
                     return;
                 }
-                switch (reply.value().status) {
-                case status_ok:
-                    done(true);
+                unsigned const status = reply.value().status;
+                if (status != status_ok && status != status_precondition_failed) {
+                    done(refused("rows-tx", status));
                     return;
-                case status_precondition_failed:
-                    done(false);
-                    return;
-                default:
-                    done(refused("rows-tx", reply.value().status));
                 }
+                done(transaction_outcome{status == status_ok, era_of(reply.value())});
             });
     }
 
@@ -227,7 +247,7 @@
             stored_configuration out;
             for (stored_row& each : page.value().rows) {
                 if (each.key == configuration_key) {
-                    out.revision = each.version;
+                    out.row = store_version{page.value().version.era, each.version};
                     out.body = std::move(each.value);
                 }
             }
@@ -236,7 +256,9 @@
 }
 
 void store_client::watch_configuration(
-    std::uint64_t version, std::chrono::milliseconds wait, handler<watch_result> done) {
+    store_version const& version,
+    std::chrono::milliseconds wait,
+    handler<watch_result> done) {
     implementation::watch(
         *this->impl->configuration, "op", version, wait, std::move(done));
 }
@@ -283,7 +305,9 @@
 }
 
 void store_client::watch_hosts(
-    std::uint64_t version, std::chrono::milliseconds wait, handler<watch_result> done) {
+    store_version const& version,
+    std::chrono::milliseconds wait,
+    handler<watch_result> done) {
     implementation::watch(
         *this->impl->host_watch, hosts_table, version, wait, std::move(done));
 }
@@ -291,19 +315,20 @@
 void store_client::register_host(registered_host const& host, handler<void> done) {
     json::object row = row_name(hosts_table, "", host.name);
     row["value"] = encode_base64(encode_host(host));
-    this->impl->transact(transaction({}, {row}, {}), [done](result<bool> outcome) {
-        if (!outcome) {
-            done(outcome.error());
-            return;
-        }
-        done(boost::outcome_v2::success());
-    });
+    this->impl->transact(
+        transaction({}, {row}, {}), [done](result<transaction_outcome> outcome) {
+            if (!outcome) {
+                done(outcome.error());
+                return;
+            }
+            done(boost::outcome_v2::success());
+        });
 }
 
 void store_client::remove_host(std::string_view name, handler<void> done) {
     this->impl->transact(
         transaction({}, {}, {row_name(hosts_table, "", name)}),
-        [done](result<bool> outcome) {
+        [done](result<transaction_outcome> outcome) {
             if (!outcome) {
                 done(outcome.error());
                 return;
@@ -312,6 +337,11 @@
         });
 }
 
+void store_client::break_off_watches() {
+    this->impl->configuration->reset();
+    this->impl->host_watch->reset();
+}
+
 void store_client::read_lease(std::string_view group, handler<leadership_lease> done) {
     implementation::read(
         *this->impl->calls, leases_table, group, [done](result<row_page> page) {
@@ -320,17 +350,23 @@
                 return;
             }
             leadership_lease out;
+            std::uint64_t const era = page.value().version.era;
+            std::uint64_t revision = 0;
             for (stored_row const& each : page.value().rows) {
                 result<leadership_lease> const read = decode_lease(each.value);
-                if (each.key == lease_key && !read) {
+                if (!read) {
                     done(read.error());
                     return;
                 }
-                if (each.key == lease_key) {
+                if (read.value().token > out.token) {
                     out = read.value();
-                    out.revision = each.version;
+                }
+                if (each.key == lease_key_of(era)) {
+                    revision = each.version;
                 }
             }
+            out.revision = revision;
+            out.era = era;
             out.store_now_ms = page.value().now_ms;
             done(std::move(out));
         });
@@ -338,11 +374,19 @@
 
 void store_client::take_lease(
     std::string_view group, leadership_lease const& lease, handler<bool> done) {
-    json::object expected = row_name(leases_table, group, lease_key);
+    json::object expected = row_name(leases_table, group, lease_key_of(lease.era));
     expected["row_version"] = lease.revision;
-    json::object row = row_name(leases_table, group, lease_key);
+    json::object row = row_name(leases_table, group, lease_key_of(lease.era));
     row["value"] = encode_base64(encode_lease(lease));
-    this->impl->transact(transaction({expected}, {row}, {}), std::move(done));
+    this->impl->transact(
+        transaction({expected}, {row}, {}),
+        [done, era = lease.era](result<transaction_outcome> outcome) {
+            if (!outcome) {
+                done(outcome.error());
+                return;
+            }
+            done(outcome.value().committed && outcome.value().era == era);
+        });
 }
 
 } // namespace persimmonpoint::platform
--- a/src/persimmonpoint/platform/store_client.hpp
+++ b/src/persimmonpoint/platform/store_client.hpp
@@ -17,17 +17,18 @@
 
     void read_configuration(handler<stored_configuration> done) override;
     void watch_configuration(
-        std::uint64_t version,
+        store_version const& version,
         std::chrono::milliseconds wait,
         handler<watch_result> done) override;
     void read_databases(handler<database_directory> done) override;
     void read_hosts(handler<stored_hosts> done) override;
     void watch_hosts(
-        std::uint64_t version,
+        store_version const& version,
         std::chrono::milliseconds wait,
         handler<watch_result> done) override;
     void register_host(registered_host const& host, handler<void> done) override;
     void remove_host(std::string_view name, handler<void> done) override;
+    void break_off_watches() override;
     void read_lease(std::string_view group, handler<leadership_lease> done) override;
     void take_lease(
         std::string_view group,
--- a/src/persimmonpoint/standin/row_store.cpp
+++ b/src/persimmonpoint/standin/row_store.cpp
@@ -18,6 +18,7 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_conflict = 409;
+constexpr unsigned status_gone = 410;
 constexpr unsigned status_precondition_failed = 412;
 constexpr unsigned status_unavailable = 503;
 
@@ -84,8 +85,13 @@
             });
     }
 
-    void take(net::http_question const& question, net::http_responder::reply reply) {
+    void take(net::http_question const& question, net::http_responder::reply answered) {
         ++this->call_count;
+        net::http_responder::reply reply =
+            [this, answered = std::move(answered)](net::http_response response) {
+                response.headers.emplace_back("Store-Era", std::to_string(this->era));
+                answered(std::move(response));
+            };
         bool const promotes = question.target == "/promote";
         store_fault const present = promotes ? store_fault::none : this->fault.load();
         if (present == store_fault::silent) {
@@ -169,6 +175,10 @@
         watcher waiting;
         waiting.table = parameter(target, "table");
         waiting.after = number(parameter(target, "after"));
+        if (waiting.after > this->version) {
+            reply({status_gone, "application/json", "{}"});
+            return;
+        }
         waiting.until = std::chrono::steady_clock::now() +
                         std::chrono::milliseconds(number(parameter(target, "wait_ms")));
         waiting.reply = std::move(reply);
@@ -252,6 +262,9 @@
     std::list<net::http_responder::reply> unanswered;
     std::map<std::string, std::uint64_t> tokens;
     std::uint64_t version = 0;
+    std::uint64_t era = 1;
+    std::map<row_key, row> copied_rows;
+    std::uint64_t copied_version = 0;
     std::atomic<std::uint64_t> call_count{0};
     std::atomic<store_fault> fault{store_fault::none};
 };
@@ -296,6 +309,18 @@
     this->impl->watchers.clear();
 }
 
+void row_store::keep_copy() {
+    this->impl->copied_rows = this->impl->rows;
+    this->impl->copied_version = this->impl->version;
+}
+
+void row_store::restore() {
+    this->silence_watches();
+    this->impl->rows = this->impl->copied_rows;
+    this->impl->version = this->impl->copied_version;
+    ++this->impl->era;
+}
+
 std::uint64_t row_store::calls() const {
     return this->impl->call_count;
 }
--- a/src/persimmonpoint/standin/row_store.hpp
+++ b/src/persimmonpoint/standin/row_store.hpp
@@ -37,6 +37,10 @@
     void set_fault(store_fault fault);
     /// The watches that wait now get no answer, and their connections stay open.
     void silence_watches();
+    /// Keeps a copy of all rows, for `restore`.
+    void keep_copy();
+    /// Comes back from the copy: its rows and version, and the next era.
+    void restore();
     std::uint64_t calls() const;
     /// Rows that a table has.
     std::size_t rows_of(std::string const& table) const;
--- a/tests/introspective/leadership_change.tests.cpp
+++ b/tests/introspective/leadership_change.tests.cpp
@@ -384,3 +384,15 @@
     CHECK(may_acquire_lease(lease, "me", true));
     CHECK(next_lease(lease, "me").token == 8);
 }
+
+TEST_CASE(
+    "A token that an older copy of the store lacks is not given out again", "[lease]") {
+    leadership_lease read{"other", 7, 10000, 0, 20000, 1};
+    std::uint64_t const before = next_lease(read, "me").token;
+    // The copy has the row of before; more tokens were given out since.
+    read.era = 2;
+    std::uint64_t const after = next_lease(read, "me").token;
+    CHECK(after > before + 100000);
+    read.token = after;
+    CHECK(next_lease(read, "you").token == after + 1);
+}
--- a/tests/introspective/membership.tests.cpp
+++ b/tests/introspective/membership.tests.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <persimmonpoint/core/membership/directory_tracker.hpp>
+#include <persimmonpoint/core/membership/host_merge.hpp>
 #include <persimmonpoint/core/membership/leader_news.hpp>
 #include <persimmonpoint/core/membership/news_desk.hpp>
 #include <persimmonpoint/core/membership/peer_health.hpp>
@@ -16,7 +17,7 @@
 
 database_directory directory(std::uint64_t version, std::vector<std::string> const& ids) {
     database_directory out;
-    out.version = version;
+    out.version = {1, version};
     for (std::string const& each : ids) {
         out.databases[each].id = each;
     }
@@ -189,30 +190,32 @@
 
 TEST_CASE("News are asked from one host at a time", "[peers]") {
     news_desk desk;
-    news_versions const mine{5, 5, 5};
-    news_versions const theirs{6, 5, 5};
+    news_versions const mine{5, {1, 5}, {1, 5}};
+    news_versions const theirs{6, {1, 5}, {1, 5}};
     CHECK(desk.ask(mine, theirs, {}, start) == mine);
     CHECK_FALSE(desk.ask(mine, theirs, {}, start + milliseconds(10)));
     CHECK_FALSE(desk.ask(mine, mine, {}, start + milliseconds(20)));
     CHECK(desk.ask(mine, theirs, {}, start + milliseconds(401)) == mine);
     // Something came: the next may be asked at once.
-    CHECK(desk.ask(theirs, {7, 5, 5}, {}, start + milliseconds(410)) == theirs);
+    CHECK(desk.ask(theirs, {7, {1, 5}, {1, 5}}, {}, start + milliseconds(410)) == theirs);
 }
 
 TEST_CASE(
     "The store is given time to bring a configuration, but not databases", "[peers]") {
     news_desk desk;
-    news_versions const mine{5, 5, 5};
+    news_versions const mine{5, {1, 5}, {1, 5}};
     news_desk::patience const patience{milliseconds(700), milliseconds(0)};
-    CHECK_FALSE(desk.ask(mine, {6, 5, 5}, patience, start));
-    auto const wanted = desk.ask(mine, {6, 6, 5}, patience, start + milliseconds(10));
+    CHECK_FALSE(desk.ask(mine, {6, {1, 5}, {1, 5}}, patience, start));
+    auto const wanted =
+        desk.ask(mine, {6, {1, 6}, {1, 5}}, patience, start + milliseconds(10));
     REQUIRE(wanted);
     CHECK(wanted->configuration == 6);
-    CHECK(wanted->databases == 5);
-    CHECK(desk.ask({5, 6, 5}, {6, 6, 5}, patience, start + milliseconds(701)));
+    CHECK(wanted->databases == store_version{1, 5});
+    CHECK(desk.ask(
+        {5, {1, 6}, {1, 5}}, {6, {1, 6}, {1, 5}}, patience, start + milliseconds(701)));
     // Out of its reach, a host does not wait for it.
     news_desk cut_off;
-    CHECK(cut_off.ask(mine, {6, 5, 5}, {}, start));
+    CHECK(cut_off.ask(mine, {6, {1, 5}, {1, 5}}, {}, start));
 }
 
 TEST_CASE("A link that carries a large message is not taken for silent", "[peers]") {
@@ -231,8 +234,8 @@
 
 TEST_CASE("News that are still arriving are not asked of a second host", "[peers]") {
     news_desk desk;
-    news_versions const mine{7, 1, 1};
-    news_versions const theirs{8, 1, 1};
+    news_versions const mine{7, {1, 1}, {1, 1}};
+    news_versions const theirs{8, {1, 1}, {1, 1}};
     news_desk::patience const none;
     CHECK(desk.ask(mine, theirs, none, start));
     desk.receiving(100000, start + milliseconds(300));
@@ -242,3 +245,53 @@
     desk.receiving(100, start + milliseconds(1400));
     CHECK(desk.ask(mine, theirs, none, start + milliseconds(1600)));
 }
+
+TEST_CASE("Versions of an era of the store are newer than all before it", "[peers]") {
+    CHECK(store_version{2, 3} > store_version{1, 900});
+    news_desk desk;
+    news_versions const mine{5, {2, 3}, {2, 3}};
+    CHECK_FALSE(desk.ask(mine, {5, {1, 900}, {1, 900}}, {}, start));
+    CHECK(desk.ask({5, {1, 900}, {1, 900}}, mine, {}, start));
+}
+
+TEST_CASE(
+    "A directory of the store's new era is taken, an old one is not", "[directory]") {
+    directory_tracker tracker;
+    tracker.read(directory(900, {"a", "b"}), start);
+    database_directory restored = directory(3, {"a", "c"});
+    restored.version = {2, 3};
+    CHECK(tracker.read(restored, start + seconds(1)));
+    CHECK(tracker.current().databases.count("c") == 1);
+    CHECK(tracker.current().databases.count("b") == 1);
+    CHECK_FALSE(tracker.read(directory(901, {"a"}), start + seconds(9)));
+    CHECK_FALSE(tracker.received(directory(901, {"a"})));
+}
+
+TEST_CASE("A leaving database is not ready again by an older copy", "[directory]") {
+    directory_tracker tracker;
+    database_directory before = directory(9, {"a"});
+    before.databases["a"].leaving = true;
+    before.databases["a"].started_ms = 100;
+    tracker.read(before, start);
+    database_directory restored = directory(3, {"a"});
+    restored.version = {2, 3};
+    restored.databases["a"].started_ms = 100;
+    tracker.read(restored, start + seconds(1));
+    CHECK(tracker.current().databases.at("a").leaving);
+    restored.version = {2, 4};
+    restored.databases["a"].started_ms = 200;
+    tracker.read(restored, start + seconds(2));
+    CHECK_FALSE(tracker.current().databases.at("a").leaving);
+}
+
+TEST_CASE("Live hosts that an older copy lacks are kept, others are not", "[peers]") {
+    host_directory const known = {{"a", "1", "z"}, {"b", "2", "z"}, {"c", "3", "z"}};
+    auto const merged = merge_live_hosts(
+        {{"a", "1", "z"}, {"d", "4", "z"}}, known,
+        [](std::string const& name) { return name != "c"; });
+    std::set<std::string> names;
+    for (registered_host const& each : merged) {
+        names.insert(each.name);
+    }
+    CHECK(names == std::set<std::string>{"a", "b", "d"});
+}
--- a/tests/support/fleet_stage.cpp
+++ b/tests/support/fleet_stage.cpp
@@ -97,7 +97,13 @@
         limit + R"(,"burst":)" + std::to_string(burst.value_or(rate)) +
         R"(},{"name":"audit","api_keys":["key-audit"],)" +
         R"("rate_per_s":10000,"burst":10000}]})";
-    this->with_standins([&] { this->store->put("op", "config", body); });
+    this->newest_configuration = body;
+    this->configure_again();
+}
+
+void fleet_stage::configure_again() {
+    this->with_standins(
+        [&] { this->store->put("op", "config", this->newest_configuration); });
 }
 
 void fleet_stage::register_databases(std::vector<std::string> const& leaving) {
--- a/tests/support/fleet_stage.hpp
+++ b/tests/support/fleet_stage.hpp
@@ -40,6 +40,8 @@
         double rate = 10000,
         bool extra_route = false,
         std::optional<double> burst = std::nullopt);
+    /// Writes the newest configuration again, as the operator does after a restore.
+    void configure_again();
     /// Writes the databases' entries as they are now.
     void register_databases(std::vector<std::string> const& leaving = {});
 
@@ -62,6 +64,7 @@
     std::vector<std::unique_ptr<host_run>> hosts;
     std::vector<std::string> peer_addresses;
     std::uint64_t version = 0;
+    std::string newest_configuration;
 };
 
 /// Waits until the condition holds; false after ten seconds.
--- a/tests/usage/front_host.tests.cpp
+++ b/tests/usage/front_host.tests.cpp
@@ -418,3 +418,35 @@
         return line_caller(stage.caller_port(0)).start("added", "key-1").error.empty();
     }));
 }
+
+TEST_CASE(
+    "A change is in force after the store came back from an older copy",
+    "[front][configuration]") {
+    fleet_stage stage;
+    auto const accepts = [&stage](std::size_t host, std::string const& database) {
+        return line_caller(stage.caller_port(host))
+            .start(database, "key-1")
+            .error.empty();
+    };
+    stage.with_standins([&] { stage.store->keep_copy(); });
+    // The versions of the new era stay below these.
+    for (int i = 0; i < 20; ++i) {
+        stage.configure({"key-1"});
+    }
+    stage.configure({"key-1", "key-2"});
+    CHECK(eventually([&] {
+        return line_caller(stage.caller_port(1)).start("alerts", "key-2").error.empty();
+    }));
+    stage.with_standins([&] { stage.store->restore(); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    for (std::size_t host : {0U, 1U}) {
+        // What the copy says is older.
+        CHECK(
+            line_caller(stage.caller_port(host)).start("alerts", "key-2").error.empty());
+    }
+    stage.configure_again();
+    stage.configure({"key-1"}, 10000, true);
+    for (std::size_t host : {0U, 1U}) {
+        CHECK(eventually([&] { return accepts(host, "added"); }));
+    }
+}
