What a restore of the store lacks is kept until it stands there again

What callers would have seen: of two hosts that started after the copy was made, the one that registers itself last was dropped by the others for a moment, with the orders under way to it (in doubt or refused); a database that was leaving got new work again once the copy's entries had changed twice.

What the copy lacks was added to the first list of the new era only, and every later list of that era replaced it, though hosts and databases write themselves again one by one. Of what another host had read nothing was kept at all. The first number of an era was also taken for 'no era yet' when it is 0.

Change: host_tracker (core) keeps live hosts that are not listed until they are, and directory_tracker knows which databases were leaving before the restore, by their start, for its own readings and for those of other hosts. host_merge goes. The era that was seen first is optional, not 0.

--- a/src/persimmonpoint/core/membership/directory_tracker.cpp
+++ b/src/persimmonpoint/core/membership/directory_tracker.cpp
@@ -13,11 +13,10 @@
     if (stored.version < this->directory.version) {
         return false;
     }
+    this->note_era(stored.version.era);
     database_directory next;
     next.databases = stored.databases;
-    if (stored.version.era > this->directory.version.era) {
-        this->keep_leaving(next);
-    }
+    this->keep_leaving(next);
     for (auto const& [id, entry] : this->directory.databases) {
         if (stored.databases.count(id) > 0) {
             this->missing_since.erase(id);
@@ -39,13 +38,23 @@
     return true;
 }
 
+void directory_tracker::note_era(std::uint64_t era) {
+    if (era <= this->directory.version.era) {
+        return;
+    }
+    for (auto const& [id, entry] : this->directory.databases) {
+        if (entry.leaving) {
+            this->left_before_restore[id] = entry.started_ms;
+        }
+    }
+}
+
 void directory_tracker::keep_leaving(database_directory& next) const {
     for (auto& [id, entry] : next.databases) {
-        auto const before = this->directory.databases.find(id);
-        bool const left = before != this->directory.databases.end() &&
-                          before->second.leaving &&
-                          before->second.started_ms == entry.started_ms;
-        entry.leaving = entry.leaving || left;
+        auto const left = this->left_before_restore.find(id);
+        if (left != this->left_before_restore.end() && left->second == entry.started_ms) {
+            entry.leaving = true;
+        }
     }
 }
 
@@ -53,7 +62,9 @@
     if (other.version <= this->directory.version) {
         return false;
     }
+    this->note_era(other.version.era);
     this->directory = other;
+    this->keep_leaving(this->directory);
     this->missing_since.clear();
     return true;
 }
--- a/src/persimmonpoint/core/membership/directory_tracker.hpp
+++ b/src/persimmonpoint/core/membership/directory_tracker.hpp
@@ -1,6 +1,7 @@
 #ifndef PERSIMMONPOINT_CORE_MEMBERSHIP_DIRECTORY_TRACKER_HPP_INCLUDED
 #define PERSIMMONPOINT_CORE_MEMBERSHIP_DIRECTORY_TRACKER_HPP_INCLUDED
 
+#include <cstdint>
 #include <map>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
 #include <persimmonpoint/core/time.hpp>
@@ -21,11 +22,14 @@
     database_directory const& current() const { return this->directory; }
 
 private:
-    /// An older copy of the store may have a database as ready that has begun to leave;
-    /// it doesn't come back before it has started anew.
+    /// In a new era of the store its older copy may have a database as ready that has
+    /// begun to leave; it doesn't come back before it has started anew.
+    void note_era(std::uint64_t era);
     void keep_leaving(database_directory& next) const;
 
     database_directory directory;
+    /// By id, the start (started_ms) of each database that was leaving.
+    std::map<std::string, std::uint64_t, std::less<>> left_before_restore;
     std::map<std::string, instant, std::less<>> missing_since;
 };
 
--- a/src/persimmonpoint/engine/fleet_view.hpp
+++ b/src/persimmonpoint/engine/fleet_view.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <persimmonpoint/core/catalog/fleet_configuration.hpp>
 #include <persimmonpoint/core/membership/directory_tracker.hpp>
+#include <persimmonpoint/core/membership/host_tracker.hpp>
 #include <persimmonpoint/core/routing/group_routing.hpp>
 #include <string>
 
@@ -24,8 +25,7 @@
     /// As it lies in the store, for other hosts; empty until one has been read.
     std::string configuration_body;
     directory_tracker directory;
-    host_directory hosts;
-    store_version hosts_version; ///< Not known until they have been read.
+    host_tracker hosts;
 
     /// What is known of a group; made when it is asked for first.
     group_routing& group(std::string_view name) {
@@ -62,8 +62,8 @@
     }
     /// Number of hosts that share quotas; a guess on the safe side until it is known.
     std::size_t host_count() const {
-        return this->hosts_version.is_known()
-                   ? std::max<std::size_t>(this->hosts.size(), 1)
+        return this->hosts.version().is_known()
+                   ? std::max<std::size_t>(this->hosts.current().size(), 1)
                    : assumed_hosts;
     }
 
--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -72,13 +72,14 @@
     /// Each answer tells the store's era. In a new one nothing that is watched for goes
     /// on from before, and what this host wrote may be gone: all is read again.
     void note_era(std::uint64_t seen) {
-        std::uint64_t const before = std::exchange(this->era, std::max(this->era, seen));
-        if (before == this->era || before == 0) {
+        std::uint64_t const before = this->era.value_or(seen);
+        this->era = std::max(before, seen);
+        if (seen <= before) {
             return;
         }
         observe::log_event(
             observe::log_level::warning, "store_restored",
-            {{"era", this->era}, {"era_before", before}});
+            {{"era", seen}, {"era_before", before}});
         this->store.break_off_watches();
     }
 
@@ -317,7 +318,7 @@
     boost::asio::steady_timer hosts_timer;
     boost::asio::steady_timer register_timer;
     std::map<std::string, std::uint64_t> tokens;
-    std::uint64_t era = 0; ///< The newest that the store named.
+    std::optional<std::uint64_t> era; ///< The newest that the store named.
     store_version configuration_row;
     store_version hosts_version;
     std::size_t host_count = 0;
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <persimmonpoint/core/membership/fleet_pace.hpp>
-#include <persimmonpoint/core/membership/host_merge.hpp>
 #include <persimmonpoint/core/membership/leader_news.hpp>
 #include <persimmonpoint/core/recovery/graceful_shutdown.hpp>
 #include <persimmonpoint/core/routing/owner_ranking.hpp>
@@ -170,7 +169,7 @@
     void use_settings(settings::front_settings const& values) {
         asio::post(this->traffic_loop, [this, values] {
             this->course.set_grace(values.grace);
-            if (!this->view.hosts_version.is_known()) {
+            if (!this->view.hosts.version().is_known()) {
                 this->mesh.set_seeds(values.seeds);
             }
         });
@@ -182,7 +181,7 @@
         if (this->listener || !this->view.is_ready()) {
             return;
         }
-        if (!this->view.hosts_version.is_known() && !this->waited_for_hosts) {
+        if (!this->view.hosts.version().is_known() && !this->waited_for_hosts) {
             this->wait_for_hosts();
             return;
         }
@@ -200,7 +199,7 @@
             observe::log_level::info, "ready",
             {{"configuration", this->view.configuration->version},
              {"databases", this->view.directory.current().databases.size()},
-             {"hosts", this->view.hosts.size()}});
+             {"hosts", this->view.hosts.current().size()}});
     }
 
     /// Hosts that are gone for good must not be counted, nor waited for.
@@ -216,7 +215,7 @@
             // A host that has lost many others is more likely to be cut off itself.
             bool const cut_off =
                 static_cast<double>(lost.size()) >=
-                pace.most_lost * static_cast<double>(this->view.hosts.size());
+                pace.most_lost * static_cast<double>(this->view.hosts.current().size());
             if (ranked.front() == this->settings.name && !cut_off && !this->leaving) {
                 for (std::string const& each : lost) {
                     asio::post(this->control_loop, [this, each] {
@@ -340,20 +339,16 @@
     }
 
     void use_hosts(store_version const& version, host_directory hosts) {
-        if (version <= this->view.hosts_version) {
+        auto const is_alive = [this](std::string const& name) {
+            return this->mesh.is_usable(name);
+        };
+        if (!this->view.hosts.take(version, std::move(hosts), is_alive)) {
             return;
         }
-        if (version.era > this->view.hosts_version.era) {
-            hosts = merge_live_hosts(
-                std::move(hosts), this->view.hosts,
-                [this](std::string const& name) { return this->mesh.is_usable(name); });
-        }
-        this->view.hosts_version = version;
-        this->view.hosts = std::move(hosts);
         observe::log_event(
             observe::log_level::info, "hosts_changed",
-            {{"hosts", this->view.hosts.size()}});
-        this->mesh.set_hosts(this->view.hosts);
+            {{"hosts", this->view.hosts.current().size()}});
+        this->mesh.set_hosts(this->view.hosts.current());
         this->quotas.refresh();
         this->open_for_callers();
     }
@@ -414,7 +409,7 @@
     news_versions own_versions() const {
         return news_versions{
             this->view.configuration->version, this->view.directory.current().version,
-            this->view.hosts_version};
+            this->view.hosts.version()};
     }
     bool reaches_store() const override { return this->watch.reaches_store(); }
     bool reads_configuration() const override {
@@ -434,7 +429,7 @@
         this->use_hosts(message.version, std::move(message.hosts));
     }
     hosts_message own_hosts() override {
-        return hosts_message{this->view.hosts_version, this->view.hosts};
+        return hosts_message{this->view.hosts.version(), this->view.hosts.current()};
     }
 
     // leadership_authority, called on the traffic thread
@@ -444,7 +439,7 @@
         token_freshness need,
         std::function<void(std::optional<std::uint64_t>)> done) override {
         std::set<std::string> alive;
-        for (registered_host const& each : this->view.hosts) {
+        for (registered_host const& each : this->view.hosts.current()) {
             if (!this->mesh.has_ended(each.name)) {
                 alive.insert(each.name);
             }
--- a/tests/introspective/membership.tests.cpp
+++ b/tests/introspective/membership.tests.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <persimmonpoint/core/membership/directory_tracker.hpp>
-#include <persimmonpoint/core/membership/host_merge.hpp>
+#include <persimmonpoint/core/membership/host_tracker.hpp>
 #include <persimmonpoint/core/membership/leader_news.hpp>
 #include <persimmonpoint/core/membership/news_desk.hpp>
 #include <persimmonpoint/core/membership/peer_health.hpp>
@@ -24,6 +24,14 @@
     return out;
 }
 
+std::set<std::string> names_of(host_tracker const& tracker) {
+    std::set<std::string> names;
+    for (registered_host const& each : tracker.current()) {
+        names.insert(each.name);
+    }
+    return names;
+}
+
 } // namespace
 
 TEST_CASE("An entry that vanishes for a moment is kept", "[directory]") {
@@ -278,20 +286,50 @@
     restored.databases["a"].started_ms = 100;
     tracker.read(restored, start + seconds(1));
     CHECK(tracker.current().databases.at("a").leaving);
-    restored.version = {2, 4};
+    for (std::string const added : {"b", "c"}) {
+        ++restored.version.number;
+        restored.databases[added];
+        tracker.read(restored, start + seconds(1));
+        CHECK(tracker.current().databases.at("a").leaving);
+    }
+    ++restored.version.number;
     restored.databases["a"].started_ms = 200;
     tracker.read(restored, start + seconds(2));
     CHECK_FALSE(tracker.current().databases.at("a").leaving);
 }
 
+TEST_CASE(
+    "A leaving database is not ready again by what another host read from a copy",
+    "[directory]") {
+    directory_tracker tracker;
+    database_directory before = directory(9, {"a"});
+    before.databases["a"].leaving = true;
+    tracker.read(before, start);
+    database_directory restored = directory(3, {"a"});
+    restored.version = {2, 3};
+    CHECK(tracker.received(restored));
+    CHECK(tracker.current().databases.at("a").leaving);
+}
+
 TEST_CASE("Live hosts that an older copy lacks are kept, others are not", "[peers]") {
-    host_directory const known = {{"a", "1", "z"}, {"b", "2", "z"}, {"c", "3", "z"}};
-    auto const merged = merge_live_hosts(
-        {{"a", "1", "z"}, {"d", "4", "z"}}, known,
-        [](std::string const& name) { return name != "c"; });
-    std::set<std::string> names;
-    for (registered_host const& each : merged) {
-        names.insert(each.name);
-    }
-    CHECK(names == std::set<std::string>{"a", "b", "d"});
+    host_tracker tracker;
+    auto const all_but_c = [](std::string const& name) { return name != "c"; };
+    tracker.take({1, 9}, {{"a", "1", "z"}, {"b", "2", "z"}, {"c", "3", "z"}}, all_but_c);
+    CHECK(tracker.take({2, 3}, {{"a", "1", "z"}, {"d", "4", "z"}}, all_but_c));
+    CHECK(names_of(tracker) == std::set<std::string>{"a", "b", "d"});
+    CHECK_FALSE(tracker.take({1, 10}, {{"a", "1", "z"}}, all_but_c));
+}
+
+TEST_CASE(
+    "A live host is kept while others register themselves again after a restore",
+    "[peers]") {
+    host_tracker tracker;
+    auto const all = [](std::string const&) { return true; };
+    tracker.take({1, 9}, {{"a", "1", "z"}, {"b", "2", "z"}}, all);
+    tracker.take({2, 3}, {}, all);
+    tracker.take({2, 4}, {{"a", "1", "z"}}, all);
+    CHECK(names_of(tracker) == std::set<std::string>{"a", "b"});
+    tracker.take({2, 5}, {{"a", "1", "z"}, {"b", "2", "z"}}, all);
+    tracker.take({2, 6}, {{"a", "1", "z"}}, all);
+    CHECK(names_of(tracker) == std::set<std::string>{"a"});
 }
