A configuration that a watch has brought is not read a second time

Cause: the same bytes were fetched several times over the link that was the bottleneck. The answer of a watch holds the changed rows, so the whole configuration; it was thrown away and the row read again.

Change: the configuration is taken from the watch's answer. It counts as arriving from its first bytes on, and as long as it arrives no host is asked for it (decided in core); the client ends an answer that stalls, and then the store counts as lost, as before.

Ruled out: a slow store (no call refused), slow decoding (in force at once when it is there), a feed that lacks the value (then it is read, as before).

Evidence: the usage test failed before (3 readings instead of 1).

--- a/src/persimmonpoint/core/membership/news_desk.cpp
+++ b/src/persimmonpoint/core/membership/news_desk.cpp
@@ -8,6 +8,9 @@
 constexpr duration answer_limit = std::chrono::milliseconds(400);
 /// Only a configuration is so large.
 constexpr std::size_t large_message_bytes = 64 * 1024;
+/// The reader gives up an answer that stalls; a second copy would slow the first one
+/// down.
+constexpr duration receiving_patience = std::chrono::seconds(15);
 
 } // namespace
 
@@ -28,6 +31,16 @@
     return now - *behind.since < patience ? theirs : mine;
 }
 
+news_desk::patience news_desk::patience_with_store(
+    fleet_pace const& pace, bool reaches_store, bool receives_configuration) {
+    if (!reaches_store) {
+        return {};
+    }
+    return {
+        receives_configuration ? receiving_patience : pace.store_patience,
+        pace.hosts_patience};
+}
+
 std::optional<news_versions> news_desk::ask(
     news_versions const& mine,
     news_versions const& theirs,
--- a/src/persimmonpoint/core/membership/news_desk.hpp
+++ b/src/persimmonpoint/core/membership/news_desk.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <persimmonpoint/core/catalog/store_version.hpp>
+#include <persimmonpoint/core/membership/fleet_pace.hpp>
 #include <persimmonpoint/core/time.hpp>
 
 namespace persimmonpoint {
@@ -31,6 +32,11 @@
         duration hosts{0};
     };
 
+    /// How long the store is waited for by a host. `receives_configuration`: one is on
+    /// its way from the store.
+    static patience patience_with_store(
+        fleet_pace const& pace, bool reaches_store, bool receives_configuration);
+
     /// `theirs` is what the other says that it knows. The versions to ask it from, if it
     /// is to be asked: it answers with all that is newer.
     std::optional<news_versions>
--- a/src/persimmonpoint/engine/peer_news.cpp
+++ b/src/persimmonpoint/engine/peer_news.cpp
@@ -1,17 +1,9 @@
-#include <algorithm>
 #include <persimmonpoint/engine/peer_news.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
 #include <utility>
 
 namespace persimmonpoint::engine {
 
-namespace {
-
-/// Time for a configuration that is arriving from the store.
-constexpr duration reading_patience = std::chrono::seconds(2);
-
-} // namespace
-
 peer_news::peer_news(clock const& time, mesh_observer& observer)
     : time(time), observer(observer) {}
 
@@ -20,13 +12,8 @@
 }
 
 std::optional<news_versions> peer_news::to_ask(alive_message const& theirs) {
-    news_desk::patience store;
-    if (this->observer.reaches_store()) {
-        store = {this->pace.store_patience, this->pace.hosts_patience};
-        if (this->observer.reads_configuration()) {
-            store.configuration = std::max(store.configuration, reading_patience);
-        }
-    }
+    auto const store = news_desk::patience_with_store(
+        this->pace, this->observer.reaches_store(), this->observer.reads_configuration());
     news_versions const mine = this->observer.own_state().versions;
     auto const wanted = this->desk.ask(mine, theirs.versions, store, this->time.now());
     if (wanted && wanted->configuration < theirs.versions.configuration) {
--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -94,11 +94,11 @@
                 if (!watch || watch->stopped) {
                     return;
                 }
-                watch->reading_configuration = false;
                 if (!read) {
                     watch->note_failure("configuration_read_failed", read.error(), began);
                 }
                 if (!read || !read.value().row.is_known()) {
+                    watch->reading_configuration = false;
                     watch->note_store(
                         static_cast<bool>(read), read ? "" : read.error().message);
                     watch->after(
@@ -110,6 +110,7 @@
                 watch->configuration_row = read.value().row;
                 watch->note_era(read.value().row.era);
                 watch->observer.on_stored_configuration(std::move(read.value()));
+                watch->reading_configuration = false;
                 watch->watch_configuration();
             });
     }
@@ -133,11 +134,16 @@
                         [](implementation& self) { self.read_configuration(); });
                     return;
                 }
-                if (seen.value().changed || seen.value().history_lost) {
+                auto& brought = seen.value().configuration;
+                bool const unseen = seen.value().changed && !brought;
+                if (seen.value().history_lost || unseen) {
                     watch->read_configuration();
                     return;
                 }
                 watch->configuration_row = seen.value().version;
+                if (brought) {
+                    watch->observer.on_stored_configuration(std::move(*brought));
+                }
                 watch->watch_configuration();
             });
     }
@@ -357,7 +363,8 @@
 }
 
 bool store_watch::reads_configuration() const {
-    return this->impl->reading_configuration;
+    return this->impl->reading_configuration ||
+           this->impl->store.receives_configuration();
 }
 
 bool store_watch::reaches_store() const {
--- a/src/persimmonpoint/engine/store_watch.hpp
+++ b/src/persimmonpoint/engine/store_watch.hpp
@@ -45,7 +45,8 @@
     using token_handler = std::function<void(std::optional<std::uint64_t>)>;
     /// False while the last call to the store failed. Any thread.
     bool reaches_store() const;
-    /// True while a reading of the configuration is under way. Any thread.
+    /// True while a reading of the configuration is under way, or a watch of it has begun
+    /// to bring it. Any thread.
     bool reads_configuration() const;
     /// A fencing token for a group. `lives`: whether a host of that name may still be
     /// there, as far as this one can tell.
--- a/src/persimmonpoint/interfaces/fleet_store.hpp
+++ b/src/persimmonpoint/interfaces/fleet_store.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
 #include <persimmonpoint/core/error.hpp>
 #include <persimmonpoint/core/recovery/leadership_change.hpp>
@@ -25,6 +26,8 @@
     bool changed = false;
     bool history_lost = false; ///< Everything is to be read again.
     store_version version;     ///< Watch on from here.
+    /// The new one, of a watch of the configuration that brought it.
+    std::optional<stored_configuration> configuration;
 };
 
 struct stored_hosts {
@@ -56,6 +59,8 @@
         store_version const& version,
         std::chrono::milliseconds wait,
         handler<watch_result> done) = 0;
+    /// True while a part of an answer about the configuration has arrived. Any thread.
+    virtual bool receives_configuration() const = 0;
     virtual void read_databases(handler<database_directory> done) = 0;
     virtual void read_hosts(handler<stored_hosts> done) = 0;
     virtual void watch_hosts(
--- a/src/persimmonpoint/platform/http_client.cpp
+++ b/src/persimmonpoint/platform/http_client.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -109,6 +110,7 @@
                 } else if (self->parser->is_done()) {
                     self->finish();
                 } else {
+                    self->partly_arrived = self->arrived > 0;
                     self->read_some(self->timeout);
                 }
             });
@@ -143,6 +145,7 @@
         handler const done = std::move(this->jobs.front().done);
         this->jobs.pop_front();
         done(std::move(outcome));
+        this->partly_arrived = false;
         this->start_next();
     }
 
@@ -155,6 +158,7 @@
     std::optional<http::response_parser<http::string_body>> parser;
     std::chrono::steady_clock::time_point answer_deadline;
     std::size_t arrived = 0; ///< Bytes of the present answer.
+    std::atomic<bool> partly_arrived{false};
     std::deque<job> jobs;
     bool busy = false;
 };
@@ -200,6 +204,10 @@
     this->impl->start_next();
 }
 
+bool http_client::receiving() const {
+    return this->impl->partly_arrived;
+}
+
 void http_client::reset() {
     if (this->impl->stream) {
         this->impl->stream->cancel();
--- a/src/persimmonpoint/platform/http_client.hpp
+++ b/src/persimmonpoint/platform/http_client.hpp
@@ -50,6 +50,8 @@
         handler handler,
         std::span<http_header const> headers = {},
         std::chrono::milliseconds wait = std::chrono::milliseconds(0));
+    /// True while a part of an answer has arrived. Any thread.
+    bool receiving() const;
     /// Breaks the connection off; a request that is under way fails.
     void reset();
 
--- a/src/persimmonpoint/platform/store_client.cpp
+++ b/src/persimmonpoint/platform/store_client.cpp
@@ -77,6 +77,32 @@
     return std::string(lease_key) + "-" + std::to_string(era);
 }
 
+/// What a watch ended with.
+struct watched_rows {
+    bool history_lost = false;
+    row_page page;
+};
+
+/// The configuration among the rows of an answer.
+std::optional<stored_configuration> find_configuration(row_page&& page) {
+    std::optional<stored_configuration> found;
+    for (stored_row& each : page.rows) {
+        if (each.key == configuration_key && !each.value.empty()) {
+            found = stored_configuration{
+                store_version{page.version.era, each.version}, std::move(each.value)};
+        }
+    }
+    return found;
+}
+
+watch_result to_result(watched_rows const& seen) {
+    watch_result out;
+    out.changed = !seen.page.rows.empty();
+    out.history_lost = seen.history_lost;
+    out.version = seen.page.version;
+    return out;
+}
+
 struct transaction_outcome {
     bool committed = false; ///< False if an expected row has another version.
     std::uint64_t era = 0;  ///< The store's, when it answered.
@@ -156,7 +182,7 @@
         std::string_view table,
         store_version const& version,
         std::chrono::milliseconds wait,
-        handler<watch_result> done) {
+        handler<watched_rows> done) {
         std::string const target = "/api/rows-feed?table=" + std::string(table) +
                                    "&after=" + std::to_string(version.number) +
                                    "&wait_ms=" + std::to_string(wait.count());
@@ -168,20 +194,15 @@
             bool const restored =
                 reply.value().status == status_ok && era_of(reply.value()) != era;
             if (reply.value().status == status_gone || restored) {
-                watch_result out;
-                out.history_lost = true;
-                done(out);
+                done(watched_rows{true, {}});
                 return;
             }
-            result<row_page> const page = read_page("rows-feed", reply.value());
+            result<row_page> page = read_page("rows-feed", reply.value());
             if (!page) {
                 done(page.error());
                 return;
             }
-            watch_result out;
-            out.changed = !page.value().rows.empty();
-            out.version = page.value().version;
-            done(out);
+            done(watched_rows{false, std::move(page.value())});
         };
         on.request("GET", target, {}, answered, {}, wait);
     }
@@ -244,14 +265,8 @@
                 done(page.error());
                 return;
             }
-            stored_configuration out;
-            for (stored_row& each : page.value().rows) {
-                if (each.key == configuration_key) {
-                    out.row = store_version{page.value().version.era, each.version};
-                    out.body = std::move(each.value);
-                }
-            }
-            done(std::move(out));
+            done(find_configuration(std::move(page.value()))
+                     .value_or(stored_configuration{}));
         });
 }
 
@@ -260,7 +275,20 @@
     std::chrono::milliseconds wait,
     handler<watch_result> done) {
     implementation::watch(
-        *this->impl->configuration, "op", version, wait, std::move(done));
+        *this->impl->configuration, "op", version, wait,
+        [done = std::move(done)](result<watched_rows> seen) {
+            if (!seen) {
+                done(seen.error());
+                return;
+            }
+            watch_result out = to_result(seen.value());
+            out.configuration = find_configuration(std::move(seen.value().page));
+            done(std::move(out));
+        });
+}
+
+bool store_client::receives_configuration() const {
+    return this->impl->configuration->receiving();
 }
 
 void store_client::read_databases(handler<database_directory> done) {
@@ -309,7 +337,14 @@
     std::chrono::milliseconds wait,
     handler<watch_result> done) {
     implementation::watch(
-        *this->impl->host_watch, hosts_table, version, wait, std::move(done));
+        *this->impl->host_watch, hosts_table, version, wait,
+        [done = std::move(done)](result<watched_rows> const& seen) {
+            if (!seen) {
+                done(seen.error());
+                return;
+            }
+            done(to_result(seen.value()));
+        });
 }
 
 void store_client::register_host(registered_host const& host, handler<void> done) {
--- a/src/persimmonpoint/platform/store_client.hpp
+++ b/src/persimmonpoint/platform/store_client.hpp
@@ -20,6 +20,7 @@
         store_version const& version,
         std::chrono::milliseconds wait,
         handler<watch_result> done) override;
+    bool receives_configuration() const override;
     void read_databases(handler<database_directory> done) override;
     void read_hosts(handler<stored_hosts> done) override;
     void watch_hosts(
--- a/src/persimmonpoint/standin/row_store.cpp
+++ b/src/persimmonpoint/standin/row_store.cpp
@@ -112,6 +112,7 @@
     void answer(net::http_question const& question, net::http_responder::reply reply) {
         std::string_view const target = question.target;
         if (target.rfind("/api/rows-get", 0) == 0) {
+            ++this->reads[parameter(target, "table")];
             reply(this->read(target));
         } else if (target.rfind("/api/rows-feed", 0) == 0) {
             this->watch(target, std::move(reply));
@@ -263,6 +264,7 @@
     std::map<std::string, std::uint64_t> tokens;
     std::uint64_t version = 0;
     std::uint64_t era = 1;
+    std::map<std::string, std::size_t> reads; ///< By table.
     std::map<row_key, row> copied_rows;
     std::uint64_t copied_version = 0;
     std::atomic<std::uint64_t> call_count{0};
@@ -325,6 +327,11 @@
     return this->impl->call_count;
 }
 
+std::size_t row_store::reads_of(std::string const& table) const {
+    auto const found = this->impl->reads.find(table);
+    return found == this->impl->reads.end() ? 0 : found->second;
+}
+
 std::size_t row_store::rows_of(std::string const& table) const {
     return static_cast<std::size_t>(std::count_if(
         this->impl->rows.begin(), this->impl->rows.end(), [&table](auto const& each) {
--- a/src/persimmonpoint/standin/row_store.hpp
+++ b/src/persimmonpoint/standin/row_store.hpp
@@ -42,6 +42,8 @@
     /// Comes back from the copy: its rows and version, and the next era.
     void restore();
     std::uint64_t calls() const;
+    /// How often a table was read; watches don't count.
+    std::size_t reads_of(std::string const& table) const;
     /// Rows that a table has.
     std::size_t rows_of(std::string const& table) const;
 
--- a/tests/introspective/membership.tests.cpp
+++ b/tests/introspective/membership.tests.cpp
@@ -254,6 +254,21 @@
     CHECK(desk.ask(mine, theirs, none, start + milliseconds(1600)));
 }
 
+TEST_CASE(
+    "No host is asked for a configuration that is arriving from the store", "[peers]") {
+    fleet_pace const pace = pace_for(22);
+    news_desk desk;
+    news_versions const mine{7, {1, 1}, {1, 1}};
+    news_versions const theirs{8, {1, 1}, {1, 1}};
+    auto const arriving = news_desk::patience_with_store(pace, true, true);
+    CHECK_FALSE(desk.ask(mine, theirs, arriving, start));
+    CHECK_FALSE(desk.ask(mine, theirs, arriving, start + seconds(4)));
+    auto const lost = news_desk::patience_with_store(pace, false, true);
+    CHECK(desk.ask(mine, theirs, lost, start + seconds(5)));
+    auto const silent = news_desk::patience_with_store(pace, true, false);
+    CHECK(silent.configuration == pace.store_patience);
+}
+
 TEST_CASE("Versions of an era of the store are newer than all before it", "[peers]") {
     CHECK(store_version{2, 3} > store_version{1, 900});
     news_desk desk;
--- a/tests/usage/front_host.tests.cpp
+++ b/tests/usage/front_host.tests.cpp
@@ -419,6 +419,27 @@
     }));
 }
 
+TEST_CASE(
+    "A configuration that a watch has brought is not read a second time",
+    "[front][configuration]") {
+    fleet_stage stage(1);
+    auto const reads = [&stage] {
+        std::size_t count = 0;
+        stage.with_standins([&] { count = stage.store->reads_of("op"); });
+        return count;
+    };
+    std::size_t const before = reads();
+    stage.configure({"key-1"}, 10000, true);
+    CHECK(eventually([&] {
+        return line_caller(stage.caller_port(0)).start("added", "key-1").error.empty();
+    }));
+    stage.configure({"key-1", "key-2"}, 10000, true);
+    CHECK(eventually([&] {
+        return line_caller(stage.caller_port(0)).start("added", "key-2").error.empty();
+    }));
+    CHECK(reads() == before);
+}
+
 TEST_CASE(
     "A change is in force after the store came back from an older copy",
     "[front][configuration]") {
--- a/tests/usage/slow_answers.tests.cpp
+++ b/tests/usage/slow_answers.tests.cpp
@@ -75,12 +75,17 @@
     platform::http_client client(
         loop, "127.0.0.1", store.port(), std::chrono::milliseconds(1000));
     std::optional<result<platform::http_reply>> outcome;
+    CHECK_FALSE(client.receiving());
     client.request("GET", "/", {}, [&](result<platform::http_reply> reply) {
         outcome = std::move(reply);
     });
+    bool told = false;
     while (!outcome) {
         loop.run_one();
+        told = told || (!outcome && client.receiving());
     }
+    CHECK(told);
+    CHECK_FALSE(client.receiving());
     REQUIRE(outcome->has_value());
     CHECK(outcome->value().body.size() == body.size());
 }
