A read that may have run is not refused with a promise that it has not

Report of other operators: after a lost answer the caller was told that work had not run.

Cause: the retry policy forgot, once it had sent a read elsewhere, that the outcome of an earlier attempt was unknown. Out of time, out of slots, or with a LAGGING from the next database it then answered BUSY or LAGGING, which promise that nothing ran.

Change: the policy remembers it; such a statement is given up with TIMEOUT, which promises nothing. Callers retry a read after either. Writes were never concerned: an unknown outcome ends them in doubt at once.

Ruled out: the owner's side (it names each lost answer unknown) and transactions (their connection is lost with them, so ABORTED is true).

--- a/src/persimmonpoint/core/recovery/retry_policy.cpp
+++ b/src/persimmonpoint/core/recovery/retry_policy.cpp
@@ -24,6 +24,8 @@
 retry_decision retry_policy::answered(
     upstream_response const& answer, std::string const& database, instant now) {
     ++this->attempt_count;
+    this->may_have_run =
+        this->may_have_run || answer.outcome == upstream_outcome::unknown;
     if (answer.succeeded()) {
         return retry_decision{};
     }
@@ -40,10 +42,10 @@
             statement_error::aborted, "the connection to " + database + " was lost");
     }
     if (answer.refusal == upstream_refusal::expired) {
-        return refuse(statement_error::busy, "no slot became free in time");
+        return refuse(this->refusal(), "no slot became free in time");
     }
     return this->retry_or_refuse(
-        database, statement_error::busy, "no database answered in time", now);
+        database, this->refusal(), "no database answered in time", now);
 }
 
 retry_decision retry_policy::answered_error(
@@ -54,7 +56,9 @@
     if (this->statement.in_transaction || !may_retry) {
         return retry_decision{};
     }
-    return this->retry_or_refuse(database, answer.error, answer.error_text, now);
+    bool const hides_a_run = this->may_have_run && proves_not_run(answer.error);
+    return this->retry_or_refuse(
+        database, hides_a_run ? this->refusal() : answer.error, answer.error_text, now);
 }
 
 retry_decision retry_policy::retry_or_refuse(
@@ -72,12 +76,16 @@
     return retry_decision{retry_step::retry_now, {}, {}};
 }
 
+statement_error retry_policy::refusal() const {
+    return this->may_have_run ? statement_error::timeout : statement_error::busy;
+}
+
 retry_decision retry_policy::no_database(instant now) {
     this->excluded.clear();
     bool const waited_too_long =
         now - this->statement.started >= this->statement.max_wait;
     if (waited_too_long || this->remaining(now) < min_attempt_time) {
-        return refuse(statement_error::busy, "no database can take the statement now");
+        return refuse(this->refusal(), "no database can take the statement now");
     }
     return retry_decision{retry_step::retry_later, {}, {}};
 }
--- a/src/persimmonpoint/core/recovery/retry_policy.hpp
+++ b/src/persimmonpoint/core/recovery/retry_policy.hpp
@@ -50,6 +50,10 @@
     /// Decides what follows if no database can run the statement now.
     retry_decision no_database(instant now);
 
+    /// Error for a caller whose statement is given up. `busy` states that the statement
+    /// has not run; it is `timeout` once an attempt may have run.
+    statement_error refusal() const;
+
     /// Databases tried since the last call of no_database(). The router skips them.
     std::vector<std::string> const& tried() const { return this->excluded; }
     duration remaining(instant now) const;
@@ -68,6 +72,7 @@
     retry_subject statement;
     std::vector<std::string> excluded;
     unsigned attempt_count = 0;
+    bool may_have_run = false; ///< The outcome of an attempt is unknown.
 };
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/engine/statement_run.cpp
+++ b/src/persimmonpoint/engine/statement_run.cpp
@@ -105,7 +105,7 @@
             if (!failure) {
                 self->refuse(
                     self->impl->outstanding ? statement_error::timeout
-                                            : statement_error::busy,
+                                            : self->impl->plan.refusal(),
                     "the route's timeout passed");
             }
         });
--- a/tests/introspective/caller_state.tests.cpp
+++ b/tests/introspective/caller_state.tests.cpp
@@ -160,6 +160,22 @@
     CHECK(plan.tried() == std::vector<std::string>{"db"});
 }
 
+TEST_CASE(
+    "A statement that may have run is never refused as one that has not", "[attempts]") {
+    auto const give_up = GENERATE(
+        refused(upstream_refusal::expired), refused(upstream_refusal::unreachable),
+        answered(statement_error::lagging));
+    retry_policy plan(subject(false, false, false));
+    CHECK(plan.refusal() == statement_error::busy);
+    REQUIRE(plan.answered(lost(), "db", start).step == retry_step::retry_now);
+    CHECK(plan.refusal() == statement_error::timeout);
+    auto const decision = plan.answered(give_up, "other", start + seconds(1));
+    CHECK(decision.step == retry_step::refuse);
+    CHECK(decision.error == statement_error::timeout);
+    auto const nobody = plan.no_database(start + seconds(1));
+    CHECK(nobody.error == statement_error::timeout);
+}
+
 TEST_CASE("A write that certainly did not run is tried again", "[attempts]") {
     retry_policy plan(subject(true, false, true));
     CHECK(
