An unexpected error ends what it came from, and a stop cuts no connected caller

One unexpected error took a process down: an exception that left a handler left io_context::run, and with it the thread (std::terminate) or the process. Now net/run_loop logs it and goes on. Where a connection's bytes or a call's answer were being handled, the connection is closed or the next call made, so that nothing waits for a handler that is gone. Ruled out: catching in each handler (some hundred places, easily forgotten).

A planned stop cut requests just accepted: when the listening socket was closed, the kernel reset all connections that it had established and that the host had not taken yet, with the START that their callers had sent; one that had been taken in the same moment was dropped. Now the listener takes those that wait before it closes. A caller that connects between the last of them and the close is still reset by the kernel; it is one call, not a turn of the loop.

--- a/src/persimmonpoint/host/entry_host.cpp
+++ b/src/persimmonpoint/host/entry_host.cpp
@@ -12,6 +12,7 @@
 #include <persimmonpoint/control/control.hpp>
 #include <persimmonpoint/core/recovery/orphaned_transactions.hpp>
 #include <persimmonpoint/host/entry_host.hpp>
+#include <persimmonpoint/net/run_loop.hpp>
 #include <persimmonpoint/observe/log.hpp>
 #include <persimmonpoint/observe/random_device_source.hpp>
 #include <persimmonpoint/observe/thread_name.hpp>
@@ -261,7 +262,7 @@
         asio::post(this->loop, [this] { this->control->start(); });
         this->thread = std::thread([this] {
             observe::name_this_thread("control");
-            this->loop.run();
+            net::run_loop(this->loop, "control");
         });
     }
 
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -19,6 +19,7 @@
 #include <persimmonpoint/host/front_host.hpp>
 #include <persimmonpoint/host/settings_watch.hpp>
 #include <persimmonpoint/net/http_responder.hpp>
+#include <persimmonpoint/net/run_loop.hpp>
 #include <persimmonpoint/net/tcp_options.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
 #include <persimmonpoint/platform/fleet_decoder.hpp>
@@ -133,8 +134,8 @@
         this->watch.start();
         auto const keep_traffic = asio::make_work_guard(this->traffic_loop);
         auto const keep_control = asio::make_work_guard(this->control_loop);
-        std::thread traffic([this] { this->traffic_loop.run(); });
-        this->control_loop.run();
+        std::thread traffic([this] { net::run_loop(this->traffic_loop, "traffic"); });
+        net::run_loop(this->control_loop, "control");
         traffic.join();
         observe::log_event(observe::log_level::info, "stopped", {});
     }
--- a/src/persimmonpoint/net/read_loop.cpp
+++ b/src/persimmonpoint/net/read_loop.cpp
@@ -1,4 +1,5 @@
 #include <persimmonpoint/net/read_loop.hpp>
+#include <persimmonpoint/net/run_loop.hpp>
 #include <utility>
 
 namespace persimmonpoint::net {
@@ -22,7 +23,14 @@
                 this->on_failure();
                 return;
             }
-            if (this->on_bytes(std::string_view(this->received.data(), size))) {
+            bool goes_on = false;
+            bool const handled = run_guarded("connection", [&] {
+                goes_on = this->on_bytes(std::string_view(this->received.data(), size));
+            });
+            if (!handled) {
+                // What was received is lost: the connection can't be used further.
+                this->on_failure();
+            } else if (goes_on) {
                 this->start(std::move(keep_alive));
             }
         });
--- a/src/persimmonpoint/net/read_loop.hpp
+++ b/src/persimmonpoint/net/read_loop.hpp
@@ -10,7 +10,8 @@
 
 namespace persimmonpoint::net {
 
-/// Hands on what a socket receives, until its owner has enough or the socket fails.
+/// Hands on what a socket receives, until its owner has enough or the socket fails. An
+/// exception of the bytes' handler counts as a failure of the socket.
 class read_loop {
 public:
     /// Returns false if nothing more is to be read.
--- a/src/persimmonpoint/platform/http_client.cpp
+++ b/src/persimmonpoint/platform/http_client.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 #include <deque>
 #include <optional>
+#include <persimmonpoint/net/run_loop.hpp>
 #include <persimmonpoint/net/tcp_options.hpp>
 #include <persimmonpoint/platform/http_client.hpp>
 
@@ -144,7 +145,7 @@
         this->busy = false;
         handler const done = std::move(this->jobs.front().done);
         this->jobs.pop_front();
-        done(std::move(outcome));
+        net::run_guarded("http_client", [&] { done(std::move(outcome)); });
         this->partly_arrived = false;
         this->start_next();
     }
--- a/src/persimmonpoint/platform/line_listener.cpp
+++ b/src/persimmonpoint/platform/line_listener.cpp
@@ -1,5 +1,6 @@
 #include <array>
 #include <boost/asio/steady_timer.hpp>
+#include <persimmonpoint/net/run_loop.hpp>
 #include <persimmonpoint/net/send_queue.hpp>
 #include <persimmonpoint/net/tcp_options.hpp>
 #include <persimmonpoint/platform/line_listener.hpp>
@@ -81,7 +82,9 @@
                     return;
                 }
                 self->lines.add(std::string_view(self->received.data(), size));
-                self->take_lines();
+                if (!self->take_lines_guarded()) {
+                    return;
+                }
                 if (!self->lines.is_over_long()) {
                     self->read();
                 } else if (!self->busy) {
@@ -90,6 +93,16 @@
             });
     }
 
+    /// False if an unexpected error ended the session.
+    bool take_lines_guarded() {
+        bool const taken =
+            net::run_guarded("caller_session", [this] { this->take_lines(); });
+        if (!taken) {
+            this->gone();
+        }
+        return taken;
+    }
+
     void take_lines() {
         while (!this->busy && !this->closed && this->observer) {
             auto const line = this->lines.next();
@@ -152,8 +165,7 @@
             return;
         }
         asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
-            self->take_lines();
-            if (!self->busy) {
+            if (self->take_lines_guarded() && !self->busy) {
                 self->read();
             }
         });
@@ -236,7 +248,7 @@
     }
 
     void accepted(boost::system::error_code failure, tcp::socket socket) {
-        if (failure == asio::error::operation_aborted || !this->acceptor.is_open()) {
+        if (failure && !this->acceptor.is_open()) {
             return;
         }
         if (failure) {
@@ -250,9 +262,31 @@
                 });
             return;
         }
-        auto const channel = std::make_shared<line_channel>(std::move(socket));
-        channel->start(this->take(channel));
-        this->accept();
+        this->adopt(std::move(socket));
+        if (this->acceptor.is_open()) {
+            this->accept();
+        }
+    }
+
+    void adopt(tcp::socket socket) {
+        net::run_guarded("line_listener", [this, &socket] {
+            auto const channel = std::make_shared<line_channel>(std::move(socket));
+            channel->start(this->take(channel));
+        });
+    }
+
+    /// The kernel has established connections that nobody has taken yet. Closing the
+    /// listening socket would reset them, with what their callers have sent.
+    void adopt_waiting() {
+        boost::system::error_code failure;
+        this->acceptor.non_blocking(true, failure);
+        while (!failure) {
+            tcp::socket socket(this->loop);
+            this->acceptor.accept(socket, failure);
+            if (!failure) {
+                this->adopt(std::move(socket));
+            }
+        }
     }
 
     asio::io_context& loop;
@@ -270,6 +304,10 @@
 line_listener::~line_listener() = default;
 
 void line_listener::stop() {
+    if (!this->impl->acceptor.is_open()) {
+        return;
+    }
+    this->impl->adopt_waiting();
     boost::system::error_code ignored;
     this->impl->acceptor.close(ignored);
 }
--- a/src/persimmonpoint/platform/line_listener.hpp
+++ b/src/persimmonpoint/platform/line_listener.hpp
@@ -17,7 +17,7 @@
         boost::asio::ip::tcp::endpoint const& address,
         caller_acceptor acceptor);
     ~line_listener();
-    /// Takes no further callers.
+    /// Takes the callers that have connected, and none that connect later.
     void stop();
 
 private:
--- a/src/persimmonpoint/traffic/worker.cpp
+++ b/src/persimmonpoint/traffic/worker.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <persimmonpoint/net/run_loop.hpp>
 #include <persimmonpoint/observe/random_device_source.hpp>
 #include <persimmonpoint/observe/thread_name.hpp>
 #include <persimmonpoint/postgres/query_classifier.hpp>
@@ -209,7 +210,7 @@
 void worker::start() {
     this->impl->thread = std::thread([this] {
         observe::name_this_thread("traffic");
-        this->impl->loop.run();
+        net::run_loop(this->impl->loop, "traffic");
     });
 }
 
