A host that leaves the list finishes the work that it has

Report of other operators: a host that was only silent or slow for a while had its running work given up.

Cause: a host that could not reach another for some time takes it off the list of hosts. All others closed their links to it at once, living or not, so that its transactions for their callers were lost and its orders in doubt.

Change: whoever leaves the list keeps its link while the link lives, and gets no new work. A host that stops tells the others before it leaves the list.

--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -32,9 +32,12 @@
     peer_exchanges exchanges;
     instant last_alive{};
     instant last_used{};
-    /// It left the list of hosts by a planned stop. Its link stays until it closes, for
-    /// the transactions that it still runs for callers of this host.
+    /// It left the list of hosts, by a planned stop or because another host could not
+    /// reach it. Its link stays until it closes, for the work that it still does for
+    /// callers of this host; it gets no new work.
     bool departed = false;
+
+    bool usable() const { return !this->departed && this->health.usable(); }
 };
 
 } // namespace
@@ -74,7 +77,7 @@
                 ++each;
                 continue;
             }
-            if (each->second.link && each->second.health.is_leaving()) {
+            if (each->second.link && each->second.health.connected()) {
                 each->second.departed = true;
                 ++each;
                 continue;
@@ -382,7 +385,7 @@
 std::vector<registered_host> peer_mesh::usable_hosts() const {
     std::vector<registered_host> hosts = {this->impl->self};
     for (auto const& each : this->impl->peers) {
-        if (each.second.health.usable()) {
+        if (each.second.usable()) {
             hosts.push_back(each.second.host);
         }
     }
@@ -392,7 +395,7 @@
 bool peer_mesh::is_usable(std::string_view host) const {
     auto const found = this->impl->peers.find(host);
     return host == this->impl->self.name ||
-           (found != this->impl->peers.end() && found->second.health.usable());
+           (found != this->impl->peers.end() && found->second.usable());
 }
 
 bool peer_mesh::has_ended(std::string_view host) const {
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -160,8 +160,9 @@
                 return;
             }
             observe::log_event(observe::log_level::info, "stopping", {});
-            this->watch.leave();
+            // The other hosts hear it over their links before the list of hosts tells them.
             asio::post(this->traffic_loop, [this] { this->begin_drain(); });
+            this->watch.leave();
         });
     }
 
--- a/tests/usage/planned_stop.tests.cpp
+++ b/tests/usage/planned_stop.tests.cpp
@@ -79,6 +79,28 @@
         [&] { CHECK(stage.group->data("far") == std::to_string(stopped)); });
 }
 
+TEST_CASE(
+    "A host that was taken off the list by mistake finishes the work that it has",
+    "[front][hosts]") {
+    // Whichever host owns the primary's connections, one of the two callers is remote.
+    auto const unlisted = GENERATE(std::size_t(0), std::size_t(1));
+    fleet_stage stage;
+    line_caller remote(stage.caller_port(1 - unlisted));
+    REQUIRE(remote.start("alerts", "key-1").state == "I");
+    REQUIRE(remote.query("BEGIN").state == "T");
+    REQUIRE(remote.query("WRITE far x").state == "T");
+    stage.with_standins(
+        [&] { stage.store->remove("hosts", "host-" + std::to_string(unlisted)); });
+    // It is only silent or slow for another host, and registers itself again.
+    REQUIRE(eventually([&] { return stage.registered_hosts() == 2; }));
+    for (int i = 0; i < 3; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        CHECK(remote.query("READ far").rows.at(0) == "x");
+    }
+    CHECK(remote.query("COMMIT").error.empty());
+    stage.with_standins([&] { CHECK(stage.group->times_written("far", "x") == 1); });
+}
+
 TEST_CASE(
     "A team within its rate is not refused while a host stops", "[front][stop][quota]") {
     // One of the three lends the team's quota.
