Lists of the store are read to their end, and nothing odd in them hurts a host

Lists: rows-get answers 500 rows or 1 MB at most. The client never looked at has_more, so from 501 hosts or databases on the rest was invisible without a word. core's row_list joins the pages; the list bears the version of its first page, so that its feed repeats what changed between pages; another era between two pages starts it anew. Keys are encoded in targets (Boost.URL, a new package). The stand-in of the store cuts its answers as published.

Odd entries: `slots` was taken as 0 and divided by, port 70000 or none was sent statements, a timeout of 1e300 ms was converted outside the range of its type (undefined, and different on x86-64 and arm64), a rate of -5 or infinity was taken, and an odd number in an answer of the store threw, which ended the chain of readings.

Between hosts: cereal allocates what a length field says, takes any number for an enumerator and any byte for a bool. engine/peer_archive checks all three, message_check the rest; a malformed message closes its link, and an unusable entry that an older build passes on is left out. A message could be larger (a configuration of 4 MiB, rows of an answer) than a link took, which closed the link again and again: limits of both ends fit now.

Ruled out: refusing the whole list for one entry (the others hold), a new protocol version (the bytes are the same).

--- a/src/persimmonpoint/engine/peer_link.cpp
+++ b/src/persimmonpoint/engine/peer_link.cpp
@@ -2,6 +2,7 @@
 #include <persimmonpoint/net/read_loop.hpp>
 #include <persimmonpoint/net/send_queue.hpp>
 #include <persimmonpoint/net/tcp_options.hpp>
+#include <persimmonpoint/observe/event_log.hpp>
 #include <utility>
 
 namespace persimmonpoint::engine {
@@ -49,6 +50,7 @@
             this->on_message(std::move(*message));
         }
         if (this->decoder.broken()) {
+            observe::log_event(observe::log_level::error, "peer_message_malformed", {});
             this->broken();
         } else if (!this->closed && this->on_partial && this->decoder.pending() > 0) {
             this->on_partial(this->decoder.pending());
@@ -59,8 +61,17 @@
         if (this->closed) {
             return;
         }
-        this->outgoing.add(encode(message), this->shared_from_this());
-        if (this->outgoing.unsent() > most_unsent_bytes) {
+        std::string const bytes = encode(message);
+        if (bytes.size() > most_message_bytes) {
+            // The receiver would take it for a malformed one and close the link.
+            observe::log_event(
+                observe::log_level::error, "peer_message_too_large",
+                {{"kind", message.index()}, {"bytes", bytes.size()}});
+            return;
+        }
+        bool const reads_too_slowly = this->outgoing.unsent() > most_unsent_bytes;
+        this->outgoing.add(bytes, this->shared_from_this());
+        if (reads_too_slowly) {
             asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
                 self->broken();
             });
--- a/src/persimmonpoint/engine/peer_messages.cpp
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -5,6 +5,8 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
+#include <persimmonpoint/engine/message_check.hpp>
+#include <persimmonpoint/engine/peer_archive.hpp>
 #include <persimmonpoint/engine/peer_messages.hpp>
 #include <sstream>
 
@@ -24,7 +26,8 @@
 
 template <class Archive>
 void serialize(Archive& archive, upstream_request& value) {
-    archive(value.kind, value.lane, value.group, value.database, value.team, value.id);
+    engine::archive_enum(archive, value.kind, upstream_request_kind::resume);
+    archive(value.lane, value.group, value.database, value.team, value.id);
     archive(value.text, value.prepared, value.writes, value.read_only_transaction);
     archive(value.floor, value.values, value.budget_ms, value.wait_ms);
     archive(value.priority, value.term);
@@ -37,8 +40,12 @@
 
 template <class Archive>
 void serialize(Archive& archive, upstream_response& value) {
-    archive(value.outcome, value.refusal, value.error, value.error_text, value.rows);
-    archive(value.signature, value.state, value.position, value.lane, value.load);
+    engine::archive_enum(archive, value.outcome, upstream_outcome::unknown);
+    engine::archive_enum(archive, value.refusal, upstream_refusal::lane_lost);
+    engine::archive_enum(archive, value.error, statement_error::in_doubt);
+    archive(value.error_text, value.rows, value.signature);
+    engine::archive_enum(archive, value.state, transaction_state::failed);
+    archive(value.position, value.lane, value.load);
     archive(value.leader_confirmed, value.report);
 }
 
@@ -75,8 +82,9 @@
 namespace {
 
 constexpr std::size_t length_bytes = 4;
-/// Larger than any configuration or answer.
-constexpr std::size_t most_message_bytes = 4 * 1024 * 1024;
+
+/// Nothing if the bytes are no message, or one with a field out of its bounds.
+std::optional<peer_message> decode(std::string_view bytes);
 
 std::size_t read_length(std::string_view bytes) {
     std::size_t length = 0;
@@ -182,6 +190,24 @@
     return bytes;
 }
 
+namespace {
+
+std::optional<peer_message> decode(std::string_view bytes) {
+    try {
+        peer_input_archive archive(bytes);
+        peer_message message;
+        archive(message);
+        if (archive.at_end() && is_well_formed(message)) {
+            return message;
+        }
+    } catch (std::exception const&) {
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
 std::optional<peer_message> peer_decoder::next() {
     if (this->failed || this->buffer.size() < length_bytes) {
         return std::nullopt;
@@ -194,18 +220,11 @@
     if (this->buffer.size() < length_bytes + length) {
         return std::nullopt;
     }
-    std::istringstream in(this->buffer.substr(length_bytes, length));
+    auto message = decode(std::string_view(this->buffer).substr(length_bytes, length));
     this->buffer.erase(0, length_bytes + length);
-    try {
-        cereal::PortableBinaryInputArchive archive(in);
-        peer_message message;
-        archive(message);
-        return message;
-    } catch (std::exception const&) {
-        // The caller closes the connection and logs it.
-        this->failed = true;
-        return std::nullopt;
-    }
+    // The owner of the connection closes it and logs it.
+    this->failed = !message;
+    return message;
 }
 
 } // namespace persimmonpoint::engine
--- a/src/persimmonpoint/engine/peer_messages.hpp
+++ b/src/persimmonpoint/engine/peer_messages.hpp
@@ -3,6 +3,7 @@
 
 /// Messages between the hosts of this system. Each is idempotent.
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
@@ -17,6 +18,10 @@
 /// Raised when a message changes; hosts of other versions are not spoken to.
 inline constexpr std::uint32_t peer_protocol_version = 3;
 
+/// Larger than any configuration that the store's client takes, and than any answer that
+/// a connection to a database takes.
+inline constexpr std::size_t most_message_bytes = 32 * 1024 * 1024;
+
 /// The first message on a connection.
 struct hello_message {
     std::uint32_t protocol = peer_protocol_version;
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -13,6 +13,7 @@
 #include <persimmonpoint/engine/caller_session.hpp>
 #include <persimmonpoint/engine/dispatcher.hpp>
 #include <persimmonpoint/engine/leadership_keeper.hpp>
+#include <persimmonpoint/engine/message_check.hpp>
 #include <persimmonpoint/engine/peer_mesh.hpp>
 #include <persimmonpoint/engine/quota_keeper.hpp>
 #include <persimmonpoint/engine/store_watch.hpp>
@@ -28,6 +29,7 @@
 #include <persimmonpoint/platform/operator_client.hpp>
 #include <persimmonpoint/platform/store_client.hpp>
 #include <set>
+#include <span>
 #include <thread>
 #include <utility>
 
@@ -47,6 +49,27 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
+/// Entries of one configuration that are logged one by one.
+constexpr std::size_t max_logged_faults = 20;
+
+void log_left_out(std::uint64_t version, std::span<entry_fault const> left_out) {
+    if (left_out.empty()) {
+        return;
+    }
+    for (entry_fault const& each :
+         left_out.first(std::min(left_out.size(), max_logged_faults))) {
+        observe::log_event(
+            observe::log_level::warning, "configuration_entry_left_out",
+            {{"configuration", version},
+             {"list", each.list},
+             {"entry", each.entry},
+             {"reason", "field " + each.fault.field + " " + each.fault.reason}});
+    }
+    observe::log_event(
+        observe::log_level::warning, "configuration_incomplete",
+        {{"configuration", version}, {"entries_left_out", left_out.size()}});
+}
+
 asio::ip::tcp::endpoint endpoint_of(std::string const& text) {
     // The settings were checked when they were loaded.
     return net::parse_endpoint(text).value_or(asio::ip::tcp::endpoint());
@@ -160,7 +183,8 @@
                 return;
             }
             observe::log_event(observe::log_level::info, "stopping", {});
-            // The other hosts hear it over their links before the list of hosts tells them.
+            // The other hosts hear it over their links before the list of hosts tells
+            // them.
             asio::post(this->traffic_loop, [this] { this->begin_drain(); });
             this->watch.leave();
         });
@@ -297,17 +321,18 @@
     /// Configurations are ordered by the operator's own version, which the store keeps as
     /// it is. Its rows are numbered anew after it came back from an older copy.
     void use_configuration(std::string body, std::string_view from) {
-        if (body == this->view.configuration_body) {
+        if (body == this->view.configuration_body || body == this->unreadable_body) {
             return;
         }
         auto decoded = platform::decode_configuration(body);
         if (!decoded) {
+            this->unreadable_body = std::move(body);
             observe::log_event(
                 observe::log_level::error, "configuration_unreadable",
                 {{"from", from}, {"reason", decoded.error().message}});
             return;
         }
-        std::uint64_t const version = decoded.value().version;
+        std::uint64_t const version = decoded.value().configuration.version;
         bool const first = this->view.configuration_body.empty();
         if (!first && version <= this->view.configuration->version) {
             observe::log_event(
@@ -318,8 +343,9 @@
             return;
         }
         this->view.configuration_body = std::move(body);
-        this->view.configuration =
-            std::make_shared<fleet_configuration>(std::move(decoded.value()));
+        this->view.configuration = std::make_shared<fleet_configuration>(
+            std::move(decoded.value().configuration));
+        log_left_out(version, decoded.value().left_out);
         observe::log_event(
             observe::log_level::info, "configuration_in_force",
             {{"configuration", this->view.configuration->version}, {"from", from}});
@@ -366,6 +392,7 @@
         this->use_configuration(std::move(message.body), "another host");
     }
     void on_directory(directory_message message) override {
+        remove_unusable(message.directory);
         if (this->view.directory.received(message.directory)) {
             this->directory_changed();
         }
@@ -428,6 +455,7 @@
     }
 
     void on_hosts(hosts_message message) override {
+        remove_unusable(message.hosts);
         this->use_hosts(message.version, std::move(message.hosts));
     }
     hosts_message own_hosts() override {
@@ -553,6 +581,7 @@
     settings_watch file_watch;
     asio::signal_set signals;
     instant drain_began{};
+    std::string unreadable_body; ///< The configuration that was refused last.
     bool waited_for_hosts = false;
     bool draining = false;
     std::atomic<bool> ready{false};
--- a/src/persimmonpoint/interfaces/fleet_store.hpp
+++ b/src/persimmonpoint/interfaces/fleet_store.hpp
@@ -12,6 +12,7 @@
 #include <persimmonpoint/core/recovery/leadership_change.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace persimmonpoint {
 
@@ -21,6 +22,12 @@
     std::string body;
 };
 
+/// A host that was registered, changed or removed since a watch began.
+struct host_change {
+    std::string name;
+    std::optional<registered_host> now; ///< Nothing if its entry is gone or unusable.
+};
+
 /// A change seen by a watch.
 struct watch_result {
     bool changed = false;
@@ -28,6 +35,8 @@
     store_version version;     ///< Watch on from here.
     /// The new one, of a watch of the configuration that brought it.
     std::optional<stored_configuration> configuration;
+    /// In the order that they were made, of a watch of the hosts.
+    std::vector<host_change> hosts;
 };
 
 struct stored_hosts {
--- a/src/persimmonpoint/net/tcp_options.cpp
+++ b/src/persimmonpoint/net/tcp_options.cpp
@@ -58,4 +58,14 @@
     return boost::asio::ip::tcp::endpoint(address, port);
 }
 
+std::optional<boost::asio::ip::tcp::endpoint>
+parse_remote_endpoint(std::string_view text) {
+    auto const endpoint = parse_endpoint(text);
+    if (!endpoint || endpoint->port() == 0 || endpoint->address().is_unspecified() ||
+        endpoint->address().is_multicast()) {
+        return std::nullopt;
+    }
+    return endpoint;
+}
+
 } // namespace persimmonpoint::net
--- a/src/persimmonpoint/net/tcp_options.hpp
+++ b/src/persimmonpoint/net/tcp_options.hpp
@@ -20,6 +20,11 @@
 /// `IP:PORT`; nothing if it is anything else.
 std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(std::string_view text);
 
+/// As parse_endpoint, for an address to connect to: port 0, the unspecified address and
+/// multicast addresses are none.
+std::optional<boost::asio::ip::tcp::endpoint>
+parse_remote_endpoint(std::string_view text);
+
 } // namespace persimmonpoint::net
 
 #endif // PERSIMMONPOINT_NET_TCP_OPTIONS_HPP_INCLUDED
--- a/src/persimmonpoint/platform/fleet_decoder.cpp
+++ b/src/persimmonpoint/platform/fleet_decoder.cpp
@@ -1,6 +1,10 @@
+#include <algorithm>
 #include <boost/json.hpp>
+#include <functional>
 #include <openssl/evp.h>
+#include <persimmonpoint/platform/field_reader.hpp>
 #include <persimmonpoint/platform/fleet_decoder.hpp>
+#include <utility>
 
 namespace persimmonpoint::platform {
 
@@ -12,108 +16,21 @@
     return error{"22023", std::move(message), effect::not_run};
 }
 
-/// Reads the fields of one object and remembers the first that doesn't fit.
-class field_reader {
-public:
-    explicit field_reader(json::object const& object) : object(object) {}
-
-    std::string text(std::string_view name) {
-        json::value const* const found = this->find(name);
-        if (found == nullptr || !found->is_string()) {
-            this->fail(name);
-            return {};
-        }
-        return std::string(found->as_string());
-    }
-
-    std::uint64_t number(std::string_view name) {
-        json::value const* const found = this->find(name);
-        if (found != nullptr && found->is_int64() && found->as_int64() >= 0) {
-            return static_cast<std::uint64_t>(found->as_int64());
-        }
-        if (found != nullptr && found->is_uint64()) {
-            return found->as_uint64();
-        }
-        this->fail(name);
-        return 0;
-    }
-
-    double decimal(std::string_view name) {
-        json::value const* const found = this->find(name);
-        if (found == nullptr || !found->is_number()) {
-            this->fail(name);
-            return 0;
-        }
-        return found->to_number<double>();
-    }
-
-    duration milliseconds(std::string_view name) {
-        return std::chrono::duration_cast<duration>(
-            std::chrono::duration<double, std::milli>(this->decimal(name)));
-    }
-
-    /// Absent fields give the value's default.
-    duration optional_milliseconds(std::string_view name) {
-        return this->has(name) ? this->milliseconds(name) : duration(0);
-    }
-
-    std::uint64_t optional_number(std::string_view name) {
-        return this->has(name) ? this->number(name) : 0;
-    }
-
-    bool optional_flag(std::string_view name) {
-        json::value const* const found = this->find(name);
-        return found != nullptr && found->is_bool() && found->as_bool();
-    }
-
-    json::array const& list(std::string_view name) {
-        static json::array const none;
-        json::value const* const found = this->find(name);
-        if (found == nullptr || !found->is_array()) {
-            this->fail(name);
-            return none;
-        }
-        return found->as_array();
-    }
-
-    bool has(std::string_view name) const {
-        json::value const* const found = this->find(name);
-        return found != nullptr && !found->is_null();
-    }
-
-    void fail(std::string_view name) {
-        if (this->problem.empty()) {
-            this->problem =
-                "field " + std::string(name) + " is missing or of another type";
-        }
-    }
-
-    std::string problem;
-
-private:
-    json::value const* find(std::string_view name) const {
-        return this->object.if_contains(name);
-    }
-
-    json::object const& object;
-};
+error unreadable(field_fault const& fault) {
+    return unreadable("field " + fault.field + " " + fault.reason);
+}
 
 /// What was decoded, if each of its fields could be read.
 template <class Decoded>
 result<Decoded> checked(field_reader const& fields, Decoded decoded) {
-    if (!fields.problem.empty()) {
-        return unreadable(fields.problem);
+    if (fields.fault()) {
+        return unreadable(*fields.fault());
     }
     return decoded;
 }
 
-std::optional<json::object> parse_object(std::string_view body) {
-    boost::system::error_code failure;
-    json::value parsed = json::parse(body, failure);
-    if (failure || !parsed.is_object()) {
-        return std::nullopt;
-    }
-    return std::move(parsed.as_object());
+std::uint32_t narrowed(std::uint64_t value) {
+    return static_cast<std::uint32_t>(value);
 }
 
 std::optional<route_kind> parse_kind(std::string_view word) {
@@ -129,86 +46,138 @@
     return std::nullopt;
 }
 
-void read_route(json::object const& object, fleet_configuration& out) {
-    field_reader fields(object);
-    served_route route;
-    route.name = fields.text("name");
-    route.database = fields.text("host");
-    route.group = fields.text("service");
-    auto const kind = parse_kind(fields.text("kind"));
-    route.kind = kind.value_or(route_kind::primary);
-    route.statement_timeout = fields.milliseconds("timeout_ms");
-    route.target_latency = fields.optional_milliseconds("target_latency_ms");
-    route.max_staleness = fields.optional_milliseconds("max_staleness_ms");
-    route.priority = static_cast<std::uint32_t>(fields.optional_number("priority"));
-    route.allow_anonymous = fields.optional_flag("allow_anonymous");
-    if (fields.problem.empty() && kind) {
-        out.routes[route.database] = std::move(route);
+/// Reads the lists of a configuration. An entry that can't be used is left out.
+class configuration_reader {
+public:
+    void read_routes(json::array const& list) {
+        this->read_list("routes", list, [this](json::object const& entry) {
+            return this->read_route(entry);
+        });
     }
-}
 
-/// Blanks and control characters would break the line protocol.
-bool is_plain_word(std::string_view word) {
-    return !word.empty() && word.find_first_of(" \r\n") == std::string_view::npos;
-}
+    void read_groups(json::array const& list) {
+        this->read_list("services", list, [this](json::object const& entry) {
+            return this->read_group(entry);
+        });
+    }
 
-void read_team(json::object const& object, fleet_configuration& out) {
-    field_reader fields(object);
-    served_team team;
-    team.name = fields.text("name");
-    team.rate = fields.decimal("rate_per_s");
-    team.burst = fields.decimal("burst");
-    if (!fields.problem.empty() || !is_plain_word(team.name)) {
-        return;
+    void read_teams(json::array const& list) {
+        this->read_list("tenants", list, [this](json::object const& entry) {
+            return this->read_team(entry);
+        });
     }
-    for (json::value const& key : fields.list("api_keys")) {
-        if (key.is_string()) {
-            out.keys[std::string(key.as_string())] = team.name;
+
+    void leave_out(std::string_view list, std::string entry, field_fault fault) {
+        this->decoded.left_out.push_back(
+            entry_fault{std::string(list), std::move(entry), std::move(fault)});
+    }
+
+    decoded_configuration decoded;
+
+private:
+    using entry_reader =
+        std::function<std::optional<field_fault>(json::object const& entry)>;
+
+    void
+    read_list(std::string_view name, json::array const& list, entry_reader const& read) {
+        for (json::value const& each : list) {
+            if (!each.is_object()) {
+                this->leave_out(name, {}, field_fault{"entry", "is not a JSON object"});
+                continue;
+            }
+            if (auto fault = read(each.as_object())) {
+                this->leave_out(name, name_of(each.as_object()), std::move(*fault));
+            }
         }
     }
-    out.teams[team.name] = std::move(team);
-}
 
-void read_group(json::object const& object, fleet_configuration& out) {
-    field_reader fields(object);
-    served_group group;
-    group.name = fields.text("name");
-    group.max_connections = static_cast<std::uint32_t>(fields.number("max_connections"));
-    group.sync_replicas =
-        static_cast<std::uint32_t>(fields.optional_number("sync_replicas"));
-    if (fields.problem.empty() && is_plain_word(group.name)) {
-        out.groups[group.name] = std::move(group);
+    static std::string name_of(json::object const& entry) {
+        return field_reader(entry).text("name");
     }
-}
 
-template <class Read>
-void read_list(json::array const& list, fleet_configuration& out, Read read) {
-    for (json::value const& each : list) {
-        if (each.is_object()) {
-            read(each.as_object(), out);
+    std::optional<field_fault> read_route(json::object const& entry) {
+        field_reader fields(entry);
+        served_route route;
+        route.name = fields.text("name");
+        route.database = fields.word("host");
+        route.group = fields.word("service");
+        auto const kind = parse_kind(fields.text("kind"));
+        if (!kind) {
+            fields.fail("kind", "is not known");
+        }
+        route.kind = kind.value_or(route_kind::primary);
+        route.statement_timeout = fields.milliseconds("timeout_ms", max_route_time);
+        route.target_latency =
+            fields.optional_milliseconds("target_latency_ms", max_route_time);
+        route.max_staleness =
+            fields.optional_milliseconds("max_staleness_ms", max_route_time);
+        route.priority = narrowed(fields.optional_number("priority", priority_range));
+        route.allow_anonymous = fields.optional_flag("allow_anonymous");
+        if (!fields.fault()) {
+            this->decoded.configuration.routes[route.database] = std::move(route);
+        }
+        return fields.fault();
+    }
+
+    std::optional<field_fault> read_group(json::object const& entry) {
+        field_reader fields(entry);
+        served_group group;
+        group.name = fields.word("name");
+        group.max_connections =
+            narrowed(fields.number("max_connections", connections_range));
+        group.sync_replicas =
+            narrowed(fields.optional_number("sync_replicas", sync_replicas_range));
+        if (!fields.fault()) {
+            this->decoded.configuration.groups[group.name] = std::move(group);
+        }
+        return fields.fault();
+    }
+
+    std::optional<field_fault> read_team(json::object const& entry) {
+        field_reader fields(entry);
+        served_team team;
+        team.name = fields.word("name");
+        team.rate = fields.decimal("rate_per_s", max_team_rate);
+        team.burst = fields.decimal("burst", max_team_rate);
+        json::array const& keys = fields.list("api_keys");
+        if (fields.fault()) {
+            return fields.fault();
         }
+        for (json::value const& each : keys) {
+            if (each.is_string()) {
+                this->decoded.configuration.keys[std::string(each.as_string())] =
+                    team.name;
+            }
+        }
+        this->decoded.configuration.teams[team.name] = std::move(team);
+        return std::nullopt;
     }
-}
+};
 
 } // namespace
 
-result<fleet_configuration> decode_configuration(std::string_view body) {
+result<decoded_configuration> decode_configuration(std::string_view body) {
     auto const object = parse_object(body);
     if (!object) {
         return unreadable("configuration is not a JSON object");
     }
     field_reader fields(*object);
-    fleet_configuration out;
-    out.version = fields.number("version");
-    read_list(fields.list("routes"), out, read_route);
-    read_list(fields.list("services"), out, read_group);
-    read_list(fields.list("tenants"), out, read_team);
+    configuration_reader lists;
+    fleet_configuration& configuration = lists.decoded.configuration;
+    configuration.version = fields.number("version");
+    lists.read_routes(fields.list("routes"));
+    lists.read_groups(fields.list("services"));
+    lists.read_teams(fields.list("tenants"));
     if (json::value const* const limits = object->if_contains("limits");
         limits != nullptr && limits->is_object()) {
-        field_reader limit_fields(limits->as_object());
-        out.transaction_idle = limit_fields.optional_milliseconds("transaction_idle_ms");
+        field_reader limit(limits->as_object());
+        configuration.transaction_idle =
+            limit.optional_milliseconds("transaction_idle_ms", max_route_time);
+        if (limit.fault()) {
+            lists.leave_out("limits", {}, *limit.fault());
+        }
     }
-    return checked(fields, std::move(out));
+    return checked(fields, std::move(lists.decoded));
 }
 
 result<registered_database> decode_database(std::string_view id, std::string_view body) {
@@ -219,24 +188,23 @@
     field_reader fields(*object);
     registered_database out;
     out.id = id;
-    out.group = fields.text("service");
-    out.address = fields.text("address");
+    out.group = fields.word("service");
+    out.address = fields.address("address");
     out.availability_zone = fields.text("zone");
-    out.slots =
-        static_cast<std::uint32_t>(std::max<std::uint64_t>(fields.number("slots"), 1));
+    out.slots = std::max<std::uint32_t>(narrowed(fields.number("slots", slots_range)), 1);
     std::string const state = fields.text("state");
     out.leaving = state == "draining";
     if (state != "ready" && state != "draining") {
-        fields.fail("state");
+        fields.fail("state", "is not known");
     }
     std::string const role = fields.text("database_role");
     out.claims_primary = role == "primary";
     if (role != "primary" && role != "replica") {
-        fields.fail("database_role");
+        fields.fail("database_role", "is not known");
     }
     out.started_ms = fields.optional_number("born");
-    if (!is_plain_word(out.id) || !is_plain_word(out.group)) {
-        fields.fail("service");
+    if (auto const fault = find_fault(out); fault && !fields.fault()) {
+        fields.fail(fault->field, fault->reason);
     }
     return checked(fields, std::move(out));
 }
@@ -256,8 +224,11 @@
     field_reader fields(*object);
     registered_host out;
     out.name = name;
-    out.address = fields.text("address");
+    out.address = fields.address("address");
     out.availability_zone = fields.text("availability_zone");
+    if (auto const fault = find_fault(out); fault && !fields.fault()) {
+        fields.fail(fault->field, fault->reason);
+    }
     return checked(fields, std::move(out));
 }
 
--- a/src/persimmonpoint/platform/fleet_decoder.hpp
+++ b/src/persimmonpoint/platform/fleet_decoder.hpp
@@ -5,19 +5,28 @@
 
 #include <optional>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
+#include <persimmonpoint/core/catalog/entry_rules.hpp>
 #include <persimmonpoint/core/catalog/fleet_configuration.hpp>
 #include <persimmonpoint/core/error.hpp>
 #include <persimmonpoint/interfaces/fleet_store.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace persimmonpoint::platform {
 
-/// Fails if the body can't be read as a configuration.
-result<fleet_configuration> decode_configuration(std::string_view body);
+/// A configuration, and the entries of its lists that can't be used.
+struct decoded_configuration {
+    fleet_configuration configuration;
+    std::vector<entry_fault> left_out;
+};
+
+/// Fails if the body can't be read as a configuration. A route, team or service that
+/// can't be used is left out, and the others hold.
+result<decoded_configuration> decode_configuration(std::string_view body);
 
 /// An entry of the databases' registry. Fails, and names what is wrong, if a field is
-/// missing or of another type: such an entry names no database to use.
+/// missing, of another type or out of bounds: such an entry names no database to use.
 result<registered_database> decode_database(std::string_view id, std::string_view body);
 
 std::string encode_host(registered_host const& host);
--- a/src/persimmonpoint/platform/line_connection.cpp
+++ b/src/persimmonpoint/platform/line_connection.cpp
@@ -4,6 +4,7 @@
 #include <persimmonpoint/net/read_loop.hpp>
 #include <persimmonpoint/net/send_queue.hpp>
 #include <persimmonpoint/net/tcp_options.hpp>
+#include <persimmonpoint/observe/event_log.hpp>
 #include <persimmonpoint/platform/line_connection.hpp>
 #include <persimmonpoint/platform/line_reader.hpp>
 #include <utility>
@@ -19,6 +20,8 @@
 constexpr auto open_limit = std::chrono::milliseconds(400);
 constexpr auto unacknowledged_limit = std::chrono::milliseconds(1500);
 constexpr std::size_t read_bytes = 4096;
+/// Rows of one answer; a longer one is cut off, as it could not be passed on.
+constexpr std::size_t most_answer_bytes = 16 * 1024 * 1024;
 
 class line_connection final : public upstream_connection,
                               public std::enable_shared_from_this<line_connection> {
@@ -124,7 +127,7 @@
             this->answer.position = parse_position(rest);
             this->deliver();
         } else if (word == "ROW") {
-            this->answer.rows.emplace_back(rest);
+            this->take_row(rest);
         } else if (word == "COMPLETE") {
             this->answer.signature = rest;
             this->complete = true;
@@ -140,6 +143,18 @@
         }
     }
 
+    void take_row(std::string_view row) {
+        this->answer_bytes += row.size();
+        if (this->answer_bytes > most_answer_bytes) {
+            observe::log_event(
+                observe::log_level::error, "answer_too_large",
+                {{"most_bytes", most_answer_bytes}});
+            this->broken();
+            return;
+        }
+        this->answer.rows.emplace_back(row);
+    }
+
     void open_rejected() {
         switch (this->answer.error) {
         case statement_error::too_many_connections:
@@ -156,6 +171,7 @@
     void deliver() {
         upstream_answer done = std::exchange(this->answer, {});
         bool const whole = std::exchange(this->complete, false);
+        this->answer_bytes = 0;
         if (this->opened) {
             this->finish_open(open_result::opened, done.position);
             return;
@@ -225,6 +241,7 @@
     net::read_loop incoming;
     line_reader lines;
     upstream_answer answer;
+    std::size_t answer_bytes = 0; ///< Of the rows of the present answer.
     bool complete = false;
 };
 
--- a/src/persimmonpoint/platform/store_client.cpp
+++ b/src/persimmonpoint/platform/store_client.cpp
@@ -1,9 +1,10 @@
 #include <boost/json.hpp>
-#include <charconv>
+#include <map>
 #include <persimmonpoint/net/tcp_options.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
 #include <persimmonpoint/platform/fleet_decoder.hpp>
 #include <persimmonpoint/platform/http_client.hpp>
+#include <persimmonpoint/platform/store_answers.hpp>
 #include <persimmonpoint/platform/store_client.hpp>
 #include <stdexcept>
 #include <vector>
@@ -16,6 +17,9 @@
 
 constexpr auto call_limit = std::chrono::milliseconds(1000);
 
+/// Rows that are remembered as logged.
+constexpr std::size_t max_noted_rows = 1000;
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_gone = 410;
 constexpr unsigned status_precondition_failed = 412;
@@ -24,52 +28,6 @@
 constexpr std::string_view hosts_table = "hosts";
 constexpr std::string_view leases_table = "leases";
 constexpr std::string_view lease_key = "leadership";
-constexpr std::string_view era_header = "Store-Era";
-
-struct stored_row {
-    std::string key;
-    std::string value;
-    std::uint64_t version = 0;
-    bool removed = false;
-};
-
-struct row_page {
-    std::vector<stored_row> rows;
-    store_version version; ///< The store's newest.
-    std::uint64_t now_ms = 0;
-};
-
-std::uint64_t number_in(json::object const& object, std::string_view name) {
-    json::value const* const found = object.if_contains(name);
-    if (found == nullptr || !found->is_number()) {
-        return 0;
-    }
-    return found->to_number<std::uint64_t>();
-}
-
-std::string text_in(json::object const& object, std::string_view name) {
-    json::value const* const found = object.if_contains(name);
-    return found != nullptr && found->is_string() ? std::string(found->as_string())
-                                                  : std::string();
-}
-
-stored_row read_row(json::object const& object) {
-    stored_row row;
-    row.key = text_in(object, "key");
-    row.value = decode_base64(text_in(object, "value")).value_or(std::string());
-    row.version = number_in(object, "row_version");
-    json::value const* const removed = object.if_contains("tombstone");
-    row.removed = removed != nullptr && removed->is_bool() && removed->as_bool();
-    return row;
-}
-
-/// 0 of a store that names none.
-std::uint64_t era_of(http_reply const& reply) {
-    std::string_view const text = reply.header(era_header);
-    std::uint64_t era = 0;
-    std::from_chars(text.data(), text.data() + text.size(), era);
-    return era;
-}
 
 /// A row of its own for each era: a call that was made in an earlier one can't match the
 /// version of a row of the present one by chance.
@@ -99,50 +57,49 @@
     watch_result out;
     out.changed = !seen.page.rows.empty();
     out.history_lost = seen.history_lost;
-    out.version = seen.page.version;
+    out.version = resume_after(seen.page);
     return out;
 }
 
-struct transaction_outcome {
-    bool committed = false; ///< False if an expected row has another version.
-    std::uint64_t era = 0;  ///< The store's, when it answered.
-};
+/// Logs rows that can't be used, each version of a row once.
+class unusable_rows {
+public:
+    void note(std::string_view table, stored_row const& row, error const& why) {
+        std::string const name = std::string(table) + "/" + row.key;
+        auto const logged = this->versions.find(name);
+        if (logged != this->versions.end() && logged->second == row.version) {
+            return;
+        }
+        if (this->versions.size() >= max_noted_rows) {
+            this->versions.clear();
+        }
+        this->versions[name] = row.version;
+        observe::log_event(
+            observe::log_level::warning, "entry_unusable",
+            {{"table", table}, {"entry", row.key}, {"reason", why.message}});
+    }
 
-error refused(std::string_view call, unsigned status) {
-    return error{
-        "58030", std::string(call) + " answered status " + std::to_string(status),
-        effect::not_run};
-}
+private:
+    std::map<std::string, std::uint64_t> versions;
+};
 
-result<row_page> read_page(std::string_view call, http_reply const& reply) {
-    if (reply.status != status_ok) {
-        return refused(call, reply.status);
+/// Nothing if the row was removed or names no host to use.
+std::optional<registered_host> read_host(stored_row const& row, unusable_rows& noted) {
+    if (row.removed) {
+        return std::nullopt;
     }
-    boost::system::error_code failure;
-    json::value const parsed = json::parse(reply.body, failure);
-    if (failure || !parsed.is_object()) {
-        return error{
-            "58030", std::string(call) + " answered no JSON object", effect::not_run};
+    result<registered_host> entry = decode_host(row.key, row.value);
+    if (!entry) {
+        noted.note(hosts_table, row, entry.error());
+        return std::nullopt;
     }
-    json::object const& object = parsed.as_object();
-    row_page page;
-    page.version = store_version{era_of(reply), number_in(object, "row_version")};
-    page.now_ms = number_in(object, "now_ms");
-    json::value const* const rows = object.if_contains("rows");
-    if (rows != nullptr && rows->is_array()) {
-        for (json::value const& each : rows->as_array()) {
-            if (each.is_object()) {
-                page.rows.push_back(read_row(each.as_object()));
-            }
-        }
-    }
-    return page;
+    return std::move(entry.value());
 }
 
-std::string read_target(std::string_view table, std::string_view part) {
-    return "/api/rows-get?table=" + std::string(table) + "&part=" + std::string(part) +
-           "&limit=500";
-}
+struct transaction_outcome {
+    bool committed = false; ///< False if an expected row has another version.
+    std::uint64_t era = 0;  ///< The store's, when it answered.
+};
 
 } // namespace
 
@@ -163,18 +120,48 @@
             std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
     }
 
+    /// Reads all rows of a part, page by page.
     static void read(
         http_client& on,
         std::string_view table,
         std::string_view part,
         handler<row_page> done) {
-        on.request("GET", read_target(table, part), {}, [done](result<http_reply> reply) {
-            if (!reply) {
-                done(reply.error());
-                return;
-            }
-            done(read_page("rows-get", reply.value()));
-        });
+        read_on(
+            on, std::string(table), std::string(part), std::make_shared<row_list>(),
+            std::move(done));
+    }
+
+    static void read_on(
+        http_client& on,
+        std::string const& table,
+        std::string const& part,
+        std::shared_ptr<row_list> const& list,
+        handler<row_page> done) {
+        on.request(
+            "GET", list_target(table, part, list->next_from()), {},
+            [&on, table, part, list, done = std::move(done)](result<http_reply> reply) {
+                if (!reply) {
+                    done(reply.error());
+                    return;
+                }
+                result<row_page> page = read_page("rows-get", reply.value());
+                if (!page) {
+                    done(page.error());
+                    return;
+                }
+                switch (list->add(std::move(page.value()))) {
+                case row_list::step::finished:
+                    done(list->take());
+                    return;
+                case row_list::step::give_up:
+                    done(error{
+                        "58030", "the pages of table " + table + " make up no list",
+                        effect::not_run});
+                    return;
+                default:
+                    read_on(on, table, part, list, done);
+                }
+            });
     }
 
     static void watch(
@@ -191,9 +178,7 @@
                 done(reply.error());
                 return;
             }
-            bool const restored =
-                reply.value().status == status_ok && era_of(reply.value()) != era;
-            if (reply.value().status == status_gone || restored) {
+            if (reply.value().status == status_gone) {
                 done(watched_rows{true, {}});
                 return;
             }
@@ -202,6 +187,10 @@
                 done(page.error());
                 return;
             }
+            if (page.value().version.era != era) {
+                done(watched_rows{true, {}});
+                return;
+            }
             done(watched_rows{false, std::move(page.value())});
         };
         on.request("GET", target, {}, answered, {}, wait);
@@ -218,10 +207,15 @@
                 }
                 unsigned const status = reply.value().status;
                 if (status != status_ok && status != status_precondition_failed) {
-                    done(refused("rows-tx", status));
+                    done(unexpected_status("rows-tx", status));
+                    return;
+                }
+                auto const era = read_era(reply.value());
+                if (!era) {
+                    done(era.error());
                     return;
                 }
-                done(transaction_outcome{status == status_ok, era_of(reply.value())});
+                done(transaction_outcome{status == status_ok, era.value()});
             });
     }
 
@@ -230,6 +224,7 @@
     /// Read and watched in turn: a large one holds up no other call.
     std::unique_ptr<http_client> configuration;
     std::unique_ptr<http_client> host_watch;
+    unusable_rows noted;
 };
 
 namespace {
@@ -293,7 +288,8 @@
 
 void store_client::read_databases(handler<database_directory> done) {
     implementation::read(
-        *this->impl->databases, "servers", "", [done](result<row_page> page) {
+        *this->impl->databases, "servers", "",
+        [done, &noted = this->impl->noted](result<row_page> page) {
             if (!page) {
                 done(page.error());
                 return;
@@ -305,9 +301,7 @@
                 if (entry) {
                     out.databases.emplace(each.key, std::move(entry.value()));
                 } else {
-                    observe::log_event(
-                        observe::log_level::warning, "database_entry_unreadable",
-                        {{"database", each.key}, {"reason", entry.error().message}});
+                    noted.note("servers", each, entry.error());
                 }
             }
             done(std::move(out));
@@ -316,7 +310,8 @@
 
 void store_client::read_hosts(handler<stored_hosts> done) {
     implementation::read(
-        *this->impl->calls, hosts_table, "", [done](result<row_page> page) {
+        *this->impl->calls, hosts_table, "",
+        [done, &noted = this->impl->noted](result<row_page> page) {
             if (!page) {
                 done(page.error());
                 return;
@@ -324,8 +319,8 @@
             stored_hosts out;
             out.version = page.value().version;
             for (stored_row const& each : page.value().rows) {
-                if (auto entry = decode_host(each.key, each.value)) {
-                    out.hosts.push_back(std::move(entry.value()));
+                if (auto entry = read_host(each, noted)) {
+                    out.hosts.push_back(std::move(*entry));
                 }
             }
             done(std::move(out));
@@ -338,12 +333,17 @@
     handler<watch_result> done) {
     implementation::watch(
         *this->impl->host_watch, hosts_table, version, wait,
-        [done = std::move(done)](result<watched_rows> const& seen) {
+        [done = std::move(done),
+         &noted = this->impl->noted](result<watched_rows> const& seen) {
             if (!seen) {
                 done(seen.error());
                 return;
             }
-            done(to_result(seen.value()));
+            watch_result out = to_result(seen.value());
+            for (stored_row const& each : seen.value().page.rows) {
+                out.hosts.push_back({each.key, read_host(each, noted)});
+            }
+            done(std::move(out));
         });
 }
 
--- a/src/persimmonpoint/standin/row_store.cpp
+++ b/src/persimmonpoint/standin/row_store.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
+#include <boost/url/pct_string_view.hpp>
 #include <list>
 #include <map>
 #include <persimmonpoint/net/http_responder.hpp>
@@ -15,6 +16,9 @@
 
 namespace {
 
+/// Rows of one answer, at most.
+constexpr std::uint64_t most_rows = 500;
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_conflict = 409;
@@ -46,7 +50,7 @@
         std::string_view const pair = rest.substr(0, end);
         std::size_t const equals = pair.find('=');
         if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
-            return std::string(pair.substr(equals + 1));
+            return boost::urls::pct_string_view(pair.substr(equals + 1)).decode();
         }
         at = end == rest.size() ? std::string_view::npos : at + 1 + end;
     }
@@ -148,17 +152,35 @@
         return out;
     }
 
-    net::http_response read(std::string_view target) const {
+    net::http_response read(std::string_view target) {
+        std::string const table = parameter(target, "table");
+        std::string const part = parameter(target, "part");
+        std::string const end = parameter(target, "to");
+        std::uint64_t const limit =
+            std::min(number(parameter(target, "limit")), most_rows);
         json::array found;
-        for (auto const& [key, value] : this->rows) {
-            if (!value.removed && std::get<0>(key) == parameter(target, "table") &&
-                std::get<1>(key) == parameter(target, "part")) {
-                found.push_back(to_json(key, value));
+        bool has_more = false;
+        auto each = this->rows.lower_bound({table, part, parameter(target, "from")});
+        for (; each != this->rows.end(); ++each) {
+            auto const& [in_table, in_part, key] = each->first;
+            if (in_table != table || in_part != part || (!end.empty() && key >= end)) {
+                break;
+            }
+            if (each->second.removed) {
+                continue;
             }
+            if (limit > 0 && found.size() == limit) {
+                has_more = true;
+                break;
+            }
+            found.push_back(to_json(each->first, each->second));
         }
         json::object body = this->head();
         body["rows"] = std::move(found);
-        body["has_more"] = false;
+        body["has_more"] = has_more;
+        if (has_more && this->page_hook) {
+            this->page_hook();
+        }
         return {status_ok, "application/json", json::serialize(body)};
     }
 
@@ -265,6 +287,7 @@
     std::uint64_t version = 0;
     std::uint64_t era = 1;
     std::map<std::string, std::size_t> reads; ///< By table.
+    std::function<void()> page_hook;
     std::map<row_key, row> copied_rows;
     std::uint64_t copied_version = 0;
     std::atomic<std::uint64_t> call_count{0};
@@ -311,6 +334,10 @@
     this->impl->watchers.clear();
 }
 
+void row_store::set_page_hook(std::function<void()> hook) {
+    this->impl->page_hook = std::move(hook);
+}
+
 void row_store::keep_copy() {
     this->impl->copied_rows = this->impl->rows;
     this->impl->copied_version = this->impl->version;
--- a/src/persimmonpoint/standin/row_store.hpp
+++ b/src/persimmonpoint/standin/row_store.hpp
@@ -37,12 +37,15 @@
     void set_fault(store_fault fault);
     /// The watches that wait now get no answer, and their connections stay open.
     void silence_watches();
+    /// Called after each answer to a reading that was cut, before the next page is asked
+    /// for.
+    void set_page_hook(std::function<void()> hook);
     /// Keeps a copy of all rows, for `restore`.
     void keep_copy();
     /// Comes back from the copy: its rows and version, and the next era.
     void restore();
     std::uint64_t calls() const;
-    /// How often a table was read; watches don't count.
+    /// How often a table was read; each page counts, watches don't.
     std::size_t reads_of(std::string const& table) const;
     /// Rows that a table has.
     std::size_t rows_of(std::string const& table) const;
--- a/tests/introspective/platform_codec.tests.cpp
+++ b/tests/introspective/platform_codec.tests.cpp
@@ -119,7 +119,7 @@
     "A configuration is decoded; what can't be used in it is left out", "[decoder]") {
     auto const decoded = decode_configuration(configuration);
     REQUIRE(decoded);
-    fleet_configuration const& value = decoded.value();
+    fleet_configuration const& value = decoded.value().configuration;
     CHECK(value.version == 7);
     CHECK(value.routes.size() == 1);
     CHECK(value.find_route("lepu")->kind == route_kind::bounded_staleness);
