Hosts follow the list of hosts by its feed, and call a store that refuses them more rarely

Cause, by reading: each change of the list of hosts was a watch and a reading of all rows by each of 195 hosts; a host that the store turns away repeated three kinds of calls each 0.3 s (68 hosts: some 600 calls a second); a watch with nothing to tell was made anew each 12 s by each host, twice.

Change: changes are taken from the feed's rows; a failed call is made again after a pause that grows with the outage and is spread by chance (core's store_retry, up to 10 ms a host, 3 s at most; 0.3 s in a small fleet, as before); in fleets of more than 16 hosts a watch waits 28 s. A connection that falls silent is still noticed by its keep-alive, and changes come by links.

--- a/src/persimmonpoint/core/membership/fleet_pace.cpp
+++ b/src/persimmonpoint/core/membership/fleet_pace.cpp
@@ -18,6 +18,8 @@
 constexpr duration hosts_settle_per_host = milliseconds(25);
 constexpr duration longest_hosts_settle = std::chrono::seconds(3);
 constexpr duration directory_interval_per_host = milliseconds(150);
+constexpr duration store_retry_per_host = milliseconds(10);
+constexpr duration longest_store_retry = std::chrono::seconds(3);
 
 fleet_pace small_pace() {
     fleet_pace pace;
@@ -35,6 +37,8 @@
     pace.store_patience = milliseconds(0);
     pace.hosts_patience = milliseconds(0);
     pace.directory_interval = std::chrono::seconds(5);
+    pace.store_retry_limit = milliseconds(300);
+    pace.watch_wait = std::chrono::seconds(12);
     return pace;
 }
 
@@ -59,6 +63,9 @@
     pace.hosts_settle = std::min(hosts_settle_per_host * count, longest_hosts_settle);
     pace.hosts_patience = 2 * pace.hosts_settle;
     pace.store_patience = milliseconds(700);
+    pace.store_retry_limit = std::clamp(
+        store_retry_per_host * count, pace.store_retry_limit, longest_store_retry);
+    pace.watch_wait = std::chrono::seconds(28);
     pace.directory_interval =
         std::max(pace.directory_interval, directory_interval_per_host * count);
     return pace;
--- a/src/persimmonpoint/core/membership/fleet_pace.hpp
+++ b/src/persimmonpoint/core/membership/fleet_pace.hpp
@@ -40,6 +40,11 @@
     duration hosts_patience{}; ///< The same for the list of hosts.
     /// Between two readings of the databases by a host that learns of them from others.
     duration directory_interval{};
+    /// Longest pause before a failed call to the store is made again.
+    duration store_retry_limit{};
+    /// How long the store may hold a watch that has nothing to tell, on a host that
+    /// learns of changes from others, too.
+    duration watch_wait{};
     /// Whether each host is linked to all others.
     bool fully_linked = true;
 };
--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -1,22 +1,28 @@
-#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <persimmonpoint/core/membership/fleet_pace.hpp>
+#include <persimmonpoint/core/membership/store_retry.hpp>
 #include <persimmonpoint/core/recovery/lease_policy.hpp>
 #include <persimmonpoint/engine/store_watch.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
+#include <persimmonpoint/observe/random_device_source.hpp>
+#include <span>
 #include <utility>
 
 namespace persimmonpoint::engine {
 
 namespace {
 
-/// Wait of the configuration's watch on a host that passes news on to the others, and on
-/// any other. A connection that fell silent is noticed after it.
-constexpr auto leading_watch_wait = std::chrono::milliseconds(1500);
-constexpr auto watch_wait = std::chrono::milliseconds(12000);
-constexpr auto leading_read_interval = std::chrono::milliseconds(800);
-constexpr auto retry_interval = std::chrono::milliseconds(300);
+using std::chrono::milliseconds;
+
+/// Wait of the configuration's watch on a host that passes news on to the others. A
+/// connection that fell silent is noticed after it.
+constexpr auto leading_watch_wait = milliseconds(1500);
+constexpr auto leading_read_interval = milliseconds(800);
+
+milliseconds to_milliseconds(duration time) {
+    return std::chrono::duration_cast<milliseconds>(time);
+}
 
 } // namespace
 
@@ -36,9 +42,18 @@
           hosts_timer(loop),
           register_timer(loop) {}
 
+    fleet_pace pace() const { return pace_for(this->hosts.size()); }
+
+    /// Makes a call again that failed.
     template <class Next>
-    void
-    after(boost::asio::steady_timer& timer, std::chrono::milliseconds pause, Next next) {
+    void again(boost::asio::steady_timer& timer, store_retry& retry, Next next) {
+        duration const pause =
+            retry.failed(this->time.now(), this->pace().store_retry_limit, this->random);
+        this->after(timer, to_milliseconds(pause), next);
+    }
+
+    template <class Next>
+    void after(boost::asio::steady_timer& timer, milliseconds pause, Next next) {
         timer.expires_after(pause);
         timer.async_wait(
             [weak = this->weak_from_this(), next](boost::system::error_code failure) {
@@ -101,11 +116,12 @@
                     watch->reading_configuration = false;
                     watch->note_store(
                         static_cast<bool>(read), read ? "" : read.error().message);
-                    watch->after(
-                        watch->configuration_timer, retry_interval,
+                    watch->again(
+                        watch->configuration_timer, watch->configuration_retry,
                         [](implementation& self) { self.read_configuration(); });
                     return;
                 }
+                watch->configuration_retry.succeeded();
                 watch->note_store(true, "configuration read");
                 watch->configuration_row = read.value().row;
                 watch->note_era(read.value().row.era);
@@ -116,7 +132,8 @@
     }
 
     void watch_configuration() {
-        auto const wait = this->leading ? leading_watch_wait : watch_wait;
+        milliseconds const wait =
+            this->leading ? leading_watch_wait : to_milliseconds(this->pace().watch_wait);
         this->store.watch_configuration(
             this->configuration_row, wait,
             [weak = this->weak_from_this(),
@@ -129,8 +146,8 @@
                     watch->note_failure(
                         "configuration_watch_failed", seen.error(), began);
                     watch->note_store(false, seen.error().message);
-                    watch->after(
-                        watch->configuration_timer, retry_interval,
+                    watch->again(
+                        watch->configuration_timer, watch->configuration_retry,
                         [](implementation& self) { self.read_configuration(); });
                     return;
                 }
@@ -157,21 +174,20 @@
             if (!watch || watch->stopped) {
                 return;
             }
-            if (read) {
-                watch->note_store(true, "databases read");
-                watch->note_era(read.value().version.era);
-                watch->observer.on_stored_databases(std::move(read.value()));
-            } else {
+            auto const read_again = [](implementation& self) { self.read_databases(); };
+            if (!read) {
                 watch->note_store(false, read.error().message);
+                watch->again(watch->databases_timer, watch->databases_retry, read_again);
+                return;
             }
-            auto const pause =
-                !read            ? retry_interval
-                : watch->leading ? leading_read_interval
-                                 : std::chrono::duration_cast<std::chrono::milliseconds>(
-                                       pace_for(watch->host_count).directory_interval);
-            watch->after(watch->databases_timer, pause, [](implementation& self) {
-                self.read_databases();
-            });
+            watch->databases_retry.succeeded();
+            watch->note_store(true, "databases read");
+            watch->note_era(read.value().version.era);
+            watch->observer.on_stored_databases(std::move(read.value()));
+            milliseconds const pause =
+                watch->leading ? leading_read_interval
+                               : to_milliseconds(watch->pace().directory_interval);
+            watch->after(watch->databases_timer, pause, read_again);
         });
     }
 
@@ -184,11 +200,13 @@
                 if (!watch || watch->stopped) {
                     return;
                 }
-                if (!outcome) {
-                    watch->after(
-                        watch->register_timer, retry_interval,
-                        [](implementation& self) { self.register_self(); });
+                if (outcome) {
+                    watch->register_retry.succeeded();
+                    return;
                 }
+                watch->again(
+                    watch->register_timer, watch->register_retry,
+                    [](implementation& self) { self.register_self(); });
             });
     }
 
@@ -200,51 +218,75 @@
                     return;
                 }
                 if (!read) {
-                    watch->after(
-                        watch->hosts_timer, retry_interval,
+                    watch->again(
+                        watch->hosts_timer, watch->hosts_retry,
                         [](implementation& self) { self.read_hosts(); });
                     return;
                 }
-                watch->hosts_version = read.value().version;
                 watch->note_era(read.value().version.era);
-                watch->host_count = read.value().hosts.size();
-                bool const registered = std::any_of(
-                    read.value().hosts.begin(), read.value().hosts.end(),
-                    [&](registered_host const& each) { return each == watch->self; });
-                if (!registered) {
-                    watch->register_self();
+                watch->hosts.clear();
+                for (registered_host& each : read.value().hosts) {
+                    std::string const name = each.name;
+                    watch->hosts.emplace(name, std::move(each));
                 }
-                watch->observer.on_stored_hosts(std::move(read.value()));
-                watch->watch_hosts();
+                watch->use_hosts(read.value().version);
             });
     }
 
     void watch_hosts() {
         this->store.watch_hosts(
-            this->hosts_version, watch_wait,
+            this->hosts_version, to_milliseconds(this->pace().watch_wait),
             [weak = this->weak_from_this()](result<watch_result> seen) {
                 auto const watch = weak.lock();
                 if (!watch || watch->stopped) {
                     return;
                 }
                 if (!seen) {
-                    watch->after(
-                        watch->hosts_timer, retry_interval,
-                        [](implementation& self) { self.read_hosts(); });
-                } else if (seen.value().changed || seen.value().history_lost) {
-                    // Hosts of a large fleet come and go together.
-                    watch->after(
-                        watch->hosts_timer,
-                        std::chrono::duration_cast<std::chrono::milliseconds>(
-                            pace_for(watch->host_count).hosts_settle),
+                    watch->again(
+                        watch->hosts_timer, watch->hosts_retry,
                         [](implementation& self) { self.read_hosts(); });
+                } else if (seen.value().history_lost) {
+                    watch->read_hosts();
+                } else if (seen.value().changed) {
+                    watch->apply(seen.value().hosts);
+                    watch->use_hosts(seen.value().version);
                 } else {
+                    watch->hosts_retry.succeeded();
                     watch->hosts_version = seen.value().version;
                     watch->watch_hosts();
                 }
             });
     }
 
+    void apply(std::span<host_change const> changes) {
+        for (host_change const& each : changes) {
+            if (each.now) {
+                this->hosts.insert_or_assign(each.name, *each.now);
+            } else {
+                this->hosts.erase(each.name);
+            }
+        }
+    }
+
+    /// Tells of the hosts as they are at `version` and watches on from there.
+    void use_hosts(store_version const& version) {
+        this->hosts_retry.succeeded();
+        this->hosts_version = version;
+        auto const own = this->hosts.find(this->self.name);
+        if (own == this->hosts.end() || own->second != this->self) {
+            this->register_self();
+        }
+        stored_hosts known{version, {}};
+        for (auto const& each : this->hosts) {
+            known.hosts.push_back(each.second);
+        }
+        this->observer.on_stored_hosts(std::move(known));
+        // Hosts of a large fleet come and go together.
+        this->after(
+            this->hosts_timer, to_milliseconds(this->pace().hosts_settle),
+            [](implementation& self) { self.watch_hosts(); });
+    }
+
     // Leases
 
     void request_token(
@@ -327,7 +369,12 @@
     std::optional<std::uint64_t> era; ///< The newest that the store named.
     store_version configuration_row;
     store_version hosts_version;
-    std::size_t host_count = 0;
+    std::map<std::string, registered_host> hosts; ///< As of `hosts_version`, by name.
+    store_retry configuration_retry;
+    store_retry databases_retry;
+    store_retry hosts_retry;
+    store_retry register_retry;
+    observe::random_device_source random;
     std::atomic<bool> leading{true};
     std::atomic<bool> store_reached{true};
     std::atomic<bool> reading_configuration{false};
--- a/src/persimmonpoint/engine/store_watch.hpp
+++ b/src/persimmonpoint/engine/store_watch.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <persimmonpoint/core/recovery/lease_policy.hpp>
 #include <persimmonpoint/interfaces/clock.hpp>
 #include <persimmonpoint/interfaces/fleet_store.hpp>
 #include <string>
