A host writes its own row once, however often the list changes meanwhile

Cause: each change of the list of hosts that lacked this one's row wrote it again, also while the first write was under way. 195 hosts that start together queue behind one part of the store (300 transactions a second), so that each saw several changes first; every further write is a change for all 195 again.

Change: one registration at a time.

Ruled out: waiting for the pace of a large fleet; it is not known before the list is.

Evidence: the new test, with a stand-in that holds transactions back: 5 writes before, 1 now.

--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -201,7 +201,15 @@
 
     // Hosts
 
+    /// Writes this host's row, unless that is under way: others' rows may change many
+    /// times before the store has it.
     void register_self() {
+        if (!std::exchange(this->registering, true)) {
+            this->write_own_row();
+        }
+    }
+
+    void write_own_row() {
         this->store.register_host(
             this->self, [weak = this->weak_from_this()](result<void> outcome) {
                 auto const watch = weak.lock();
@@ -209,12 +217,13 @@
                     return;
                 }
                 if (outcome) {
+                    watch->registering = false;
                     watch->register_retry.succeeded();
                     return;
                 }
                 watch->again(
                     watch->register_timer, watch->register_retry,
-                    [](implementation& self) { self.register_self(); });
+                    [](implementation& self) { self.write_own_row(); });
             });
     }
 
@@ -386,6 +395,7 @@
     std::atomic<bool> leading{true};
     std::atomic<bool> store_reached{true};
     std::atomic<bool> reading_configuration{false};
+    bool registering = false;
     bool stopped = false;
 };
 
--- a/src/persimmonpoint/standin/row_store.cpp
+++ b/src/persimmonpoint/standin/row_store.cpp
@@ -8,6 +8,8 @@
 #include <persimmonpoint/platform/fleet_decoder.hpp>
 #include <persimmonpoint/standin/row_store.hpp>
 #include <tuple>
+#include <utility>
+#include <vector>
 
 namespace persimmonpoint::standin {
 
@@ -120,6 +122,8 @@
             reply(this->read(target));
         } else if (target.rfind("/api/rows-feed", 0) == 0) {
             this->watch(target, std::move(reply));
+        } else if (target.rfind("/api/rows-tx", 0) == 0 && this->holds_transactions) {
+            this->held.push_back({question.body, std::move(reply)});
         } else if (target.rfind("/api/rows-tx", 0) == 0) {
             reply(this->transact(question.body));
         } else if (target == "/promote") {
@@ -249,6 +253,7 @@
             }
         }
         ++this->version;
+        ++this->transaction_count;
         for (json::value const& each : call.at("writes").as_array()) {
             json::object const& entry = each.as_object();
             std::string const value =
@@ -288,6 +293,13 @@
     std::uint64_t era = 1;
     std::map<std::string, std::size_t> reads; ///< By table.
     std::function<void()> page_hook;
+    struct held_transaction {
+        std::string body;
+        net::http_responder::reply reply;
+    };
+    std::vector<held_transaction> held;
+    bool holds_transactions = false;
+    std::size_t transaction_count = 0;
     std::map<row_key, row> copied_rows;
     std::uint64_t copied_version = 0;
     std::atomic<std::uint64_t> call_count{0};
@@ -303,6 +315,7 @@
     this->impl->timer.cancel();
     this->impl->watchers.clear();
     this->impl->unanswered.clear();
+    this->impl->held.clear();
     this->impl->server.reset();
 }
 
@@ -334,6 +347,21 @@
     this->impl->watchers.clear();
 }
 
+void row_store::hold_transactions() {
+    this->impl->holds_transactions = true;
+}
+
+void row_store::release_transactions() {
+    this->impl->holds_transactions = false;
+    for (auto const& each : std::exchange(this->impl->held, {})) {
+        each.reply(this->impl->transact(each.body));
+    }
+}
+
+std::size_t row_store::transactions() const {
+    return this->impl->transaction_count;
+}
+
 void row_store::set_page_hook(std::function<void()> hook) {
     this->impl->page_hook = std::move(hook);
 }
--- a/src/persimmonpoint/standin/row_store.hpp
+++ b/src/persimmonpoint/standin/row_store.hpp
@@ -35,6 +35,9 @@
     void remove(std::string const& table, std::string const& key);
     /// Promotions are not touched by it.
     void set_fault(store_fault fault);
+    /// While they are held, transactions wait and readings are answered.
+    void hold_transactions();
+    void release_transactions();
     /// The watches that wait now get no answer, and their connections stay open.
     void silence_watches();
     /// Called after each answer to a reading that was cut, before the next page is asked
@@ -47,6 +50,8 @@
     std::uint64_t calls() const;
     /// How often a table was read; each page counts, watches don't.
     std::size_t reads_of(std::string const& table) const;
+    /// Transactions that were carried out.
+    std::size_t transactions() const;
     /// Rows that a table has.
     std::size_t rows_of(std::string const& table) const;
 
--- a/tests/usage/store_lists.tests.cpp
+++ b/tests/usage/store_lists.tests.cpp
@@ -28,9 +28,9 @@
 /// A host's view of the store, with the stand-in, all on one loop.
 class store_stage final : public engine::store_observer {
 public:
-    store_stage() {
+    explicit store_stage(std::size_t rows = many) {
         this->store.put("op", "config", "{}");
-        for (std::size_t i = 0; i < many; ++i) {
+        for (std::size_t i = 0; i < rows; ++i) {
             this->store.put("servers", numbered("i-", i), database_entry("2"));
             this->put_host(numbered("h-", i), "127.0.0.1:9");
         }
@@ -144,3 +144,17 @@
     }));
     CHECK(stage.databases.count("z-lost") == 0);
 }
+
+TEST_CASE("A host registers itself once, however often others do", "[store][list]") {
+    store_stage stage(2);
+    stage.store.hold_transactions();
+    stage.watch.start();
+    for (std::size_t i = 0; i < 5; ++i) {
+        std::string const name = numbered("new-", i);
+        stage.put_host(name, "127.0.0.1:12");
+        REQUIRE(stage.run_until([&] { return stage.hosts.count(name) == 1; }));
+    }
+    stage.store.release_transactions();
+    REQUIRE(stage.run_until([&] { return stage.hosts.count("h-self") == 1; }));
+    CHECK(stage.store.transactions() == 1);
+}
