A copy and an include less, as the linter asks

performance-no-automatic-move on the checked endpoint, found by the linter over all sources: its only finding, also with the check for narrowing conversions on. entry_rules needs no vector. No change of what is decided.

--- a/src/persimmonpoint/core/catalog/entry_rules.hpp
+++ b/src/persimmonpoint/core/catalog/entry_rules.hpp
@@ -12,7 +12,6 @@
 #include <persimmonpoint/core/time.hpp>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace persimmonpoint {
 
--- a/src/persimmonpoint/net/tcp_options.cpp
+++ b/src/persimmonpoint/net/tcp_options.cpp
@@ -60,7 +60,7 @@
 
 std::optional<boost::asio::ip::tcp::endpoint>
 parse_remote_endpoint(std::string_view text) {
-    auto const endpoint = parse_endpoint(text);
+    auto endpoint = parse_endpoint(text);
     if (!endpoint || endpoint->port() == 0 || endpoint->address().is_unspecified() ||
         endpoint->address().is_multicast()) {
         return std::nullopt;
