--- a/review/stage/stage.cpp
+++ b/review/stage/stage.cpp
@@ -49,19 +49,30 @@
     return address;
 }
 
-int listen_on(std::uint16_t& port) {
-    int const made = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+/// False if the port is taken.
+bool bind_to(int socket, std::uint16_t port) {
     int const yes = 1;
-    ::setsockopt(made, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
     sockaddr_in address = loopback(port);
-    socklen_t size = sizeof(address);
-    if (::bind(made, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
-        ::listen(made, 64) != 0) {
-        throw std::runtime_error("can't listen");
+    return ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0 &&
+           ::listen(socket, 64) == 0;
+}
+
+/// A listening socket on a port that no other caller of this function gets. The ports lie
+/// below those that the system gives to connections.
+int listen_on(std::uint16_t& port) {
+    constexpr std::uint16_t first_port = 20000;
+    constexpr std::uint16_t ports = 12000;
+    static std::atomic<unsigned> next{static_cast<unsigned>(::getpid()) * 37U};
+    for (unsigned tries = 0; tries < ports; ++tries) {
+        port = static_cast<std::uint16_t>(first_port + next++ % ports);
+        int const made = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (bind_to(made, port)) {
+            return made;
+        }
+        ::close(made);
     }
-    ::getsockname(made, reinterpret_cast<sockaddr*>(&address), &size);
-    port = ntohs(address.sin_port);
-    return made;
+    throw std::runtime_error("no port is free");
 }
 
 int connect_to(std::uint16_t port) {
