A transaction has an id of its own, which names no other one later

Cause: a session named its transaction by the number of a pooled connection at the owner. The connection goes back to use under its number after a rollback, and a new process (or an owner made anew for its database) numbers from 1 again. The check of the source compares links between hosts, which all sessions of a host share.

Ruled out: orders of an old link that arrive on a new one; a link's messages end with it.

Change: a transaction id of process and number. The process is its start by the monotonic clock and a random number; the number counts the transactions of the whole process, so that an owner that is made anew doesn't start over. An id whose transaction has ended is found nowhere and refused as not run.

--- a/src/persimmonpoint/core/session/client_session_state.cpp
+++ b/src/persimmonpoint/core/session/client_session_state.cpp
@@ -42,7 +42,7 @@
     case statement_verb::begin_read:
         this->current = transaction_state::open;
         this->is_read_only = command.verb == statement_verb::begin_read;
-        this->open_connection_id = 0;
+        this->open_transaction = {};
         this->open_database.clear();
         return success_decision();
     case statement_verb::commit:
@@ -57,7 +57,7 @@
     if (auto decision = this->decide_session_command(command)) {
         return *decision;
     }
-    bool const at_database = this->open_connection_id != 0;
+    bool const at_database = this->open_transaction.is_set();
     switch (command.verb) {
     case statement_verb::begin:
     case statement_verb::begin_read:
@@ -161,23 +161,23 @@
     return command.verb == statement_verb::write;
 }
 
-void client_session_state::opened(std::string database, std::uint64_t lane) {
+void client_session_state::opened(std::string database, transaction_id id) {
     this->open_database = std::move(database);
-    this->open_connection_id = lane;
+    this->open_transaction = id;
 }
 
 void client_session_state::failed() {
     if (this->current == transaction_state::open) {
         this->current = transaction_state::failed;
     }
-    this->open_connection_id = 0;
+    this->open_transaction = {};
     this->open_database.clear();
 }
 
 void client_session_state::ended() {
     this->current = transaction_state::idle;
     this->is_read_only = false;
-    this->open_connection_id = 0;
+    this->open_transaction = {};
     this->open_database.clear();
 }
 
--- a/src/persimmonpoint/core/session/client_session_state.hpp
+++ b/src/persimmonpoint/core/session/client_session_state.hpp
@@ -45,9 +45,8 @@
     /// the next call.
     statement_decision decide(statement const& command);
 
-    /// Records that the transaction is open on a database, on connection `lane` of the
-    /// host that owns the database's connections.
-    void opened(std::string database, std::uint64_t lane);
+    /// Records that the transaction is open on a database.
+    void opened(std::string database, transaction_id id);
     /// Marks the open transaction as failed because a statement failed or the connection
     /// was lost. Only COMMIT and ROLLBACK are accepted afterwards; both roll back.
     void failed();
@@ -59,7 +58,8 @@
 
     transaction_state state() const { return this->current; }
     bool read_only() const { return this->is_read_only; }
-    std::uint64_t lane() const { return this->open_connection_id; }
+    /// The transaction that is open on a database, if any.
+    transaction_id const& transaction() const { return this->open_transaction; }
     std::string const& database() const { return this->open_database; }
     session_values const& values() const { return this->session; }
     /// Highest log position acknowledged to this session in the group, if any.
@@ -77,7 +77,7 @@
 
     transaction_state current = transaction_state::idle;
     bool is_read_only = false;
-    std::uint64_t open_connection_id = 0;
+    transaction_id open_transaction;
     std::string open_database;
     session_values session;
     std::map<std::string, prepared_shape, std::less<>> prepared;
--- a/src/persimmonpoint/core/statement/upstream_request.cpp
+++ b/src/persimmonpoint/core/statement/upstream_request.cpp
@@ -10,8 +10,8 @@
         return "queue_full";
     case upstream_refusal::expired:
         return "expired";
-    case upstream_refusal::lane_lost:
-        return "lane_lost";
+    case upstream_refusal::transaction_lost:
+        return "transaction_lost";
     default:
         return "none";
     }
--- a/src/persimmonpoint/core/statement/upstream_request.hpp
+++ b/src/persimmonpoint/core/statement/upstream_request.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <persimmonpoint/core/routing/log_position.hpp>
 #include <persimmonpoint/core/statement/statement.hpp>
+#include <persimmonpoint/core/statement/transaction_id.hpp>
 #include <string>
 #include <vector>
 
@@ -30,7 +31,7 @@
 /// A statement or control command for one database.
 struct upstream_request {
     upstream_request_kind kind = upstream_request_kind::single;
-    std::uint64_t lane = 0; ///< The owner's connection for the transaction; 0: none yet.
+    transaction_id transaction; ///< The open transaction that it belongs to, if any.
     std::string group;
     std::string database;
     std::string team;
@@ -70,9 +71,9 @@
     /// No connection could be opened or set up, the connection was lost, or the owner was
     /// closed or emptied its queue.
     unreachable,
-    queue_full, ///< The owner's queue for the database is full.
-    expired,    ///< The request timed out in the queue.
-    lane_lost   ///< The transaction's connection was lost; it was rolled back.
+    queue_full,      ///< The owner's queue for the database is full.
+    expired,         ///< The request timed out in the queue.
+    transaction_lost ///< The transaction is not open any more; it was rolled back.
 };
 
 /// Name of the reason as used in logs.
@@ -89,7 +90,7 @@
     transaction_state state = transaction_state::idle;
     /// The database's log position after the statement.
     std::optional<log_position> position;
-    std::uint64_t lane = 0; ///< The owner's connection for the transaction; 0: none.
+    transaction_id transaction; ///< Set while the request's transaction is open.
     std::uint32_t load = 0; ///< Requests queued or running for the database at the owner.
     bool leader_confirmed = false; ///< The response proves that the database was primary.
     /// Set in responses to `report_state`, `hold` and `resume`.
--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -91,8 +91,8 @@
             this->team = holder;
             this->wrote = false;
         }
-        this->lane = this->state.lane();
-        this->lane_database = this->state.database();
+        this->transaction = this->state.transaction();
+        this->transaction_database = this->state.database();
         this->carry_out(what, this->state.decide(what));
     }
 
@@ -107,7 +107,7 @@
             return false;
         }
         statement_error const code = other_team ? statement_error::denied : refusal;
-        this->drop_lane();
+        this->roll_back();
         this->state.ended();
         this->answer_error(code, this->refusal_text(code));
         return true;
@@ -134,7 +134,7 @@
             return;
         case statement_action::rollback_in_transaction:
             this->state.ended();
-            this->drop_lane();
+            this->roll_back();
             this->answer_done();
             return;
         case statement_action::execute_single:
@@ -223,11 +223,11 @@
         if (single_read && request.needs_leader) {
             order.kind = upstream_request_kind::leader_read;
         }
-        if (this->lane != 0) {
-            order.lane = this->lane;
-            order.database = this->lane_database;
-            order.read_only_transaction = this->lane_reads_only;
-            request.owner = this->lane_owner;
+        if (this->transaction.is_set()) {
+            order.transaction = this->transaction;
+            order.database = this->transaction_database;
+            order.read_only_transaction = this->transaction_reads_only;
+            request.owner = this->transaction_owner;
         }
         this->opens_read_only = order.read_only_transaction;
         this->running = true;
@@ -273,7 +273,7 @@
             this->finish_inside(outcome, good, writes);
         }
         if (this->closed) {
-            this->drop_lane();
+            this->roll_back();
             return;
         }
         caller_answer reply;
@@ -290,21 +290,21 @@
             this->state.acknowledged(this->route.group, *answer.position);
         }
         this->state.ended();
-        this->lane = 0;
+        this->transaction = {};
     }
 
     void finish_inside(run_outcome const& outcome, bool good, bool writes) {
         upstream_response const& answer = outcome.answer;
-        if (answer.lane != 0) {
-            this->lane = answer.lane;
-            this->lane_owner = outcome.owner;
-            this->lane_database = outcome.database;
-            this->lane_reads_only = this->opens_read_only;
-            this->state.opened(outcome.database, answer.lane);
+        if (answer.transaction.is_set()) {
+            this->transaction = answer.transaction;
+            this->transaction_owner = outcome.owner;
+            this->transaction_database = outcome.database;
+            this->transaction_reads_only = this->opens_read_only;
+            this->state.opened(outcome.database, answer.transaction);
             this->wrote = this->wrote || (good && writes);
             return;
         }
-        this->lane = 0;
+        this->transaction = {};
         this->state.failed();
     }
 
@@ -386,7 +386,8 @@
         answer.state = this->state.state();
         this->busy = false;
         this->channel->answer(answer);
-        if (this->lane != 0 && this->state.state() == transaction_state::open) {
+        if (this->transaction.is_set() &&
+            this->state.state() == transaction_state::open) {
             this->watch_idle();
         }
     }
@@ -414,23 +415,23 @@
             {{"id", this->current_id},
              {"team", this->team},
              {"route", this->route.name}});
-        this->drop_lane();
+        this->roll_back();
         this->state.failed();
         this->was_idle_too_long = true;
     }
 
     /// Tells the owner to roll back; nobody waits for it.
-    void drop_lane() {
-        if (this->lane == 0) {
+    void roll_back() {
+        if (!this->transaction.is_set()) {
             return;
         }
         upstream_request order;
         order.kind = upstream_request_kind::rollback;
-        order.lane = std::exchange(this->lane, 0);
-        order.database = this->lane_database;
+        order.transaction = std::exchange(this->transaction, {});
+        order.database = this->transaction_database;
         order.group = this->route.group;
         this->context.runs.orders.submit_to(
-            this->lane_owner, std::move(order),
+            this->transaction_owner, std::move(order),
             [](upstream_response const&, std::string const&) {});
     }
 
@@ -440,7 +441,7 @@
         }
         this->idle_timer.cancel();
         if (!this->running) {
-            this->drop_lane();
+            this->roll_back();
         }
         if (this->on_ended) {
             std::exchange(this->on_ended, nullptr)(this->owner);
@@ -457,10 +458,10 @@
     std::string team;
     served_route route;
     client_session_state state;
-    std::uint64_t lane = 0;
-    std::string lane_owner;
-    std::string lane_database;
-    bool lane_reads_only = false;
+    transaction_id transaction;
+    std::string transaction_owner; ///< Holds its connection.
+    std::string transaction_database;
+    bool transaction_reads_only = false;
     bool opens_read_only = false;
     bool wrote = false; ///< In the present transaction.
     bool busy = false;  ///< A request is not answered yet.
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -45,6 +45,7 @@
 
 struct lane {
     pooled_connection view;
+    transaction_id transaction; ///< Set while one is open on the connection.
     std::shared_ptr<upstream_connection> connection;
     order_source source = 0;
     std::optional<pending_order> current;
@@ -62,10 +63,12 @@
         upstream_connector& connector,
         clock const& time,
         owner_observer& observer,
+        transaction_numbering& transactions,
         registered_database database)
         : connector(connector),
           time(time),
           observer(observer),
+          transactions(transactions),
           database(std::move(database)),
           sweeper(loop),
           loop(loop) {}
@@ -87,8 +90,8 @@
             this->reply(pending, not_run(upstream_refusal::unreachable));
             return;
         }
-        if (pending.order.lane != 0) {
-            this->run_on_open_lane(std::move(pending));
+        if (pending.order.transaction.is_set()) {
+            this->run_in_transaction(std::move(pending));
         } else if (this->waiting.full()) {
             this->reply(pending, not_run(upstream_refusal::queue_full));
         } else {
@@ -98,14 +101,16 @@
         this->watch_deadlines();
     }
 
-    void run_on_open_lane(pending_order pending) {
-        auto const found = this->lanes.find(pending.order.lane);
-        bool const usable =
-            found != this->lanes.end() &&
-            found->second.view.state == pooled_connection_state::in_transaction &&
-            found->second.source == pending.source && !found->second.current;
+    void run_in_transaction(pending_order pending) {
+        auto const found = std::find_if(
+            this->lanes.begin(), this->lanes.end(), [&pending](auto const& each) {
+                return each.second.transaction == pending.order.transaction;
+            });
+        bool const usable = found != this->lanes.end() &&
+                            found->second.source == pending.source &&
+                            !found->second.current;
         if (!usable) {
-            this->reply(pending, not_run(upstream_refusal::lane_lost));
+            this->reply(pending, not_run(upstream_refusal::transaction_lost));
             return;
         }
         this->run(found->second, std::move(pending));
@@ -419,8 +424,12 @@
         if (stays_open) {
             on.view.state = pooled_connection_state::in_transaction;
             on.view.last_used = this->time.now();
-            out.lane = on.view.id;
+            if (!on.transaction.is_set()) {
+                on.transaction = this->transactions.next();
+            }
+            out.transaction = on.transaction;
         } else if (answer.state == transaction_state::idle) {
+            on.transaction = {};
             on.view.state = pooled_connection_state::idle;
             on.view.last_used = this->time.now();
         } else {
@@ -447,6 +456,7 @@
     /// Ends a transaction that nobody waits for any more; the lane is idle behind it.
     void roll_back(lane& on) {
         on.view.state = pooled_connection_state::busy;
+        on.transaction = {};
         on.source = 0;
         upstream_command command;
         command.action = upstream_action::rollback;
@@ -590,6 +600,7 @@
     upstream_connector& connector;
     clock const& time;
     owner_observer& observer;
+    transaction_numbering& transactions;
     registered_database database;
     asio::steady_timer sweeper;
     asio::io_context& loop;
@@ -611,9 +622,10 @@
     upstream_connector& connector,
     clock const& clock,
     owner_observer& observer,
+    transaction_numbering& transactions,
     registered_database database)
     : impl(std::make_shared<implementation>(
-          loop, connector, clock, observer, std::move(database))) {}
+          loop, connector, clock, observer, transactions, std::move(database))) {}
 
 database_owner::~database_owner() {
     this->impl->close();
--- a/src/persimmonpoint/engine/database_owner.hpp
+++ b/src/persimmonpoint/engine/database_owner.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
 #include <persimmonpoint/core/routing/connection_choice.hpp>
+#include <persimmonpoint/core/statement/transaction_id.hpp>
 #include <persimmonpoint/interfaces/clock.hpp>
 #include <persimmonpoint/interfaces/upstream_connection.hpp>
 #include <string>
@@ -31,11 +32,14 @@
 /// run yet, and keeps the connections of open transactions apart.
 class database_owner {
 public:
+    /// @param transactions Of the whole process, so that an owner that is made anew for
+    /// its database numbers none of its transactions as the one before did.
     database_owner(
         boost::asio::io_context& loop,
         upstream_connector& connector,
         clock const& clock,
         owner_observer& observer,
+        transaction_numbering& transactions,
         registered_database database);
     ~database_owner();
     database_owner(database_owner const&) = delete;
--- a/src/persimmonpoint/engine/dispatcher.cpp
+++ b/src/persimmonpoint/engine/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include <persimmonpoint/core/routing/connection_budget.hpp>
 #include <persimmonpoint/core/routing/owner_ranking.hpp>
 #include <persimmonpoint/engine/dispatcher.hpp>
+#include <random>
 #include <utility>
 
 namespace persimmonpoint::engine {
@@ -17,6 +18,11 @@
 constexpr std::size_t most_owners = 3;
 constexpr auto trim_interval = std::chrono::milliseconds(500);
 
+std::uint64_t draw_nonce() {
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>()(device);
+}
+
 } // namespace
 
 struct dispatcher::implementation : std::enable_shared_from_this<implementation> {
@@ -33,6 +39,7 @@
           observer(observer),
           view(view),
           self(std::move(self)),
+          transactions(time.now(), draw_nonce()),
           trimmer(loop) {}
 
     database_owner* owner(std::string const& id) {
@@ -45,7 +52,8 @@
             return nullptr;
         }
         auto made = std::make_unique<database_owner>(
-            this->loop, this->connector, this->time, this->observer, *entry);
+            this->loop, this->connector, this->time, this->observer, this->transactions,
+            *entry);
         made->set_limits(this->limits_for(*entry));
         return this->owners.emplace(id, std::move(made)).first->second.get();
     }
@@ -164,6 +172,7 @@
     owner_observer& observer;
     fleet_view const& view;
     std::string self;
+    transaction_numbering transactions;
     boost::asio::steady_timer trimmer;
     peer_mesh* mesh = nullptr;
     std::map<std::string, std::unique_ptr<database_owner>, std::less<>> owners;
--- a/src/persimmonpoint/engine/dispatcher.hpp
+++ b/src/persimmonpoint/engine/dispatcher.hpp
@@ -14,7 +14,8 @@
 /// the databases that this host owns.
 class dispatcher {
 public:
-    /// `owner`: the host that ran the order, which any lane in the answer belongs to.
+    /// `owner`: the host that ran the order, which any transaction in the answer is open
+    /// at.
     using handler =
         std::function<void(upstream_response answer, std::string const& owner)>;
 
--- a/src/persimmonpoint/engine/order_commands.cpp
+++ b/src/persimmonpoint/engine/order_commands.cpp
@@ -53,9 +53,10 @@
     for (setup_step const& each : plan_setup(order, lane)) {
         steps.push_back({setup_command(order, each), false});
     }
-    bool const opens = order.kind == upstream_request_kind::leader_read ||
-                       order.kind == upstream_request_kind::open_transaction ||
-                       (order.kind == upstream_request_kind::commit && order.lane == 0);
+    bool const opens =
+        order.kind == upstream_request_kind::leader_read ||
+        order.kind == upstream_request_kind::open_transaction ||
+        (order.kind == upstream_request_kind::commit && !order.transaction.is_set());
     if (opens) {
         upstream_command begin;
         begin.action = order.read_only_transaction ? upstream_action::begin_read
--- a/src/persimmonpoint/engine/peer_messages.cpp
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -24,10 +24,20 @@
     archive(value.shape, value.writes);
 }
 
+template <class Archive>
+void serialize(Archive& archive, process_id& value) {
+    archive(value.started_ns, value.nonce);
+}
+
+template <class Archive>
+void serialize(Archive& archive, transaction_id& value) {
+    archive(value.process, value.number);
+}
+
 template <class Archive>
 void serialize(Archive& archive, upstream_request& value) {
     engine::archive_enum(archive, value.kind, upstream_request_kind::resume);
-    archive(value.lane, value.group, value.database, value.team, value.id);
+    archive(value.transaction, value.group, value.database, value.team, value.id);
     archive(value.text, value.prepared, value.writes, value.read_only_transaction);
     archive(value.floor, value.values, value.budget_ms, value.wait_ms);
     archive(value.priority, value.term);
@@ -41,11 +51,11 @@
 template <class Archive>
 void serialize(Archive& archive, upstream_response& value) {
     engine::archive_enum(archive, value.outcome, upstream_outcome::unknown);
-    engine::archive_enum(archive, value.refusal, upstream_refusal::lane_lost);
+    engine::archive_enum(archive, value.refusal, upstream_refusal::transaction_lost);
     engine::archive_enum(archive, value.error, statement_error::in_doubt);
     archive(value.error_text, value.rows, value.signature);
     engine::archive_enum(archive, value.state, transaction_state::failed);
-    archive(value.position, value.lane, value.load);
+    archive(value.position, value.transaction, value.load);
     archive(value.leader_confirmed, value.report);
 }
 
--- a/src/persimmonpoint/engine/statement_run.cpp
+++ b/src/persimmonpoint/engine/statement_run.cpp
@@ -12,7 +12,7 @@
 constexpr auto retry_pause = std::chrono::milliseconds(20);
 /// Part of the route's staleness bound that is left for the clocks.
 constexpr duration staleness_margin = std::chrono::milliseconds(20);
-/// The owner of a lane is given this much less time than the statement has.
+/// The owner is given this much less time than the statement has.
 constexpr duration answer_margin = std::chrono::milliseconds(10);
 /// A leader check takes no slot; one that takes longer is lost.
 constexpr std::uint32_t leader_check_budget_ms = 250;
@@ -33,7 +33,7 @@
 retry_subject make_subject(run_request const& request, instant now) {
     retry_subject subject;
     subject.non_idempotent = request.non_idempotent;
-    subject.in_transaction = request.order.lane != 0;
+    subject.in_transaction = request.order.transaction.is_set();
     subject.needs_leader = request.needs_leader;
     subject.started = now;
     subject.time_limit = request.route.statement_timeout;
@@ -109,7 +109,7 @@
                     "the route's timeout passed");
             }
         });
-    if (this->impl->request.order.lane != 0) {
+    if (this->impl->request.order.transaction.is_set()) {
         this->attempt_inside();
     } else {
         this->attempt();
@@ -186,7 +186,7 @@
 duration statement_run::attempt_limit(instant now) const {
     run_request const& request = this->impl->request;
     duration const remaining = this->impl->plan.remaining(now);
-    if (request.non_idempotent || request.order.lane != 0 ||
+    if (request.non_idempotent || request.order.transaction.is_set() ||
         request.order.kind == upstream_request_kind::open_transaction) {
         return remaining;
     }
@@ -232,10 +232,11 @@
     this->learn(database, sent, answer);
     if (this->impl->finished) {
         // Too late for the caller; a transaction that it opened is not wanted any more.
-        if (answer.lane != 0 && this->impl->request.order.lane == 0) {
+        if (answer.transaction.is_set() &&
+            !this->impl->request.order.transaction.is_set()) {
             upstream_request order;
             order.kind = upstream_request_kind::rollback;
-            order.lane = answer.lane;
+            order.transaction = answer.transaction;
             order.database = database;
             this->impl->context.orders.submit_to(
                 owner, std::move(order),
--- a/src/persimmonpoint/engine/statement_run.hpp
+++ b/src/persimmonpoint/engine/statement_run.hpp
@@ -28,7 +28,7 @@
     std::optional<log_position>
         last_commit_position; ///< Of the session, where its reads need it.
     bool non_idempotent = false;
-    std::string owner; ///< Of the transaction's lane; empty outside a transaction.
+    std::string owner; ///< Of the transaction; empty outside one.
 };
 
 struct run_outcome {
--- a/tests/introspective/caller_state.tests.cpp
+++ b/tests/introspective/caller_state.tests.cpp
@@ -53,9 +53,9 @@
         session.decide(make(statement_verb::begin)).step ==
         statement_action::reply_success);
     CHECK(session.state() == transaction_state::open);
-    CHECK(session.lane() == 0);
+    CHECK_FALSE(session.transaction().is_set());
     CHECK(session.decide(make(statement_verb::read)).step == statement_action::open);
-    session.opened("db", 7);
+    session.opened("db", transaction_id{{1, 2}, 7});
     CHECK(
         session.decide(make(statement_verb::write)).step ==
         statement_action::execute_in_transaction);
@@ -83,7 +83,7 @@
 TEST_CASE("A failed transaction takes only its end", "[session]") {
     client_session_state session;
     session.decide(make(statement_verb::begin));
-    session.opened("db", 7);
+    session.opened("db", transaction_id{{1, 2}, 7});
     session.failed();
     CHECK(session.state() == transaction_state::failed);
     CHECK(session.decide(make(statement_verb::read)).error == statement_error::malformed);
@@ -205,7 +205,7 @@
     CHECK(commit.answered(lost(), "db", start).error == statement_error::in_doubt);
     retry_policy unsent(subject(true, true, true));
     CHECK(
-        unsent.answered(refused(upstream_refusal::lane_lost), "db", start).error ==
+        unsent.answered(refused(upstream_refusal::transaction_lost), "db", start).error ==
         statement_error::aborted);
 }
 
--- /dev/null
+++ b/tests/introspective/database_owner.tests.cpp
@@ -0,0 +1,199 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+#include <optional>
+#include <persimmonpoint/engine/database_owner.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace persimmonpoint;
+using namespace persimmonpoint::engine;
+
+namespace {
+
+constexpr order_source first_link = 1;
+constexpr order_source second_link = 2;
+
+class fixed_clock final : public clock {
+public:
+    instant now() const override { return instant(std::chrono::seconds(1000)); }
+};
+
+class silent_observer final : public owner_observer {
+public:
+    void on_answer(std::string const&) override {}
+    void on_refused(std::string const&) override {}
+    void on_silent(std::string const&) override {}
+    void on_commit_sent(std::string const&) override {}
+    void on_commit_answered(std::string const&) override {}
+};
+
+/// What one connection was sent, in order.
+using sent_texts = std::vector<std::string>;
+
+/// Answers each command with success, and keeps the state of its transaction.
+class fake_connection final : public upstream_connection {
+public:
+    fake_connection(boost::asio::io_context& loop, sent_texts& sent)
+        : loop(loop), sent(sent) {}
+
+    void open(upstream_target const&, open_handler handler) override {
+        boost::asio::post(
+            this->loop, [handler] { handler(open_result::opened, std::nullopt); });
+    }
+
+    void execute(upstream_command const& command, command_handler handler) override {
+        this->sent.push_back(text_of(command));
+        bool const begins = command.action == upstream_action::begin ||
+                            command.action == upstream_action::begin_read;
+        bool const ends =
+            command.action == upstream_action::rollback || command.text == "COMMIT";
+        if (begins || ends) {
+            this->state = begins ? transaction_state::open : transaction_state::idle;
+        }
+        upstream_answer answer;
+        answer.state = this->state;
+        boost::asio::post(this->loop, [handler, answer] { handler(answer); });
+    }
+
+    void close() override {}
+
+private:
+    static std::string text_of(upstream_command const& command) {
+        switch (command.action) {
+        case upstream_action::begin:
+        case upstream_action::begin_read:
+            return "BEGIN";
+        case upstream_action::rollback:
+            return "ROLLBACK";
+        default:
+            return command.text;
+        }
+    }
+
+    boost::asio::io_context& loop;
+    sent_texts& sent;
+    transaction_state state = transaction_state::idle;
+};
+
+class fake_connector final : public upstream_connector {
+public:
+    explicit fake_connector(boost::asio::io_context& loop) : loop(loop) {}
+
+    std::shared_ptr<upstream_connection> make() override {
+        std::size_t const index = this->sent.size();
+        return std::make_shared<fake_connection>(this->loop, this->sent[index]);
+    }
+
+    std::map<std::size_t, sent_texts> sent; ///< By connection.
+
+private:
+    boost::asio::io_context& loop;
+};
+
+/// An owner of one connection to a database that answers everything.
+class owner_stage {
+public:
+    owner_stage() : connector(this->loop) { this->make_owner(); }
+
+    /// As `dispatcher` does for a database that left the directory and came back.
+    void make_owner() {
+        registered_database database;
+        database.id = "db";
+        database.group = "group";
+        this->owner = std::make_unique<database_owner>(
+            this->loop, this->connector, this->time, this->observer, this->transactions,
+            database);
+        this->owner->set_limits({1, 1, 1, {}, 1});
+    }
+
+    upstream_response run(upstream_request request, order_source source) {
+        request.group = "group";
+        request.database = "db";
+        request.team = "team";
+        request.id = "id";
+        std::optional<upstream_response> answer;
+        this->owner->submit(
+            std::move(request), source,
+            [&answer](upstream_response given) { answer = std::move(given); });
+        this->settle();
+        REQUIRE(answer);
+        return *answer;
+    }
+
+    upstream_response open(std::string const& text, order_source source) {
+        upstream_request request;
+        request.kind = upstream_request_kind::open_transaction;
+        request.text = text;
+        return this->run(std::move(request), source);
+    }
+
+    void settle() {
+        this->loop.restart();
+        this->loop.poll();
+    }
+
+    boost::asio::io_context loop;
+    fixed_clock time;
+    silent_observer observer;
+    transaction_numbering transactions{instant(std::chrono::seconds(1)), 1};
+    fake_connector connector;
+    std::unique_ptr<database_owner> owner;
+};
+
+upstream_request
+inside(upstream_request_kind kind, std::string text, upstream_response const& opened) {
+    upstream_request request;
+    request.kind = kind;
+    request.text = std::move(text);
+    request.transaction = opened.transaction;
+    return request;
+}
+
+} // namespace
+
+// Guards against statements that run in the transaction of another caller, whose
+// transaction took the connection after the link between two hosts was lost.
+TEST_CASE(
+    "A reference to a transaction that was rolled back names no later one",
+    "[owner][transactions]") {
+    auto const kind = GENERATE(
+        upstream_request_kind::in_transaction, upstream_request_kind::commit,
+        upstream_request_kind::rollback);
+    owner_stage stage;
+    auto const before = stage.open("WRITE a 1", first_link);
+    stage.owner->forget(first_link);
+    stage.settle();
+    auto const after = stage.open("WRITE b 2", second_link);
+    REQUIRE(after.outcome == upstream_outcome::answered);
+
+    auto const late = stage.run(inside(kind, "LATE", before), second_link);
+
+    CHECK(late.outcome == upstream_outcome::not_run);
+    CHECK(late.refusal == upstream_refusal::transaction_lost);
+    CHECK(
+        stage.connector.sent[0] ==
+        sent_texts{"BEGIN", "WRITE a 1", "ROLLBACK", "BEGIN", "WRITE b 2"});
+    auto const own =
+        stage.run(inside(upstream_request_kind::commit, "COMMIT", after), second_link);
+    CHECK(own.succeeded());
+}
+
+// Guards against the same after an owner was made anew, in a new process or in this one.
+TEST_CASE(
+    "A reference to a transaction of an earlier owner names none of its successor",
+    "[owner][transactions]") {
+    owner_stage stage;
+    auto const before = stage.open("WRITE a 1", first_link);
+    stage.make_owner();
+    auto const after = stage.open("WRITE b 2", first_link);
+    REQUIRE(after.outcome == upstream_outcome::answered);
+
+    auto const late =
+        stage.run(inside(upstream_request_kind::commit, "COMMIT", before), first_link);
+
+    CHECK(late.refusal == upstream_refusal::transaction_lost);
+    CHECK(stage.connector.sent[1] == sent_texts{"BEGIN", "WRITE b 2"});
+}
