A transaction that opens after its host is gone is rolled back

As the link to the host that asked was lost, orders that ran lost their handler.

A transaction that opens with nobody waiting for the answer is rolled back. The new test of [owner] failed before (one transaction open, no ROLLBACK sent, the next order got no connection).

--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -421,7 +421,8 @@
                                  order.kind == upstream_request_kind::in_transaction) &&
                                 answer.state == transaction_state::open;
         pending_order pending = this->take_current(on);
-        if (stays_open) {
+        bool const wanted = pending.handler != nullptr;
+        if (stays_open && wanted) {
             on.view.state = pooled_connection_state::in_transaction;
             on.view.last_used = this->time.now();
             if (!on.transaction.is_set()) {
--- a/tests/introspective/database_owner.tests.cpp
+++ b/tests/introspective/database_owner.tests.cpp
@@ -197,3 +197,29 @@
     CHECK(late.refusal == upstream_refusal::transaction_lost);
     CHECK(stage.connector.sent[1] == sent_texts{"BEGIN", "WRITE b 2"});
 }
+
+// Guards against a transaction that stays open, with its connection, though the host that
+// asked for it is gone.
+TEST_CASE(
+    "A transaction that opens after its host is gone is rolled back",
+    "[owner][transactions]") {
+    owner_stage stage;
+    upstream_request request;
+    request.kind = upstream_request_kind::open_transaction;
+    request.group = "group";
+    request.database = "db";
+    request.team = "team";
+    request.text = "WRITE a 1";
+    bool answered = false;
+    stage.owner->submit(
+        request, first_link, [&answered](upstream_response const&) { answered = true; });
+    stage.loop.poll_one(); // The connection is open, the statement under way.
+    REQUIRE(stage.connector.sent[0] == sent_texts{"BEGIN"});
+    stage.owner->forget(first_link);
+    stage.settle();
+
+    CHECK_FALSE(answered);
+    CHECK(stage.owner->open_transactions() == 0);
+    CHECK(stage.connector.sent[0] == sent_texts{"BEGIN", "WRITE a 1", "ROLLBACK"});
+    CHECK(stage.open("WRITE b 2", second_link).transaction.is_set());
+}
