A stopping host exits once it owes no answer, and takes no work it can't finish

Cause: the exit followed from a clock, and nothing counted the answers owed. Statements were taken until the end.

Ruled out: that the answer is lost in the owner (it sees the link close and rolls back; the other host would report a doubt).

Change: graceful_shutdown counts requests without an answer, orders for other hosts and answers that are not sent; the host exits once it owes none. The clock is the last resort, and the log then tells what was owed.

--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -10,6 +10,7 @@
 
 /// Whom databases are told for a caller without a key, on a route that is open to all.
 constexpr std::string_view anonymous_team = "-";
+constexpr std::string_view stopping_text = "the host is stopping";
 
 } // namespace
 
@@ -124,7 +125,33 @@
         return true;
     }
 
+    static bool needs_database(statement_action step) {
+        return step == statement_action::execute_single ||
+               step == statement_action::open ||
+               step == statement_action::execute_in_transaction ||
+               step == statement_action::commit_in_transaction;
+    }
+
+    /// There would be no time to finish it. A transaction ends with it.
+    void refuse_before_exit(statement const& what) {
+        bool const inside = this->state.state() != transaction_state::idle;
+        this->log_refusal("host_stopping", 0);
+        this->roll_back();
+        if (what.verb == statement_verb::commit) {
+            this->state.ended();
+        } else {
+            this->state.failed();
+        }
+        this->answer_error(
+            inside ? statement_error::aborted : statement_error::busy,
+            std::string(stopping_text));
+    }
+
     void carry_out(statement const& what, statement_decision decision) {
+        if (!this->context.accepts_work && needs_database(decision.step)) {
+            this->refuse_before_exit(what);
+            return;
+        }
         switch (decision.step) {
         case statement_action::reply_success:
             this->answer_done();
@@ -152,10 +179,11 @@
             this->run(what, decision);
             return;
         }
+        this->waits_for_quota = true;
         this->context.quotas.take(
             this->team, [self = this->shared_from_this(), what,
                          decision = std::move(decision)](duration wait) {
-                if (self->closed) {
+                if (self->closed || !std::exchange(self->waits_for_quota, false)) {
                     return;
                 }
                 if (wait > duration(0)) {
@@ -231,7 +259,7 @@
         }
         this->opens_read_only = order.read_only_transaction;
         this->running = true;
-        statement_run::start(
+        this->current_run = statement_run::start(
             this->context.runs, std::move(request),
             [self = this->shared_from_this(), verb = what.verb, step = decision.step,
              writes = decision.writes](run_outcome outcome) {
@@ -368,6 +396,18 @@
              {"configuration", this->configuration().version}});
     }
 
+    /// The host exits: the caller hears what is known of its request by now.
+    void end_request() {
+        if (std::exchange(this->waits_for_quota, false)) {
+            this->state.failed();
+            this->answer_error(statement_error::busy, std::string(stopping_text));
+            return;
+        }
+        if (auto const run = this->current_run.lock()) {
+            run->give_up(stopping_text);
+        }
+    }
+
     // Answers
 
     void answer_done() { this->reply({}); }
@@ -466,6 +506,8 @@
     bool wrote = false; ///< In the present transaction.
     bool busy = false;  ///< A request is not answered yet.
     bool running = false;
+    bool waits_for_quota = false;
+    std::weak_ptr<statement_run> current_run;
     bool closed = false;
     bool dismissed = false; ///< The caller was told that the session ends.
     bool was_idle_too_long = false;
@@ -503,7 +545,15 @@
     if (in_use || std::exchange(this->impl->dismissed, true)) {
         return;
     }
-    this->impl->channel->dismiss("the host is stopping");
+    this->impl->channel->dismiss(stopping_text);
+}
+
+bool caller_session::owes_answer() const {
+    return this->impl->busy || !this->impl->channel->all_sent();
+}
+
+void caller_session::end_request() {
+    this->impl->end_request();
 }
 
 } // namespace persimmonpoint::engine
--- a/src/persimmonpoint/engine/caller_session.hpp
+++ b/src/persimmonpoint/engine/caller_session.hpp
@@ -14,6 +14,7 @@
     run_context& runs;
     quota_keeper& quotas;
     traffic_counts& counts;
+    bool accepts_work = true; ///< False once the host is about to exit.
 };
 
 /// One caller's session.
@@ -34,6 +35,10 @@
 
     /// Ends the session if it is outside a transaction and has no request outstanding.
     void dismiss_if_idle();
+    /// True while the caller waits for an answer, or part of one is still to be sent.
+    bool owes_answer() const;
+    /// Answers the request that is outstanding, if any, with what is known of it.
+    void end_request();
 
 private:
     struct implementation;
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -113,6 +113,12 @@
             this->reply(pending, not_run(upstream_refusal::transaction_lost));
             return;
         }
+        bool const is_end = pending.order.kind == upstream_request_kind::rollback;
+        if (this->ends_transactions && !is_end) {
+            this->roll_back(found->second);
+            this->reply(pending, not_run(upstream_refusal::transaction_lost));
+            return;
+        }
         this->run(found->second, std::move(pending));
     }
 
@@ -615,6 +621,7 @@
     instant open_again{};
     instant crowded_until{};
     bool sweeping = false;
+    bool ends_transactions = false;
     bool closed = false;
 };
 
@@ -655,6 +662,10 @@
     this->impl->trim();
 }
 
+void database_owner::end_transactions() {
+    this->impl->ends_transactions = true;
+}
+
 void database_owner::close() {
     this->impl->close();
 }
--- a/src/persimmonpoint/engine/database_owner.hpp
+++ b/src/persimmonpoint/engine/database_owner.hpp
@@ -53,6 +53,8 @@
     void set_limits(connection_limits limits);
     /// Closes connections that are over the limits or idle for too long.
     void trim();
+    /// Each transaction ends with its next statement, which is not run.
+    void end_transactions();
     /// Ends everything; waiting orders are answered as not run.
     void close();
 
--- a/src/persimmonpoint/engine/dispatcher.cpp
+++ b/src/persimmonpoint/engine/dispatcher.cpp
@@ -55,6 +55,9 @@
             this->loop, this->connector, this->time, this->observer, this->transactions,
             *entry);
         made->set_limits(this->limits_for(*entry));
+        if (this->ends_transactions) {
+            made->end_transactions();
+        }
         return this->owners.emplace(id, std::move(made)).first->second.get();
     }
 
@@ -174,6 +177,7 @@
     std::string self;
     transaction_numbering transactions;
     boost::asio::steady_timer trimmer;
+    bool ends_transactions = false;
     peer_mesh* mesh = nullptr;
     std::map<std::string, std::unique_ptr<database_owner>, std::less<>> owners;
     mutable std::map<std::string, std::vector<std::string>, std::less<>> rankings;
@@ -245,6 +249,13 @@
     this->impl->refresh();
 }
 
+void dispatcher::end_transactions() {
+    this->impl->ends_transactions = true;
+    for (auto& each : this->impl->owners) {
+        each.second->end_transactions();
+    }
+}
+
 void dispatcher::close() {
     for (auto& each : this->impl->owners) {
         each.second->close();
--- a/src/persimmonpoint/engine/dispatcher.hpp
+++ b/src/persimmonpoint/engine/dispatcher.hpp
@@ -44,6 +44,10 @@
 
     /// Fits limits and databases to a changed directory, configuration or set of hosts.
     void refresh();
+    /// Each transaction at a database of this host ends with its next statement, which is
+    /// not run.
+    void end_transactions();
+    /// Ends all orders; those that run have no known outcome.
     void close();
     std::uint64_t connections_opened() const;
     std::size_t connections() const;
--- a/src/persimmonpoint/engine/peer_link.cpp
+++ b/src/persimmonpoint/engine/peer_link.cpp
@@ -128,6 +128,10 @@
     this->impl->send(message);
 }
 
+bool peer_link::all_sent() const {
+    return this->impl->closed || this->impl->outgoing.is_idle();
+}
+
 void peer_link::close() {
     this->impl->shut();
 }
--- a/src/persimmonpoint/engine/peer_link.hpp
+++ b/src/persimmonpoint/engine/peer_link.hpp
@@ -23,6 +23,8 @@
     void start(
         message_handler on_message, closed_handler on_closed, partial_handler on_partial);
     void send(peer_message const& message);
+    /// False while messages are still to be sent.
+    bool all_sent() const;
     void close();
 
 private:
--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -525,6 +525,10 @@
     this->impl->tell_news();
 }
 
+std::size_t peer_mesh::unsent_responses() const {
+    return this->impl->server.unsent_links();
+}
+
 void peer_mesh::close() {
     if (std::exchange(this->impl->closed, true)) {
         return;
--- a/src/persimmonpoint/engine/peer_mesh.hpp
+++ b/src/persimmonpoint/engine/peer_mesh.hpp
@@ -62,6 +62,8 @@
     /// Tells that this host knows something newer: all others in a small fleet, the
     /// neighbours in a large one.
     void tell_news();
+    /// Links with responses for other hosts that are still to be sent.
+    std::size_t unsent_responses() const;
     void close();
 
 private:
--- a/src/persimmonpoint/engine/peer_server.cpp
+++ b/src/persimmonpoint/engine/peer_server.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <map>
 #include <persimmonpoint/engine/peer_link.hpp>
@@ -199,6 +200,12 @@
     }
 }
 
+std::size_t peer_server::unsent_links() const {
+    return static_cast<std::size_t>(std::count_if(
+        this->impl->callers.begin(), this->impl->callers.end(),
+        [](auto const& each) { return !each.second.link->all_sent(); }));
+}
+
 void peer_server::close() {
     if (std::exchange(this->impl->closed, true)) {
         return;
--- a/src/persimmonpoint/engine/peer_server.hpp
+++ b/src/persimmonpoint/engine/peer_server.hpp
@@ -2,6 +2,7 @@
 #define PERSIMMONPOINT_ENGINE_PEER_SERVER_HPP_INCLUDED
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <memory>
 #include <persimmonpoint/engine/peer_news.hpp>
 #include <string_view>
@@ -25,6 +26,8 @@
     void look();
     /// Tells all hosts that are linked.
     void tell(alive_message const& state);
+    /// Links with messages that are still to be sent.
+    std::size_t unsent_links() const;
     void close();
 
 private:
--- a/src/persimmonpoint/engine/statement_run.cpp
+++ b/src/persimmonpoint/engine/statement_run.cpp
@@ -82,10 +82,12 @@
     bool finished = false;
 };
 
-void statement_run::start(run_context& context, run_request request, handler done) {
+std::weak_ptr<statement_run>
+statement_run::start(run_context& context, run_request request, handler done) {
     auto const run =
         std::make_shared<statement_run>(context, std::move(request), std::move(done));
     run->begin();
+    return run;
 }
 
 statement_run::statement_run(run_context& context, run_request request, handler done) {
@@ -103,10 +105,7 @@
     this->impl->timer.async_wait(
         [self = this->shared_from_this()](boost::system::error_code failure) {
             if (!failure) {
-                self->refuse(
-                    self->impl->outstanding ? statement_error::timeout
-                                            : self->impl->plan.refusal(),
-                    "the route's timeout passed");
+                self->give_up("the route's timeout passed");
             }
         });
     if (this->impl->request.order.transaction.is_set()) {
@@ -116,6 +115,12 @@
     }
 }
 
+void statement_run::give_up(std::string_view reason) {
+    this->refuse(
+        this->impl->outstanding ? statement_error::timeout : this->impl->plan.refusal(),
+        std::string(reason));
+}
+
 void statement_run::attempt_inside() {
     this->send(this->impl->request.order.database, std::nullopt);
 }
--- a/src/persimmonpoint/engine/statement_run.hpp
+++ b/src/persimmonpoint/engine/statement_run.hpp
@@ -9,6 +9,7 @@
 #include <persimmonpoint/engine/dispatcher.hpp>
 #include <persimmonpoint/engine/fleet_view.hpp>
 #include <string>
+#include <string_view>
 
 namespace persimmonpoint::engine {
 
@@ -44,11 +45,16 @@
 public:
     using handler = std::function<void(run_outcome)>;
 
-    static void start(run_context& context, run_request request, handler done);
+    /// The run lasts until its handler was called, whether or not the result is kept.
+    static std::weak_ptr<statement_run>
+    start(run_context& context, run_request request, handler done);
 
     statement_run(run_context& context, run_request request, handler done);
     ~statement_run();
 
+    /// Ends the run now; the outcome says whether the statement may have run.
+    void give_up(std::string_view reason);
+
 private:
     void begin();
     void attempt();
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -94,7 +94,7 @@
           quotas(traffic_loop, time, view, settings.name, settings.quotas),
           keeper(runs, *this),
           mesh(traffic_loop, time, *this, self),
-          sessions_context{runs, quotas, counts},
+          sessions_context{runs, quotas, counts, true},
           hosts_timer(traffic_loop),
           lost_timer(traffic_loop),
           drain_timer(traffic_loop),
@@ -276,20 +276,36 @@
         this->drain();
     }
 
+    outstanding_work work_left() const {
+        outstanding_work work;
+        work.sessions = this->sessions.size();
+        work.unanswered_requests = static_cast<std::size_t>(std::count_if(
+            this->sessions.begin(), this->sessions.end(),
+            [](auto const& each) { return each.second->owes_answer(); }));
+        work.orders = this->orders.load();
+        work.open_transactions = this->orders.open_transactions();
+        work.unsent_responses = this->mesh.unsent_responses();
+        return work;
+    }
+
     void drain() {
-        outstanding_work const work{
-            this->sessions.size(), this->orders.load(), this->orders.open_transactions()};
+        outstanding_work const work = this->work_left();
         duration const passed = this->time.now() - this->drain_began;
         shutdown_decision const step = this->course.decide(passed, work);
         if (step.exits || !this->listener) {
-            this->end();
+            this->end(work);
             return;
         }
         if (step.closes_idle_sessions) {
             this->dismiss_idle_sessions();
         }
-        if (!step.accepts_sessions) {
+        if (!step.accepts_work) {
             this->listener->stop();
+            this->sessions_context.accepts_work = false;
+            this->orders.end_transactions();
+        }
+        if (step.ends_requests) {
+            this->end_requests();
         }
         this->drain_timer.expires_after(drain_tick);
         this->drain_timer.async_wait([this](boost::system::error_code failure) {
@@ -299,17 +315,37 @@
         });
     }
 
-    void dismiss_idle_sessions() {
+    /// A copy, as sessions that end take themselves off the list.
+    std::vector<std::shared_ptr<caller_session>> open_sessions() const {
         std::vector<std::shared_ptr<caller_session>> open;
         for (auto const& each : this->sessions) {
             open.push_back(each.second);
         }
-        for (auto const& each : open) {
+        return open;
+    }
+
+    void dismiss_idle_sessions() {
+        for (auto const& each : this->open_sessions()) {
             each->dismiss_if_idle();
         }
     }
 
-    void end() {
+    /// Callers are answered first: a read that was lost here would be tried elsewhere.
+    void end_requests() {
+        for (auto const& each : this->open_sessions()) {
+            each->end_request();
+        }
+        this->orders.close();
+    }
+
+    void end(outstanding_work const& left) {
+        if (left.owes_answers()) {
+            observe::log_event(
+                observe::log_level::warning, "stopped_with_answers_owed",
+                {{"requests", left.unanswered_requests},
+                 {"orders", left.orders},
+                 {"links", left.unsent_responses}});
+        }
         this->orders.close();
         this->mesh.close();
         this->control_loop.stop();
--- a/src/persimmonpoint/interfaces/caller_channel.hpp
+++ b/src/persimmonpoint/interfaces/caller_channel.hpp
@@ -40,6 +40,8 @@
     virtual void accept() = 0;
     virtual void refuse(statement_error error, std::string_view text) = 0;
     virtual void answer(caller_answer const& answer) = 0;
+    /// False while part of what the caller was told is still to be sent.
+    virtual bool all_sent() const = 0;
     /// Tells the caller, who has no request outstanding, that the session ends. Requests
     /// that cross this word are answered as not run; the observer hears nothing of them.
     /// It hears on_closed once the caller has closed, or has been given its time for it.
--- a/src/persimmonpoint/platform/line_listener.cpp
+++ b/src/persimmonpoint/platform/line_listener.cpp
@@ -51,6 +51,8 @@
         this->request_done();
     }
 
+    bool all_sent() const override { return this->closed || this->outgoing.is_idle(); }
+
     void dismiss(std::string_view reason) override {
         this->dismissal = reason;
         this->send_error(statement_error::busy, this->dismissal);
--- /dev/null
+++ b/tests/introspective/caller_session.tests.cpp
@@ -0,0 +1,118 @@
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+#include <memory>
+#include <persimmonpoint/engine/boot_clock.hpp>
+#include <persimmonpoint/engine/caller_session.hpp>
+#include <persimmonpoint/engine/dispatcher.hpp>
+
+using namespace persimmonpoint;
+using namespace persimmonpoint::engine;
+using trompeloeil::_;
+
+namespace {
+
+constexpr char const* database_name = "alerts";
+
+class mock_channel : public caller_channel {
+public:
+    MAKE_MOCK0(accept, void(), override);
+    MAKE_MOCK2(refuse, void(statement_error, std::string_view), override);
+    MAKE_MOCK1(answer, void(caller_answer const&), override);
+    MAKE_CONST_MOCK0(all_sent, bool(), override);
+    MAKE_MOCK1(dismiss, void(std::string_view), override);
+};
+
+class mock_connector : public upstream_connector {
+public:
+    MAKE_MOCK0(make, std::shared_ptr<upstream_connection>(), override);
+};
+
+class mock_observer : public owner_observer {
+public:
+    MAKE_MOCK1(on_answer, void(std::string const&), override);
+    MAKE_MOCK1(on_refused, void(std::string const&), override);
+    MAKE_MOCK1(on_silent, void(std::string const&), override);
+    MAKE_MOCK1(on_commit_sent, void(std::string const&), override);
+    MAKE_MOCK1(on_commit_answered, void(std::string const&), override);
+};
+
+/// A session on a route that is open to all, which no database serves.
+class session_stage {
+public:
+    session_stage()
+        : orders(
+              this->loop, this->connector, this->time, this->observer, this->view, "a"),
+          runs{this->loop, this->time, this->view, this->orders, "zone"},
+          quotas(this->loop, this->time, this->view, "a", {}),
+          context{this->runs, this->quotas, this->counts},
+          channel(std::make_shared<mock_channel>()) {
+        auto configuration = std::make_shared<fleet_configuration>();
+        served_route route;
+        route.name = "route";
+        route.database = database_name;
+        route.group = "group";
+        route.allow_anonymous = true;
+        route.statement_timeout = std::chrono::seconds(10);
+        route.target_latency = std::chrono::seconds(8);
+        configuration->routes.emplace(database_name, route);
+        this->view.configuration = configuration;
+        this->session = std::make_shared<caller_session>(
+            this->context, this->channel, [](caller_session*) {});
+        REQUIRE_CALL(*this->channel, accept());
+        this->session->on_start(database_name, "");
+    }
+
+    void send(statement_verb verb, std::string name = {}) {
+        this->session->on_statement(statement{"id", "TEXT", verb, std::move(name), "x"});
+    }
+
+    boost::asio::io_context loop;
+    boot_clock time;
+    mock_connector connector;
+    mock_observer observer;
+    fleet_view view;
+    dispatcher orders;
+    run_context runs;
+    quota_keeper quotas;
+    traffic_counts counts;
+    session_context context;
+    std::shared_ptr<mock_channel> channel;
+    std::shared_ptr<caller_session> session;
+};
+
+} // namespace
+
+// Guards against a statement that is cut off as its host exits.
+TEST_CASE(
+    "Shortly before its host exits a session refuses statements as not run",
+    "[session][stop]") {
+    session_stage stage;
+    stage.context.accepts_work = false;
+    {
+        REQUIRE_CALL(*stage.channel, answer(_))
+            .WITH(_1.error == statement_error::busy)
+            .WITH(_1.state == transaction_state::idle);
+        stage.send(statement_verb::write);
+    }
+    REQUIRE_CALL(*stage.channel, answer(_)).WITH(_1.error == statement_error::none);
+    stage.send(statement_verb::begin);
+    auto const verb = GENERATE(statement_verb::read, statement_verb::commit);
+    REQUIRE_CALL(*stage.channel, answer(_))
+        .WITH(_1.error == statement_error::aborted)
+        .WITH((_1.state == transaction_state::idle) == (verb == statement_verb::commit));
+    stage.send(verb);
+}
+
+TEST_CASE(
+    "A request that waits for a database is answered as the host exits",
+    "[session][stop]") {
+    session_stage stage;
+    FORBID_CALL(*stage.channel, answer(_));
+    stage.send(statement_verb::write);
+    ALLOW_CALL(*stage.channel, all_sent()).RETURN(true);
+    CHECK(stage.session->owes_answer());
+    REQUIRE_CALL(*stage.channel, answer(_)).WITH(_1.error == statement_error::busy);
+    stage.session->end_request();
+    CHECK_FALSE(stage.session->owes_answer());
+}
--- a/tests/introspective/database_owner.tests.cpp
+++ b/tests/introspective/database_owner.tests.cpp
@@ -223,3 +223,20 @@
     CHECK(stage.connector.sent[0] == sent_texts{"BEGIN", "WRITE a 1", "ROLLBACK"});
     CHECK(stage.open("WRITE b 2", second_link).transaction.is_set());
 }
+
+// Guards against a stopping host that is in the middle of a transaction as it exits.
+TEST_CASE(
+    "A transaction of an owner that is about to stop ends with its next statement",
+    "[owner][stop]") {
+    owner_stage stage;
+    auto const opened = stage.open("WRITE a 1", first_link);
+    stage.owner->end_transactions();
+
+    auto const next =
+        stage.run(inside(upstream_request_kind::commit, "COMMIT", opened), first_link);
+
+    CHECK(next.outcome == upstream_outcome::not_run);
+    CHECK(next.refusal == upstream_refusal::transaction_lost);
+    CHECK(stage.connector.sent[0] == sent_texts{"BEGIN", "WRITE a 1", "ROLLBACK"});
+    CHECK(stage.owner->open_transactions() == 0);
+}
--- a/tests/usage/planned_stop.tests.cpp
+++ b/tests/usage/planned_stop.tests.cpp
@@ -127,3 +127,40 @@
     ask(150);
     CHECK(refused == 0);
 }
+
+// Guards against callers that are cut off in the middle of a statement, as their host or
+// the one that runs the statement exits. One of the two hosts owns the primary's
+// connections.
+TEST_CASE(
+    "A transaction that outlasts a planned stop hears that it was rolled back",
+    "[front][stop]") {
+    auto const stopped = GENERATE(
+        std::vector<std::size_t>{0}, std::vector<std::size_t>{1},
+        std::vector<std::size_t>{0, 1});
+    fleet_stage stage;
+    std::vector<std::unique_ptr<line_caller>> callers;
+    for (std::size_t const host : stopped) {
+        callers.push_back(std::make_unique<line_caller>(stage.caller_port(host)));
+        REQUIRE(callers.back()->start("alerts", "key-1").state == "I");
+        REQUIRE(callers.back()->query("BEGIN").state == "T");
+        std::string const item = "kept-" + std::to_string(host);
+        REQUIRE(callers.back()->query("WRITE " + item + " x").state == "T");
+    }
+    std::vector<std::unique_ptr<host_stopping>> stopping;
+    for (std::size_t const host : stopped) {
+        stopping.push_back(std::make_unique<host_stopping>(stage, host));
+    }
+    for (auto const& caller : callers) {
+        line_caller::reply last;
+        while (last.error.empty() && !last.closed) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            last = caller->query("READ kept");
+        }
+        CHECK_FALSE(last.closed);
+        CHECK(last.error == "ABORTED");
+    }
+    stage.with_standins([&] {
+        CHECK(stage.group->data("kept-0").empty());
+        CHECK(stage.group->data("kept-1").empty());
+    });
+}
