A session of a stopping host ends with the answer that leaves it idle

Change: a session of a stopping host is dismissed with the answer that brings it between two operations. Stand-in: databases that take longer. The caller of the tests counts what it has read ahead as unread.

Two new cases of [session] can't hold without the change.

--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -430,6 +430,19 @@
             this->state.state() == transaction_state::open) {
             this->watch_idle();
         }
+        if (!this->context.keeps_sessions) {
+            this->dismiss_if_idle();
+        }
+    }
+
+    /// A caller that sends its next request with each answer is never found idle from
+    /// outside.
+    void dismiss_if_idle() {
+        bool const in_use = this->busy || this->state.state() != transaction_state::idle;
+        if (in_use || this->closed || std::exchange(this->dismissed, true)) {
+            return;
+        }
+        this->channel->dismiss(stopping_text);
     }
 
     // Ends
@@ -540,12 +553,7 @@
 }
 
 void caller_session::dismiss_if_idle() {
-    bool const in_use =
-        this->impl->busy || this->impl->state.state() != transaction_state::idle;
-    if (in_use || std::exchange(this->impl->dismissed, true)) {
-        return;
-    }
-    this->impl->channel->dismiss(stopping_text);
+    this->impl->dismiss_if_idle();
 }
 
 bool caller_session::owes_answer() const {
--- a/src/persimmonpoint/engine/caller_session.hpp
+++ b/src/persimmonpoint/engine/caller_session.hpp
@@ -14,6 +14,9 @@
     run_context& runs;
     quota_keeper& quotas;
     traffic_counts& counts;
+    /// False while the host stops: a session ends as soon as it is between two
+    /// operations.
+    bool keeps_sessions = true;
     bool accepts_work = true; ///< False once the host is about to exit.
 };
 
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -94,7 +94,7 @@
           quotas(traffic_loop, time, view, settings.name, settings.quotas),
           keeper(runs, *this),
           mesh(traffic_loop, time, *this, self),
-          sessions_context{runs, quotas, counts, true},
+          sessions_context{runs, quotas, counts},
           hosts_timer(traffic_loop),
           lost_timer(traffic_loop),
           drain_timer(traffic_loop),
@@ -297,6 +297,7 @@
             return;
         }
         if (step.closes_idle_sessions) {
+            this->sessions_context.keeps_sessions = false;
             this->dismiss_idle_sessions();
         }
         if (!step.accepts_work) {
--- a/src/persimmonpoint/standin/line_group.cpp
+++ b/src/persimmonpoint/standin/line_group.cpp
@@ -65,6 +65,7 @@
     bool alive = true;
     bool deaf = false;
     bool silent = false;
+    std::chrono::milliseconds delay{0};
     bool lose_write = false;
     bool lose_read = false;
     std::set<std::shared_ptr<session>> sessions;
@@ -169,6 +170,8 @@
         }
         if (word == "START") {
             this->start(rest);
+        } else if (word == "QUERY" && this->home.delay.count() > 0) {
+            this->query_later(std::string(rest));
         } else if (word == "QUERY") {
             take_word(rest);
             this->query(rest);
@@ -177,6 +180,23 @@
         }
     }
 
+    void query_later(std::string rest) {
+        this->busy = true;
+        auto const timer =
+            std::make_shared<asio::steady_timer>(this->group.loop, this->home.delay);
+        timer->async_wait([self = this->shared_from_this(), timer,
+                           rest = std::move(rest)](boost::system::error_code) {
+            if (self->closed) {
+                return;
+            }
+            self->busy = false;
+            std::string_view text = rest;
+            take_word(text);
+            self->query(text);
+            self->take_lines();
+        });
+    }
+
     void start(std::string_view rest) {
         std::string_view const service = take_word(rest);
         this->team = take_word(rest);
@@ -510,6 +530,10 @@
     this->impl->deliver();
 }
 
+void line_group::set_delay(std::string const& id, std::chrono::milliseconds delay) {
+    this->impl->at(id).delay = delay;
+}
+
 void line_group::set_silent(std::string const& id, bool silent) {
     this->impl->at(id).silent = silent;
 }
--- a/src/persimmonpoint/standin/line_group.hpp
+++ b/src/persimmonpoint/standin/line_group.hpp
@@ -37,6 +37,8 @@
     void lose_next_answer(std::string const& id, bool of_a_write);
     /// A replica receives nothing while it is deaf.
     void set_deaf(std::string const& id, bool deaf);
+    /// Each request takes this much longer.
+    void set_delay(std::string const& id, std::chrono::milliseconds delay);
     /// Takes requests and answers nothing.
     void set_silent(std::string const& id, bool silent);
 
--- a/tests/introspective/caller_session.tests.cpp
+++ b/tests/introspective/caller_session.tests.cpp
@@ -83,6 +83,34 @@
 
 } // namespace
 
+// Guards against a caller that sends its next request with each answer, is never found
+// idle while its host stops, and is cut off as the host exits.
+TEST_CASE("A session of a stopping host ends with the answer", "[session][stop]") {
+    session_stage stage;
+    stage.context.keeps_sessions = false;
+    trompeloeil::sequence order;
+    REQUIRE_CALL(*stage.channel, answer(_)).IN_SEQUENCE(order);
+    REQUIRE_CALL(*stage.channel, dismiss(_)).IN_SEQUENCE(order);
+    stage.send(statement_verb::set, "name");
+    stage.session->dismiss_if_idle();
+}
+
+TEST_CASE(
+    "A session of a stopping host ends behind its transaction, not within",
+    "[session][stop]") {
+    session_stage stage;
+    stage.context.keeps_sessions = false;
+    {
+        REQUIRE_CALL(*stage.channel, answer(_));
+        FORBID_CALL(*stage.channel, dismiss(_));
+        stage.send(statement_verb::begin);
+        stage.session->dismiss_if_idle();
+    }
+    REQUIRE_CALL(*stage.channel, answer(_));
+    REQUIRE_CALL(*stage.channel, dismiss(_));
+    stage.send(statement_verb::rollback);
+}
+
 // Guards against a statement that is cut off as its host exits.
 TEST_CASE(
     "Shortly before its host exits a session refuses statements as not run",
--- a/tests/support/line_caller.cpp
+++ b/tests/support/line_caller.cpp
@@ -32,6 +32,9 @@
 }
 
 bool line_caller::has_unread() const {
+    if (!this->buffer.empty()) {
+        return true;
+    }
     char byte = 0;
     return this->socket >= 0 &&
            ::recv(this->socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >= 0;
--- a/tests/usage/planned_stop.tests.cpp
+++ b/tests/usage/planned_stop.tests.cpp
@@ -1,4 +1,6 @@
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <optional>
 #include <support/fleet_stage.hpp>
 #include <thread>
 #include <vector>
@@ -164,3 +166,46 @@
         CHECK(stage.group->data("kept-1").empty());
     });
 }
+
+// Guards against callers that are never found idle between two requests, and are cut off
+// as their host exits.
+TEST_CASE(
+    "Callers that use their sessions until the end are cut off in no request",
+    "[front][stop]") {
+    auto const both_stop = GENERATE(false, true);
+    fleet_stage stage;
+    stage.with_standins([&] {
+        for (std::string const& each : stage.group->ids()) {
+            stage.group->set_delay(each, std::chrono::milliseconds(30));
+        }
+    });
+    std::atomic<std::size_t> cut{0};
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < 8; ++i) {
+        callers.emplace_back([&stage, &cut, i] {
+            line_caller caller(stage.caller_port(i % 2));
+            caller.start("tallies", "key-1");
+            // The message that ends the session closes it.
+            while (!caller.has_unread()) {
+                if (caller.query("WRITE busy " + std::to_string(i)).closed) {
+                    ++cut;
+                    return;
+                }
+            }
+        });
+    }
+    {
+        host_stopping const first(stage, 0);
+        std::optional<host_stopping> second;
+        if (both_stop) {
+            second.emplace(stage, 1);
+        }
+    }
+    if (!both_stop) {
+        host_stopping const second(stage, 1);
+    }
+    for (std::thread& each : callers) {
+        each.join();
+    }
+    CHECK(cut == 0);
+}
