A stopping host takes no work once it answers what still runs

Found by reading the change of the planned stop again: with a rotation longer than the grace less half a second (settings allow it, the platform's own don't have it), work was still accepted while what ran was already being answered, and a statement taken then found its connections closed.

The moment of the last work is now bounded by that of the last answers. The new case of [stop] failed before: 21 of 868 checks.

--- a/src/persimmonpoint/core/recovery/graceful_shutdown.cpp
+++ b/src/persimmonpoint/core/recovery/graceful_shutdown.cpp
@@ -18,8 +18,9 @@
 graceful_shutdown::decide(duration elapsed, outstanding_work const& work) const {
     duration const last_answers = this->grace - answer_margin;
     // An open transaction has half of the grace period to end.
-    duration const last_work =
-        std::max({this->rotation, this->grace / 2, last_answers - accept_margin});
+    duration const last_work = std::min(
+        last_answers,
+        std::max({this->rotation, this->grace / 2, last_answers - accept_margin}));
     bool const in_use = work.sessions > 0 || work.open_transactions > 0;
     shutdown_decision decision;
     decision.accepts_work = elapsed < last_work;
--- a/tests/introspective/planned_stop.tests.cpp
+++ b/tests/introspective/planned_stop.tests.cpp
@@ -55,6 +55,17 @@
     CHECK(stop.decide(grace / 2, with_sessions()).exits);
 }
 
+TEST_CASE("It takes no work once it has begun to answer what still runs", "[stop]") {
+    auto const any_grace =
+        GENERATE(milliseconds(300), milliseconds(2000), milliseconds(6000));
+    auto const any_rotation = GENERATE(milliseconds(0), milliseconds(2300));
+    graceful_shutdown const stop(any_grace, any_rotation);
+    for (milliseconds passed(0); passed <= any_grace; passed += milliseconds(50)) {
+        shutdown_decision const step = stop.decide(passed, with_sessions());
+        CHECK_FALSE((step.ends_requests && step.accepts_work));
+    }
+}
+
 TEST_CASE("An open transaction has half of the grace to end", "[stop]") {
     auto const any_grace =
         GENERATE(milliseconds(1000), milliseconds(2500), milliseconds(20000));
