Tests: callers of a planned stop run beside each other

Found by reading: with both hosts stopping the second caller waited for the first, so that its transaction could end for being idle, and its query could come after its host's end on a slow machine. Each caller has a thread now, and an end for being idle doesn't pass any more.

--- a/tests/usage/planned_stop.tests.cpp
+++ b/tests/usage/planned_stop.tests.cpp
@@ -152,14 +152,25 @@
     for (std::size_t const host : stopped) {
         stopping.push_back(std::make_unique<host_stopping>(stage, host));
     }
-    for (auto const& caller : callers) {
-        line_caller::reply last;
-        while (last.error.empty() && !last.closed) {
-            std::this_thread::sleep_for(std::chrono::milliseconds(5));
-            last = caller->query("READ kept");
-        }
-        CHECK_FALSE(last.closed);
-        CHECK(last.error == "ABORTED");
+    // Each in a thread of its own: a transaction that is not used ends by itself.
+    std::vector<line_caller::reply> last(callers.size());
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < callers.size(); ++i) {
+        threads.emplace_back([&callers, &last, i] {
+            while (last[i].error.empty() && !last[i].closed) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                last[i] = callers[i]->query("READ kept");
+            }
+        });
+    }
+    for (std::thread& each : threads) {
+        each.join();
+    }
+    for (line_caller::reply const& each : last) {
+        CHECK_FALSE(each.closed);
+        CHECK(each.error == "ABORTED");
+        // Whichever of the hosts ends it; it isn't the time that it was idle.
+        CHECK(each.error_text.find("idle") == std::string::npos);
     }
     stage.with_standins([&] {
         CHECK(stage.group->data("kept-0").empty());
