Sessions that outlast their host are let go with it

Found by the address sanitizer on the usage tests of the planned stop, as "A transaction that outlasts a planned stop hears that it was rolled back" was the first to keep its callers connected until after the host's end: 13,602 bytes in 24 allocations, all below caller sessions.

Cause: a session holds its channel and the channel its session; only the end of the connection broke the circle. A process that exits doesn't notice; hosts within one process, as in the tests, leaked each such session.

The host's destructor, behind the end of its threads, breaks the circle.

--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -564,4 +564,10 @@
     this->impl->end_request();
 }
 
+void caller_session::abandon() {
+    this->impl->closed = true;
+    this->impl->on_ended = nullptr;
+    this->impl->channel.reset();
+}
+
 } // namespace persimmonpoint::engine
--- a/src/persimmonpoint/engine/caller_session.hpp
+++ b/src/persimmonpoint/engine/caller_session.hpp
@@ -42,6 +42,8 @@
     bool owes_answer() const;
     /// Answers the request that is outstanding, if any, with what is known of it.
     void end_request();
+    /// The host is gone: lets go of the channel, which holds this session.
+    void abandon();
 
 private:
     struct implementation;
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -110,6 +110,12 @@
         this->remove_lost_hosts();
     }
 
+    ~implementation() {
+        for (auto const& each : this->sessions) {
+            each.second->abandon();
+        }
+    }
+
     /// The keeper is made after the dispatcher, which tells it what it sees.
     struct evidence_relay final : owner_observer {
         explicit evidence_relay(implementation& host) : host(host) {}
