--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -110,7 +110,7 @@
         this->remove_lost_hosts();
     }
 
-    ~implementation() {
+    ~implementation() override {
         for (auto const& each : this->sessions) {
             each.second->abandon();
         }
