--- a/tests/introspective/caller_session.tests.cpp
+++ b/tests/introspective/caller_session.tests.cpp
@@ -111,6 +111,13 @@
     stage.send(statement_verb::rollback);
 }
 
+// Guards against a session and a channel that hold each other for good.
+TEST_CASE("A session whose host is gone lets go of its channel", "[session][stop]") {
+    session_stage stage;
+    stage.session->abandon();
+    CHECK(stage.channel.use_count() == 1);
+}
+
 // Guards against a statement that is cut off as its host exits.
 TEST_CASE(
     "Shortly before its host exits a session refuses statements as not run",
