The log line of a promotion shows what it compared, what it left out and why

It now lists each database of the group with its position, whether it leads or is held, the age of the report, and why one was left out; and the reason and the directory that the change goes by. copy_reported tells the term of the position, the lead, the term that holds the database and how long the answer took. No decision changes.

--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -59,7 +59,7 @@
     instant now)
     : old_primary(std::move(old_primary)),
       term(term),
-      reason(reason),
+      cause(reason),
       machine(loaded_chart()),
       state_entered_at(now) {
     this->set_replicas(std::move(replicas));
@@ -71,18 +71,44 @@
             this->replicas[each.id].leaving = each.leaving;
         }
     }
-    std::erase_if(this->replicas, [&present](auto const& each) {
-        return std::none_of(present.begin(), present.end(), [&each](auto const& one) {
-            return one.id == each.first;
-        });
+    std::erase_if(this->replicas, [&](auto const& each) {
+        bool const is_gone =
+            std::none_of(present.begin(), present.end(), [&each](auto const& one) {
+                return one.id == each.first;
+            });
+        if (is_gone) {
+            this->removed.insert(each);
+        }
+        return is_gone;
     });
 }
 
+std::vector<promotion_evidence> leadership_change::evidence() const {
+    std::vector<promotion_evidence> all;
+    for (auto const& [id, replica] : this->replicas) {
+        all.push_back(
+            {id, replica.leaving, id == this->chosen_id, replica.held, replica.report,
+             replica.reported_at, ""});
+    }
+    for (auto const& [id, replica] : this->removed) {
+        if (this->replicas.count(id) == 0) {
+            all.push_back(
+                {id, replica.leaving, false, replica.held, replica.report,
+                 replica.reported_at, "no longer registered"});
+        }
+    }
+    if (!this->old_primary.empty()) {
+        all.push_back(
+            {this->old_primary, false, false, false, std::nullopt, {}, "old primary"});
+    }
+    return all;
+}
+
 void leadership_change::primary_seen() {
     // RESUME is safe only after a promotion, so a change is not called off once any host
     // has held a replica.
     bool const can_call_off = !this->hold_requested && !this->foreign_hold_seen_at;
-    if (this->reason == change_reason::primary_lost && can_call_off) {
+    if (this->cause == change_reason::primary_lost && can_call_off) {
         this->machine.fire(leadership_event::called_off);
     }
 }
@@ -243,7 +269,7 @@
     }
     this->promotion_unsettled = false;
     this->choose_candidate();
-    this->hold_candidate = this->reason != change_reason::primary_leaving &&
+    this->hold_candidate = this->cause != change_reason::primary_leaving &&
                            this->replicas[this->chosen_id].report->held_term > 0;
     this->machine.fire(leadership_event::candidate_chosen);
 }
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -53,6 +53,18 @@
     unanswered   ///< Outcome unknown: it may still be carried out at any later time.
 };
 
+/// What a change knows of one database of its group when it requests a promotion.
+struct promotion_evidence {
+    std::string id;
+    bool leaving = false;
+    bool is_candidate = false;
+    bool held = false; ///< By this change.
+    std::optional<database_state> report;
+    instant reported_at{};
+    /// Why the promotion does not depend on the database; empty if it was compared.
+    std::string_view left_out;
+};
+
 /// State machine that replaces the primary of one group, from the decision to fail over
 /// until the new primary is confirmed and the other replicas receive again. It does no
 /// I/O: step() returns the actions to carry out, and their results are passed back in.
@@ -106,7 +118,10 @@
     /// each event and at least every 50 ms.
     std::vector<change_action> step(instant now);
     std::string_view state_name() const { return this->machine.state_name(); }
+    change_reason reason() const { return this->cause; }
     std::string const& candidate() const { return this->chosen_id; }
+    /// What the choice of the candidate rests on, for logs.
+    std::vector<promotion_evidence> evidence() const;
     bool is_over() const { return this->machine.is_final(); }
 
 private:
@@ -147,8 +162,10 @@
 
     std::string old_primary;
     replica_map replicas;
+    /// Replicas that left the group during this change.
+    std::map<std::string, replica_state, std::less<>> removed;
     std::uint64_t term; ///< Highest seen.
-    change_reason reason;
+    change_reason cause;
     leadership_machine machine;
     std::uint64_t token = 0;
     /// Hold terms of all fencing tokens that this change has been granted.
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <cmath>
 #include <map>
 #include <persimmonpoint/core/recovery/primary_failure_detector.hpp>
 #include <persimmonpoint/core/routing/owner_ranking.hpp>
@@ -28,6 +29,37 @@
 constexpr duration settle_time = std::chrono::milliseconds(700);
 constexpr auto token_retry = std::chrono::milliseconds(200);
 
+/// One database in the log line of a promotion, for example
+/// "db-2 7.3337 held 35 ms" or "db-1 no report, left out: old primary".
+std::string describe(promotion_evidence const& each, instant now) {
+    std::string text = each.id;
+    if (each.report) {
+        text += " " + std::to_string(each.report->received.term) + "." +
+                std::to_string(each.report->received.offset);
+        text += each.report->leads ? " leads" : "";
+        text += each.is_candidate ? " candidate" : "";
+        text += each.held ? " held" : "";
+        text += " " +
+                std::to_string(std::lround(to_seconds(now - each.reported_at) * 1000)) +
+                " ms";
+    } else {
+        text += " no report";
+    }
+    text += each.leaving ? " leaving" : "";
+    if (!each.left_out.empty()) {
+        text += ", left out: " + std::string(each.left_out);
+    }
+    return text;
+}
+
+std::string describe(std::vector<promotion_evidence> const& all, instant now) {
+    std::string text;
+    for (promotion_evidence const& each : all) {
+        text += (text.empty() ? "" : "; ") + describe(each, now);
+    }
+    return text;
+}
+
 struct watched_group {
     std::string primary; ///< Empty if none is known.
     std::unique_ptr<primary_failure_detector> suspicion;
@@ -308,7 +340,7 @@
             this->ask_copy(name, action, upstream_request_kind::resume);
             return;
         case change_action_kind::promote:
-            this->call_promotion(name, action);
+            this->call_promotion(name, *group.change, action);
             return;
         default:
             this->finish(name, group, action);
@@ -365,8 +397,8 @@
         order.budget_ms = probe_budget_ms;
         this->context.orders.submit(
             std::move(order),
-            [weak = this->weak_from_this(), name, database = action.database,
-             kind](upstream_response answer, std::string const&) {
+            [weak = this->weak_from_this(), name, database = action.database, kind,
+             asked_at = this->now()](upstream_response answer, std::string const&) {
                 auto const keeper = weak.lock();
                 leadership_change* const change =
                     keeper ? keeper->change_of(name) : nullptr;
@@ -382,6 +414,10 @@
                      {"position", answer.report ? static_cast<std::int64_t>(
                                                       answer.report->received.offset)
                                                 : -1},
+                     {"position_term", answer.report ? answer.report->received.term : 0},
+                     {"leads", answer.report && answer.report->leads},
+                     {"held_term", answer.report ? answer.report->held_term : 0},
+                     {"took_ms", to_seconds(keeper->now() - asked_at) * 1000},
                      {"error", to_string(answer.error)},
                      {"state", change->state_name()}});
                 change->reported(database, answer.report, keeper->now());
@@ -389,10 +425,18 @@
             });
     }
 
-    void call_promotion(std::string const& name, change_action const& action) {
+    void call_promotion(
+        std::string const& name,
+        leadership_change const& change,
+        change_action const& action) {
         observe::log_event(
             observe::log_level::warning, "promotion_called",
-            {{"group", name}, {"database", action.database}, {"token", action.token}});
+            {{"group", name},
+             {"database", action.database},
+             {"token", action.token},
+             {"reason", to_string(change.reason())},
+             {"compared", describe(change.evidence(), this->now())},
+             {"directory", this->context.view.directory.current().version.number}});
         this->authority.promote(
             name, action.database, action.token,
             [weak = this->weak_from_this(), name](promotion_result result) {
