A primary is stopped before another is promoted in its place

Cause: a change of leadership kept the old primary from acknowledging only by holding its replicas, which presumes that all of them are known and stay held, and that the database that led as the change began still does. A replica that joins after the call, one whose registration has lapsed, a hold undone by a RESUME that is carried out late, or another host's promotion each break it. The old primary itself was neither asked nor compared for the length of the change.

Change: every registered database belongs to the change (change_members). A primary that answers is asked to give up its lead (DEMOTE, with the next term, so that a late one stops no later primary) before the positions that count are read; holds stay beside it, for a primary that is silent or that another host promotes. If another database leads by now, it is confirmed with this change's token and the replicas are resumed, where the change held the leader in vain for ever and as often as it answered. If a replica left the group during the change, the primary's own position counts, and a primary that is silent is waited for until it is gone too. Reports count from when they were asked for. A call under way rules out another candidate. RESUME is sent again only once a report shows that it wasn't carried out. A step changes the state a bounded number of times: it could go round for ever.

A primary that leaves is not stopped while it replicates to the candidate: it serves until the promotion takes effect.

--- /dev/null
+++ b/src/persimmonpoint/core/recovery/change_members.cpp
@@ -0,0 +1,133 @@
+#include <algorithm>
+#include <persimmonpoint/core/recovery/change_members.hpp>
+#include <utility>
+
+namespace persimmonpoint {
+
+change_members::change_members(std::string primary, std::uint64_t term)
+    : primary_id(std::move(primary)), highest_term(term) {}
+
+void change_members::set_databases(std::span<group_replica const> present) {
+    for (group_replica const& each : present) {
+        this->members[each.id].leaving = each.leaving;
+        this->removed.erase(each.id);
+    }
+    std::erase_if(this->members, [&](auto const& each) {
+        bool const is_gone =
+            std::none_of(present.begin(), present.end(), [&each](auto const& one) {
+                return one.id == each.first;
+            });
+        if (is_gone) {
+            this->removed.insert(each);
+        }
+        return is_gone;
+    });
+}
+
+bool change_members::record(
+    std::string_view id,
+    database_state const& report,
+    instant asked_at,
+    std::set<std::uint64_t> const& own_hold_terms) {
+    change_member* const member = this->find(id);
+    if (member == nullptr || (member->report && asked_at < member->asked_at)) {
+        return false;
+    }
+    member->fresh = !member->requested_at || asked_at >= *member->requested_at;
+    if (member->fresh) {
+        member->requested_at.reset();
+    }
+    member->held = own_hold_terms.count(report.held_term) > 0;
+    member->held_by_other = report.held_term > 0 && !member->held;
+    member->report = report;
+    member->asked_at = asked_at;
+    bool const is_outdated = report.term < this->highest_term;
+    this->highest_term = std::max(this->highest_term, report.term);
+    if (report.leads && !is_outdated) {
+        this->note_leader(id);
+    } else if (!report.leads && id == this->primary_id) {
+        this->note_lead_lost(asked_at);
+    }
+    return true;
+}
+
+void change_members::note_leader(std::string_view id) {
+    if (id != this->primary_id) {
+        this->primary_id = id;
+        this->stop_asked_at.reset();
+    }
+    this->stopped = false;
+}
+
+void change_members::note_lead_lost(instant asked_at) {
+    if (this->stop_asked_at && asked_at >= *this->stop_asked_at) {
+        this->stopped = true;
+    } else if (!this->stopped) {
+        // Another host has replaced or stopped it: it's a replica like the others.
+        this->primary_id.clear();
+    }
+}
+
+change_member const* change_members::primary_member() const {
+    auto const found = this->members.find(this->primary_id);
+    return found == this->members.end() ? nullptr : &found->second;
+}
+
+change_member* change_members::find(std::string_view id) {
+    auto const found = this->members.find(id);
+    return found == this->members.end() ? nullptr : &found->second;
+}
+
+bool change_members::has_lost_replica() const {
+    return std::any_of(
+        this->removed.begin(), this->removed.end(),
+        [this](auto const& each) { return each.first != this->primary_id; });
+}
+
+bool change_members::counts(std::string_view id) const {
+    return id != this->primary_id || (this->stopped && this->has_lost_replica());
+}
+
+bool change_members::may_receive(std::string_view id) const {
+    return id != this->primary_id || this->stopped;
+}
+
+std::string_view change_members::reason_left_out(std::string_view id) const {
+    if (this->counts(id)) {
+        return "";
+    }
+    if (this->stopped) {
+        return "old primary, stopped";
+    }
+    change_member const* const member = this->primary_member();
+    return member != nullptr && member->leads() ? "primary" : "old primary, silent";
+}
+
+std::vector<promotion_evidence>
+change_members::evidence(std::string_view candidate) const {
+    std::vector<promotion_evidence> all;
+    for (auto const& [id, member] : this->members) {
+        all.push_back(
+            {id, member.leaving, id == candidate, member.held, member.report,
+             member.asked_at, this->reason_left_out(id)});
+    }
+    for (auto const& [id, member] : this->removed) {
+        all.push_back(
+            {id, member.leaving, false, member.held, member.report, member.asked_at,
+             "no longer registered"});
+    }
+    if (!this->primary_id.empty() && this->members.count(this->primary_id) == 0 &&
+        this->removed.count(this->primary_id) == 0) {
+        all.push_back(
+            {this->primary_id,
+             false,
+             false,
+             false,
+             std::nullopt,
+             {},
+             "old primary, not registered"});
+    }
+    return all;
+}
+
+} // namespace persimmonpoint
--- /dev/null
+++ b/src/persimmonpoint/core/recovery/change_members.hpp
@@ -0,0 +1,114 @@
+#ifndef PERSIMMONPOINT_CORE_RECOVERY_CHANGE_MEMBERS_HPP_INCLUDED
+#define PERSIMMONPOINT_CORE_RECOVERY_CHANGE_MEMBERS_HPP_INCLUDED
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <persimmonpoint/core/statement/upstream_request.hpp>
+#include <persimmonpoint/core/time.hpp>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace persimmonpoint {
+
+/// A database of the group that a change of leadership is about.
+struct group_replica {
+    std::string id;
+    bool leaving = false;
+};
+
+/// What a change knows of one database of its group when it requests a promotion.
+struct promotion_evidence {
+    std::string id;
+    bool leaving = false;
+    bool is_candidate = false;
+    bool held = false; ///< By this change.
+    std::optional<database_state> report;
+    instant asked_at{}; ///< When the request was sent that `report` answers.
+    /// Why the promotion does not depend on the database; empty if it was compared.
+    std::string_view left_out;
+};
+
+/// One database of the group as a change of leadership knows it.
+struct change_member {
+    bool leaving = false;
+    bool held = false;          ///< By this change.
+    bool held_by_other = false; ///< By another host's change.
+    std::optional<database_state> report;
+    instant asked_at{}; ///< When the request that `report` answers was sent.
+    bool fresh = false; ///< `report` answers the last request.
+    std::optional<instant> requested_at; ///< Set while a request is unanswered.
+    std::optional<instant> stop_sent_at; ///< Of the last hold, or order to stop leading.
+
+    bool leads() const { return this->report && this->report->leads; }
+    /// True if the database answered a request that was sent at most `age` ago.
+    bool answers(instant now, duration age) const {
+        return this->report && now - this->asked_at <= age;
+    }
+};
+
+/// The databases of one group during a change of leadership: who leads, whose position
+/// counts and who has to be held.
+///
+/// Every registered database counts, but for the primary that is to be replaced: what it
+/// acknowledged, another database has received. Which database that is follows from the
+/// reports, as another host may promote one meanwhile.
+class change_members {
+public:
+    using map = std::map<std::string, change_member, std::less<>>;
+
+    /// @param primary The primary as the host knows it; empty if none is known.
+    /// @param term The highest term that the host knows.
+    change_members(std::string primary, std::uint64_t term);
+
+    /// Updates the group's registered databases, which may come and go during a change.
+    void set_databases(std::span<group_replica const> present);
+    /// Takes a report, unless a later one is known already. Returns false for such one
+    /// and for one of a database that isn't registered any more.
+    bool record(
+        std::string_view id,
+        database_state const& report,
+        instant asked_at,
+        std::set<std::uint64_t> const& own_hold_terms);
+    /// The primary is being asked to stop leading.
+    void primary_asked_to_stop(instant now) { this->stop_asked_at = now; }
+    /// True once it has answered that it no longer leads.
+    bool is_primary_stopped() const { return this->stopped; }
+
+    std::string const& primary() const { return this->primary_id; }
+    /// The primary's record; null if none is known or it isn't registered.
+    change_member const* primary_member() const;
+    std::uint64_t term() const { return this->highest_term; }
+
+    map& all() { return this->members; }
+    map const& all() const { return this->members; }
+    change_member* find(std::string_view id);
+    /// True if the candidate must have received what the database has.
+    bool counts(std::string_view id) const;
+    /// True if the database could receive from another primary unless it is held.
+    bool may_receive(std::string_view id) const;
+    /// True if a replica left the group with a log that nothing was compared with. Only
+    /// the primary is known to have all that such a replica had.
+    bool has_lost_replica() const;
+
+    std::vector<promotion_evidence> evidence(std::string_view candidate) const;
+
+private:
+    void note_leader(std::string_view id);
+    void note_lead_lost(instant asked_at);
+    std::string_view reason_left_out(std::string_view id) const;
+
+    std::string primary_id;
+    std::uint64_t highest_term;
+    std::optional<instant> stop_asked_at;
+    bool stopped = false;
+    map members;
+    map removed; ///< Left the group during this change.
+};
+
+} // namespace persimmonpoint
+
+#endif // PERSIMMONPOINT_CORE_RECOVERY_CHANGE_MEMBERS_HPP_INCLUDED
--- a/src/persimmonpoint/core/statement/upstream_request.hpp
+++ b/src/persimmonpoint/core/statement/upstream_request.hpp
@@ -25,7 +25,8 @@
     leader_check, ///< No statement: confirms the primary and gets its log position.
     report_state, ///< No statement: queries the database's role and log position.
     hold,         ///< Pauses replication on a replica, fenced by `term`.
-    resume        ///< Resumes replication on a paused replica.
+    resume,       ///< Resumes replication on a paused replica.
+    stop_primary  ///< Makes a primary of a term below `term` a replica.
 };
 
 /// A statement or control command for one database.
@@ -46,7 +47,7 @@
     /// Maximum wait for a connection and an execution slot; 0: up to `budget_ms`.
     std::uint32_t wait_ms = 0;
     std::uint32_t priority = 0; ///< 0 is the highest.
-    std::uint64_t term = 0;     ///< Fencing term of `hold`.
+    std::uint64_t term = 0;     ///< Fencing term of `hold` and `stop_primary`.
 };
 
 /// Role and log state reported by a database.
@@ -93,7 +94,7 @@
     transaction_id transaction; ///< Set while the request's transaction is open.
     std::uint32_t load = 0; ///< Requests queued or running for the database at the owner.
     bool leader_confirmed = false; ///< The response proves that the database was primary.
-    /// Set in responses to `report_state`, `hold` and `resume`.
+    /// Set in responses to `report_state`, `hold`, `resume` and `stop_primary`.
     std::optional<database_state> report;
 
     bool succeeded() const {
--- a/src/persimmonpoint/engine/peer_messages.cpp
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -36,7 +36,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, upstream_request& value) {
-    engine::archive_enum(archive, value.kind, upstream_request_kind::resume);
+    engine::archive_enum(archive, value.kind, upstream_request_kind::stop_primary);
     archive(value.transaction, value.group, value.database, value.team, value.id);
     archive(value.text, value.prepared, value.writes, value.read_only_transaction);
     archive(value.floor, value.values, value.budget_ms, value.wait_ms);
--- a/src/persimmonpoint/interfaces/upstream_connection.hpp
+++ b/src/persimmonpoint/interfaces/upstream_connection.hpp
@@ -22,7 +22,8 @@
     reset,
     report_state,
     hold,
-    resume
+    resume,
+    stop_primary
 };
 
 /// One statement to a database.
--- a/src/persimmonpoint/platform/line_codec.cpp
+++ b/src/persimmonpoint/platform/line_codec.cpp
@@ -116,6 +116,8 @@
         return "STATUS";
     case upstream_action::hold:
         return "PAUSE " + std::to_string(command.term);
+    case upstream_action::stop_primary:
+        return "DEMOTE " + std::to_string(command.term);
     default:
         return "RESUME";
     }
--- /dev/null
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -0,0 +1,346 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <persimmonpoint/core/recovery/leadership_change.hpp>
+
+using namespace persimmonpoint;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+instant const start{seconds(1000)};
+constexpr std::uint64_t first_term = 3;
+constexpr std::uint64_t change_token = 7;
+/// From the call of a promotion until it takes effect.
+constexpr duration promotion_time = milliseconds(600);
+
+/// A group whose primary acknowledges what any replica has received, and which carries
+/// out what a change asks for. Promotions take effect late.
+class acting_group {
+public:
+    struct copy {
+        std::uint64_t received = 0;
+        std::uint64_t held = 0;
+        bool alive = true;
+        bool receives = true;
+    };
+
+    acting_group() { this->copies["p"]; }
+
+    /// The primary writes, unless it was stopped; its replicas receive what it has.
+    void write() {
+        if (this->leader.empty() || !this->copies[this->leader].alive) {
+            return;
+        }
+        ++this->copies[this->leader].received;
+        this->replicate();
+    }
+
+    void replicate() {
+        if (this->leader.empty() || !this->copies[this->leader].alive) {
+            return;
+        }
+        std::uint64_t const newest = this->copies[this->leader].received;
+        for (auto& [id, one] : this->copies) {
+            if (id != this->leader && one.alive && one.receives && one.held == 0) {
+                one.received = newest;
+                this->acknowledged = newest;
+            }
+        }
+    }
+
+    std::vector<group_replica> registered() const {
+        std::vector<group_replica> all;
+        for (auto const& each : this->copies) {
+            if (this->lapsed != each.first) {
+                all.push_back({each.first, false});
+            }
+        }
+        return all;
+    }
+
+    std::optional<database_state> state_of(std::string const& id) const {
+        copy const& one = this->copies.at(id);
+        if (!one.alive) {
+            return std::nullopt;
+        }
+        return database_state{
+            id == this->leader, this->term, {first_term, one.received}, one.held};
+    }
+
+    void carry_out(change_action const& action, instant now, leadership_change& change) {
+        this->actions.push_back(action);
+        switch (action.kind) {
+        case change_action_kind::request_token:
+            change.token_granted(change_token);
+            return;
+        case change_action_kind::promote:
+            this->promoting = action.database;
+            this->promoted_at = now + promotion_time;
+            change.promotion_answered(promotion_result::accepted, now);
+            return;
+        case change_action_kind::finished:
+        case change_action_kind::abandoned:
+            return;
+        default:
+            this->obey(action);
+            change.reported(action.database, this->state_of(action.database), now);
+        }
+    }
+
+    /// Lets time pass in steps of 10 ms.
+    void run(leadership_change& change, instant& now, duration length) {
+        for (instant const end = now + length; now < end && !change.is_over();) {
+            now += milliseconds(10);
+            this->take_effect(now);
+            change.set_databases(this->registered());
+            for (change_action const& each : change.step(now)) {
+                this->carry_out(each, now, change);
+            }
+        }
+    }
+
+    std::size_t count(change_action_kind kind) const {
+        return static_cast<std::size_t>(
+            std::count_if(this->actions.begin(), this->actions.end(), [kind](auto& each) {
+                return each.kind == kind;
+            }));
+    }
+
+    bool any_held() const {
+        return std::any_of(
+            this->copies.begin(), this->copies.end(),
+            [](auto const& each) { return each.second.held > 0; });
+    }
+
+    std::map<std::string, copy> copies;
+    std::string leader = "p";
+    std::string lapsed; ///< Its registration is gone.
+    std::uint64_t term = first_term;
+    std::uint64_t acknowledged = 0;
+    std::vector<change_action> actions;
+    bool lost_commit = false;
+
+private:
+    void obey(change_action const& action) {
+        copy& one = this->copies[action.database];
+        bool const leads = action.database == this->leader;
+        if (!one.alive) {
+            return;
+        }
+        if (action.kind == change_action_kind::hold && !leads) {
+            one.held = action.term;
+        } else if (action.kind == change_action_kind::resume) {
+            one.held = 0;
+        } else if (
+            action.kind == change_action_kind::stop_primary && leads &&
+            action.term > this->term) {
+            this->leader.clear();
+        }
+    }
+
+    void take_effect(instant now) {
+        if (this->promoting.empty() || now < this->promoted_at) {
+            return;
+        }
+        if (this->promoting != this->leader) {
+            this->leader = this->promoting;
+            ++this->term;
+            this->copies[this->leader].held = 0;
+            this->lost_commit = this->lost_commit ||
+                                this->copies[this->leader].received < this->acknowledged;
+        }
+        this->promoting.clear();
+    }
+
+    std::string promoting;
+    instant promoted_at{};
+};
+
+acting_group group_of_three() {
+    acting_group group;
+    group.copies["r0"];
+    group.copies["r1"];
+    group.write();
+    return group;
+}
+
+leadership_change change_in(
+    acting_group const& group, change_reason reason, std::string const& primary = "p") {
+    return leadership_change(primary, group.registered(), first_term, reason, start);
+}
+
+} // namespace
+
+TEST_CASE(
+    "A replica that joins while a promotion is under way lets no old primary acknowledge",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["r0"].receives = false;
+    group.copies["r1"].receives = false;
+    leadership_change change = change_in(group, change_reason::commits_stalled);
+    instant now = start;
+    group.run(change, now, milliseconds(300));
+    REQUIRE(group.count(change_action_kind::promote) > 0);
+    group.copies["r2"];
+    group.write();
+    group.run(change, now, seconds(3));
+    CHECK(change.is_over());
+    CHECK_FALSE(group.leader.empty());
+    CHECK_FALSE(group.lost_commit);
+}
+
+TEST_CASE(
+    "A replica that left with commits which only the primary has besides isn't replaced "
+    "by one that lacks them",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["r1"].receives = false;
+    group.write();
+    group.copies["r0"].alive = false;
+    leadership_change change = change_in(group, change_reason::commits_stalled);
+    instant now = start;
+    group.run(change, now, milliseconds(500));
+    CHECK(group.count(change_action_kind::promote) == 0);
+    group.lapsed = "r0";
+    group.run(change, now, seconds(3));
+    CHECK(change.is_over());
+    CHECK(group.leader == "p");
+    CHECK_FALSE(group.lost_commit);
+    CHECK_FALSE(group.any_held());
+}
+
+TEST_CASE(
+    "A replica that left is missed until the silent primary is gone as well",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["r1"].receives = false;
+    group.write();
+    group.copies["r0"].alive = false;
+    group.copies["p"].alive = false;
+    leadership_change change = change_in(group, change_reason::primary_lost);
+    instant now = start;
+    group.run(change, now, milliseconds(500));
+    group.copies.erase("r0");
+    group.run(change, now, seconds(2));
+    CHECK(group.count(change_action_kind::promote) == 0);
+    SECTION("a primary that comes back is the one to lead") {
+        group.copies["p"].alive = true;
+        group.run(change, now, seconds(3));
+        CHECK(group.leader == "p");
+        CHECK_FALSE(group.lost_commit);
+    }
+    SECTION("with the primary gone for good the replica leads") {
+        group.leader.clear();
+        group.copies.erase("p");
+        group.run(change, now, seconds(3));
+        CHECK(group.leader == "r1");
+    }
+}
+
+TEST_CASE(
+    "A change that another host has overtaken confirms the leader and resumes the "
+    "replicas",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.leader = "r1";
+    ++group.term;
+    group.copies["r0"].held = 1;
+    leadership_change change = change_in(group, change_reason::primary_lost);
+    instant now = start;
+    group.run(change, now, seconds(5));
+    CHECK(change.is_over());
+    CHECK(group.leader == "r1");
+    CHECK_FALSE(group.any_held());
+    CHECK(group.count(change_action_kind::hold) < 20);
+}
+
+TEST_CASE(
+    "A change that another host has overtaken ends at once if no replica is held",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.leader = "r1";
+    ++group.term;
+    leadership_change change = change_in(group, change_reason::primary_lost);
+    instant now = start;
+    group.run(change, now, seconds(1));
+    CHECK(change.is_over());
+    CHECK(group.count(change_action_kind::promote) == 0);
+    CHECK(group.count(change_action_kind::hold) == 0);
+}
+
+TEST_CASE(
+    "A database that was replaced is compared and held as a replica",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.leader = "r1";
+    ++group.term;
+    group.copies["r0"].receives = false;
+    group.write();
+    // Nobody leads any more: the second primary crashed too.
+    group.copies["r1"].alive = false;
+    leadership_change change = change_in(group, change_reason::primary_lost);
+    instant now = start;
+    group.run(change, now, milliseconds(500));
+    group.copies.erase("r1");
+    group.leader.clear();
+    group.run(change, now, seconds(3));
+    CHECK(change.is_over());
+    CHECK(group.leader == "p");
+    CHECK_FALSE(group.lost_commit);
+}
+
+TEST_CASE(
+    "A replica that stays held without a change is resumed, and the primary stays",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["r0"].held = 5;
+    leadership_change change = change_in(group, change_reason::replica_held);
+    instant now = start;
+    group.run(change, now, seconds(5));
+    CHECK(change.is_over());
+    CHECK(group.leader == "p");
+    CHECK_FALSE(group.any_held());
+    CHECK(group.count(change_action_kind::stop_primary) == 0);
+}
+
+TEST_CASE(
+    "A position counts from when it was asked for, not from when it arrives",
+    "[leadership][premises]") {
+    leadership_change change(
+        "p", std::vector<group_replica>{{"r0", false}, {"r1", false}}, first_term,
+        change_reason::primary_lost, start);
+    change.reported(
+        "r0", database_state{false, first_term, {first_term, 9}, 0},
+        start + milliseconds(50));
+    change.reported("r0", database_state{false, first_term, {first_term, 4}, 0}, start);
+    auto const all = change.evidence();
+    auto const r0 = std::find_if(
+        all.begin(), all.end(), [](auto const& each) { return each.id == "r0"; });
+    REQUIRE(r0 != all.end());
+    CHECK(r0->report->received.offset == 9);
+    CHECK(r0->asked_at == start + milliseconds(50));
+}
+
+TEST_CASE(
+    "RESUME is sent again only once a report shows that it was not carried out",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["p"].alive = false;
+    leadership_change change = change_in(group, change_reason::primary_lost);
+    instant now = start;
+    while (group.count(change_action_kind::resume) == 0 && now < start + seconds(5)) {
+        group.run(change, now, milliseconds(10));
+    }
+    REQUIRE(group.count(change_action_kind::resume) == 1);
+    // The answer to it, and all further ones, are lost.
+    std::size_t resumes = 0;
+    for (instant const end = now + seconds(1); now < end;) {
+        now += milliseconds(10);
+        for (change_action const& each : change.step(now)) {
+            resumes += each.kind == change_action_kind::resume ? 1 : 0;
+        }
+    }
+    CHECK(resumes == 0);
+}
