An answer goes to the change of leadership that asked, not to a later one

A token refused or granted late, a promotion answered late and a position were taken for the present change's. Changes are numbered now and answers name theirs. Guarded in core only for positions (asked_at); a test of the keeper itself is missing, as its change begins inside it.

--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -67,6 +67,7 @@
     instant last_answer{};
     instant last_probe{};
     std::unique_ptr<leadership_change> change;
+    std::uint64_t change_number = 0; ///< Of the present change, or the last.
     instant change_started{};
     instant next_change{};
     instant leave_alone_until{};
@@ -310,6 +311,7 @@
         }
         auto const& leader = this->context.view.group(name).leader();
         group.change_started = time;
+        ++group.change_number;
         group.change = std::make_unique<leadership_change>(
             group.primary, databases, leader ? leader->term : 0, reason, time);
         observe::log_event(
@@ -360,18 +362,24 @@
         }
     }
 
-    leadership_change* change_of(std::string const& name) {
-        auto const found = this->groups.find(name);
-        return found == this->groups.end() ? nullptr : found->second.change.get();
+    std::uint64_t change_number(std::string const& name) {
+        return this->groups[name].change_number;
+    }
+
+    /// The change that an answer is for; null if it is over, whatever follows it.
+    leadership_change* change_of(std::string const& name, std::uint64_t number) {
+        watched_group& group = this->groups[name];
+        return group.change_number == number ? group.change.get() : nullptr;
     }
 
     void fetch_token(std::string const& name, token_freshness need) {
         this->authority.request_token(
             name, need,
-            [weak = this->weak_from_this(), name](std::optional<std::uint64_t> token) {
+            [weak = this->weak_from_this(), name,
+             number = this->change_number(name)](std::optional<std::uint64_t> token) {
                 auto const keeper = weak.lock();
                 leadership_change* const change =
-                    keeper ? keeper->change_of(name) : nullptr;
+                    keeper ? keeper->change_of(name, number) : nullptr;
                 if (change == nullptr) {
                     return;
                 }
@@ -379,18 +387,19 @@
                     change->token_granted(*token);
                     keeper->step(name, keeper->groups[name]);
                 } else {
-                    keeper->refuse_token_later(name);
+                    keeper->refuse_token_later(name, number);
                 }
             });
     }
 
-    void refuse_token_later(std::string const& name) {
+    void refuse_token_later(std::string const& name, std::uint64_t number) {
         auto const pause =
             std::make_shared<boost::asio::steady_timer>(this->context.loop, token_retry);
-        pause->async_wait([weak = this->weak_from_this(), name,
+        pause->async_wait([weak = this->weak_from_this(), name, number,
                            pause](boost::system::error_code) {
             auto const keeper = weak.lock();
-            leadership_change* const change = keeper ? keeper->change_of(name) : nullptr;
+            leadership_change* const change =
+                keeper ? keeper->change_of(name, number) : nullptr;
             if (change != nullptr) {
                 change->token_refused(keeper->now());
             }
@@ -405,11 +414,12 @@
         order.term = action.term;
         this->context.orders.submit(
             std::move(order),
-            [weak = this->weak_from_this(), name, database = action.database, kind,
+            [weak = this->weak_from_this(), name, number = this->change_number(name),
+             database = action.database, kind,
              asked_at = this->now()](upstream_response answer, std::string const&) {
                 auto const keeper = weak.lock();
                 leadership_change* const change =
-                    keeper ? keeper->change_of(name) : nullptr;
+                    keeper ? keeper->change_of(name, number) : nullptr;
                 if (change == nullptr) {
                     return;
                 }
@@ -447,10 +457,11 @@
              {"directory", this->context.view.directory.current().version.number}});
         this->authority.promote(
             name, action.database, action.token,
-            [weak = this->weak_from_this(), name](promotion_result result) {
+            [weak = this->weak_from_this(), name,
+             number = this->change_number(name)](promotion_result result) {
                 auto const keeper = weak.lock();
                 leadership_change* const change =
-                    keeper ? keeper->change_of(name) : nullptr;
+                    keeper ? keeper->change_of(name, number) : nullptr;
                 if (change == nullptr) {
                     return;
                 }
