Replicas that stay held are found and resumed

Nobody looked for held replicas outside a change. The host that watches a primary now asks its replicas every two seconds whether they are held, and begins a change that confirms the primary, which outdates the tokens of earlier changes, and resumes them.

--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -27,6 +27,8 @@
 constexpr duration between_changes = std::chrono::milliseconds(1500);
 /// Owners of a group's primary that have been so for this long prepare for a change.
 constexpr duration settle_time = std::chrono::milliseconds(700);
+/// How often the replicas of a watched primary are asked whether they are held.
+constexpr duration hold_check_interval = std::chrono::seconds(2);
 constexpr auto token_retry = std::chrono::milliseconds(200);
 
 /// One database in the log line of a promotion, for example
@@ -66,6 +68,7 @@
     instant managed_since{};
     instant last_answer{};
     instant last_probe{};
+    instant last_hold_check{};
     std::unique_ptr<leadership_change> change;
     std::uint64_t change_number = 0; ///< Of the present change, or the last.
     instant change_started{};
@@ -154,6 +157,53 @@
             this->ask_leader(name, primary);
         }
         this->judge(name, group, time);
+        if (!group.change) {
+            this->check_holds(name, group, time);
+        }
+    }
+
+    /// A hold outlives the host that asked for it, and may be carried out long after its
+    /// change is over.
+    void check_holds(std::string const& name, watched_group& group, instant time) {
+        bool const settled = time - group.managed_since > settle_time;
+        if (!settled || time - group.last_hold_check < hold_check_interval) {
+            return;
+        }
+        group.last_hold_check = time;
+        for (group_replica const& each : this->databases_of(name)) {
+            if (each.id != group.primary) {
+                this->check_hold(name, each.id, group.primary);
+            }
+        }
+    }
+
+    void check_hold(
+        std::string const& name, std::string const& replica, std::string const& primary) {
+        this->context.orders.submit(
+            this->control_order(name, replica, upstream_request_kind::report_state),
+            [weak = this->weak_from_this(), name, replica,
+             primary](upstream_response answer, std::string const&) {
+                auto const keeper = weak.lock();
+                bool const is_held = answer.report && answer.report->held_term > 0;
+                if (keeper && is_held) {
+                    keeper->found_held(name, replica, primary, answer.report->held_term);
+                }
+            });
+    }
+
+    void found_held(
+        std::string const& name,
+        std::string const& replica,
+        std::string const& primary,
+        std::uint64_t held_term) {
+        watched_group& group = this->groups[name];
+        if (group.change || group.primary != primary) {
+            return;
+        }
+        observe::log_event(
+            observe::log_level::warning, "replica_found_held",
+            {{"group", name}, {"database", replica}, {"held_term", held_term}});
+        this->begin(name, group, change_reason::replica_held);
     }
 
     upstream_request control_order(
