A replica that left is remembered until a commit is acknowledged without it

The host now remembers, per group, that a database left or lost its log, until a commit that was sent later is acknowledged: replication is in order, so a replica which is still there has everything then. Until then the primary's own position counts, and a primary that is ahead of all replicas is left alone. Tests: leadership_premises.tests.cpp, [premises].

--- a/src/persimmonpoint/core/recovery/change_members.cpp
+++ b/src/persimmonpoint/core/recovery/change_members.cpp
@@ -4,11 +4,16 @@
 
 namespace persimmonpoint {
 
-change_members::change_members(std::string primary, std::uint64_t term)
-    : primary_id(std::move(primary)), highest_term(term) {}
+change_members::change_members(std::string primary, std::uint64_t term, bool replica_left)
+    : primary_id(std::move(primary)), highest_term(term), replica_left(replica_left) {}
 
 void change_members::set_databases(std::span<group_replica const> present) {
     for (group_replica const& each : present) {
+        bool const is_new = this->members.count(each.id) == 0;
+        if (is_new && each.id == this->primary_id) {
+            this->stopped = false;
+            this->stop_asked_at.reset();
+        }
         this->members[each.id].leaving = each.leaving;
         this->removed.erase(each.id);
     }
@@ -19,6 +24,7 @@
             });
         if (is_gone) {
             this->removed.insert(each);
+            this->replica_left = this->replica_left || each.first != this->primary_id;
         }
         return is_gone;
     });
@@ -78,10 +84,14 @@
     return found == this->members.end() ? nullptr : &found->second;
 }
 
-bool change_members::has_lost_replica() const {
-    return std::any_of(
-        this->removed.begin(), this->removed.end(),
-        [this](auto const& each) { return each.first != this->primary_id; });
+log_position change_members::furthest_replica() const {
+    log_position furthest;
+    for (auto const& [id, member] : this->members) {
+        if (id != this->primary_id && member.report) {
+            furthest = std::max(furthest, member.report->received);
+        }
+    }
+    return furthest;
 }
 
 bool change_members::counts(std::string_view id) const {
--- a/src/persimmonpoint/core/recovery/change_members.hpp
+++ b/src/persimmonpoint/core/recovery/change_members.hpp
@@ -62,7 +62,9 @@
 
     /// @param primary The primary as the host knows it; empty if none is known.
     /// @param term The highest term that the host knows.
-    change_members(std::string primary, std::uint64_t term);
+    /// @param replica_left A replica left the group, and no commit was acknowledged
+    /// since.
+    change_members(std::string primary, std::uint64_t term, bool replica_left);
 
     /// Updates the group's registered databases, which may come and go during a change.
     void set_databases(std::span<group_replica const> present);
@@ -74,7 +76,9 @@
         instant asked_at,
         std::set<std::uint64_t> const& own_hold_terms);
     /// The primary is being asked to stop leading.
-    void primary_asked_to_stop(instant now) { this->stop_asked_at = now; }
+    void primary_asked_to_stop(instant now) {
+        this->stop_asked_at = this->stop_asked_at.value_or(now);
+    }
     /// True once it has answered that it no longer leads.
     bool is_primary_stopped() const { return this->stopped; }
 
@@ -90,9 +94,15 @@
     bool counts(std::string_view id) const;
     /// True if the database could receive from another primary unless it is held.
     bool may_receive(std::string_view id) const;
-    /// True if a replica left the group with a log that nothing was compared with. Only
-    /// the primary is known to have all that such a replica had.
-    bool has_lost_replica() const;
+    /// True if a replica left the group and may have been the only one to have a commit.
+    /// Only the primary is known to have all that such a replica had.
+    bool has_lost_replica() const { return this->replica_left; }
+    void note_replica_left() { this->replica_left = true; }
+    /// The primary acknowledged a commit that was sent after any replica had left, so
+    /// that a replica which is still there has all that the others had.
+    void note_commit_acknowledged() { this->replica_left = false; }
+    /// Position of the most advanced replica that reported.
+    log_position furthest_replica() const;
 
     std::vector<promotion_evidence> evidence(std::string_view candidate) const;
 
@@ -105,6 +115,7 @@
     std::uint64_t highest_term;
     std::optional<instant> stop_asked_at;
     bool stopped = false;
+    bool replica_left;
     map members;
     map removed; ///< Left the group during this change.
 };
--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -66,8 +66,9 @@
     std::vector<group_replica> const& databases,
     std::uint64_t term,
     change_reason reason,
-    instant now)
-    : members(old_primary, term),
+    instant now,
+    bool replica_left)
+    : members(old_primary, term, replica_left),
       begun_on(std::move(old_primary)),
       cause(reason),
       machine(loaded_chart()),
@@ -243,7 +244,7 @@
 void leadership_change::choose_candidate() {
     change_member const* best = nullptr;
     for (auto const& [id, member] : this->members.all()) {
-        if (!this->members.counts(id)) {
+        if (!this->members.counts(id) || !member.report) {
             continue;
         }
         bool const better =
@@ -262,12 +263,24 @@
     return !leader_is_other && this->members.all().count(this->chosen_id) > 0;
 }
 
-bool leadership_change::ends_as_overtaken() {
+bool leadership_change::aim_is_void(instant now) {
     change_member const* const primary = this->members.primary_member();
-    bool const leads = primary != nullptr && primary->leads();
-    bool const is_other = this->members.primary() != this->begun_on;
-    if (this->promotion_unsettled || !leads ||
-        !(is_other || this->cause == change_reason::replica_held)) {
+    if (this->promotion_unsettled || primary == nullptr || !primary->leads()) {
+        return false;
+    }
+    if (this->members.primary() == this->begun_on && !this->begun_term) {
+        this->begun_term = primary->report->term;
+    }
+    bool const is_overtaken = this->members.primary() != this->begun_on ||
+                              primary->report->term > *this->begun_term;
+    bool const is_ahead = this->members.has_lost_replica() && !this->serves_on() &&
+                          this->primary_answers(now) &&
+                          primary->report->received > this->members.furthest_replica();
+    return is_overtaken || is_ahead || this->cause == change_reason::replica_held;
+}
+
+bool leadership_change::leader_stays(instant now) {
+    if (!this->aim_is_void(now)) {
         return false;
     }
     bool const any_held = std::any_of(
@@ -282,15 +295,18 @@
 }
 
 bool leadership_change::all_reported(std::vector<change_action>& actions, instant now) {
+    bool const is_needless = this->leaves_silent_out(now) || this->aim_is_void(now);
+    bool const waits_no_more =
+        is_needless && now - this->state_entered_at > state_request_timeout;
     bool any = false;
     bool all = true;
     for (auto const& [id, member] : this->members.all()) {
         if (id == this->members.primary()) {
             continue;
         }
-        any = true;
+        any = any || member.report;
         if (!member.report) {
-            all = false;
+            all = all && waits_no_more;
             this->send_request(actions, id, change_action_kind::request_state, now);
         }
     }
@@ -307,7 +323,7 @@
         return true;
     }
     if (this->cause == change_reason::replica_held &&
-        now - this->state_entered_at > leader_timeout) {
+        now - std::max(primary->asked_at, this->state_entered_at) > leader_timeout) {
         this->cause = change_reason::primary_lost;
     }
     return false;
@@ -325,44 +341,50 @@
         this->machine.fire(leadership_event::candidate_chosen);
         return;
     }
-    if (!this->all_reported(actions, now) || this->ends_as_overtaken() ||
-        !primary_known) {
+    bool const all_reported = this->all_reported(actions, now);
+    this->confirms_leader = false;
+    if (!primary_known || !(all_reported || this->hold_requested) ||
+        this->leader_stays(now) || !(all_reported || this->confirms_leader)) {
         return;
     }
     this->promotion_unsettled = false;
     if (this->confirms_leader) {
         this->chosen_id = this->members.primary();
-        this->hold_candidate = false;
     } else {
         this->choose_candidate();
-        change_member const* const primary = this->members.primary_member();
-        bool const primary_answers = primary != nullptr && primary->leads() &&
-                                     primary->answers(now, primary_silence);
-        bool const replaces_lost = this->cause != change_reason::primary_leaving;
-        this->hold_candidate =
-            this->members.has_lost_replica() ||
-            (replaces_lost &&
-             (primary_answers ||
-              this->members.find(this->chosen_id)->report->held_term > 0));
+        bool const is_held = this->members.find(this->chosen_id)->report->held_term > 0;
+        bool const is_planned = this->cause == change_reason::primary_leaving;
+        this->hold_candidate = this->hold_candidate ||
+                               (!is_planned && (this->primary_answers(now) || is_held));
     }
     this->machine.fire(leadership_event::candidate_chosen);
 }
 
 bool leadership_change::has_to_stop_primary(instant now) const {
+    bool const is_planned = this->cause == change_reason::primary_leaving;
+    return !this->confirms_leader && (!is_planned || this->hold_candidate) &&
+           this->primary_answers(now);
+}
+
+bool leadership_change::primary_answers(instant now) const {
     change_member const* const primary = this->members.primary_member();
-    bool const replaces_silent = this->cause != change_reason::primary_leaving;
-    return !this->confirms_leader && (replaces_silent || this->hold_candidate) &&
-           primary != nullptr && primary->leads() &&
+    return primary != nullptr && primary->leads() &&
            primary->answers(now, primary_silence);
 }
 
+bool leadership_change::leaves_silent_out(instant now) const {
+    return this->serves_on() && this->primary_answers(now);
+}
+
 void leadership_change::watch_primary(std::vector<change_action>& actions, instant now) {
     std::string const id = this->members.primary();
     change_member const* const primary = this->members.primary_member();
-    if (primary == nullptr || id == this->chosen_id) {
+    bool const is_surveying = this->machine.state() == leadership_state::surveying;
+    bool const is_polled_as_candidate = id == this->chosen_id && !is_surveying;
+    if (primary == nullptr || is_polled_as_candidate) {
         return;
     }
-    if (this->hold_requested && this->has_to_stop_primary(now)) {
+    if (!is_surveying && this->has_to_stop_primary(now)) {
         this->send_request(actions, id, change_action_kind::stop_primary, now);
     } else if (!primary->report || now - primary->asked_at > primary_poll_interval) {
         this->send_request(actions, id, change_action_kind::request_state, now);
@@ -420,14 +442,18 @@
 void leadership_change::refresh_stale_reports(
     std::vector<change_action>& actions, instant now) {
     for (auto const& [id, member] : this->members.all()) {
-        if (id != this->chosen_id && this->must_be_held(id, now) &&
-            !this->is_recent(member, now)) {
+        bool const is_asked =
+            id != this->members.primary() || this->must_be_held(id, now);
+        if (id != this->chosen_id && is_asked && !this->is_recent(member, now)) {
             this->send_request(actions, id, change_action_kind::request_state, now);
         }
     }
 }
 
 bool leadership_change::must_be_held(std::string_view id, instant now) const {
+    if (this->confirms_leader) {
+        return false;
+    }
     if (id == this->chosen_id) {
         return this->hold_candidate;
     }
@@ -435,16 +461,15 @@
     if (is_primary && !this->members.is_primary_stopped()) {
         return false;
     }
-    // A stopped primary is not waited for; a leader that stays goes on.
-    return !this->confirms_leader &&
-           (!is_primary ||
-            this->members.all().find(id)->second.answers(now, primary_silence));
+    bool const may_be_silent = is_primary || this->leaves_silent_out(now);
+    return !may_be_silent ||
+           this->members.all().find(id)->second.answers(now, primary_silence);
 }
 
 bool leadership_change::holds_intact(instant now) const {
     return std::all_of(
         this->members.all().begin(), this->members.all().end(), [&](auto const& each) {
-            if (each.first == this->chosen_id) {
+            if (each.first == this->chosen_id && !this->hold_candidate) {
                 return !each.second.held_by_other;
             }
             return each.second.held || !this->must_be_held(each.first, now);
@@ -475,7 +500,7 @@
         return;
     }
     for (auto const& [id, member] : this->members.all()) {
-        bool const is_ahead = this->members.counts(id) &&
+        bool const is_ahead = this->members.counts(id) && member.report &&
                               member.report->received >
                                   this->members.find(this->chosen_id)->report->received;
         if (is_ahead) {
@@ -489,7 +514,7 @@
         this->yield_to_newer_holder();
         return;
     }
-    if (this->ends_as_overtaken()) {
+    if (this->leader_stays(now)) {
         return;
     }
     if (!this->has_candidate()) {
@@ -517,6 +542,19 @@
     this->machine.fire(leadership_event::others_held);
 }
 
+bool leadership_change::serves_on() const {
+    return this->cause == change_reason::primary_leaving && !this->hold_candidate;
+}
+
+bool leadership_change::covers_serving_primary(change_member const& candidate) const {
+    change_member const* const primary = this->members.primary_member();
+    if (!this->serves_on() || primary == nullptr || !primary->leads()) {
+        return true;
+    }
+    return candidate.asked_at >= primary->asked_at &&
+           candidate.report->received >= primary->report->received;
+}
+
 bool leadership_change::candidate_is_caught_up() const {
     auto const candidate = this->members.all().find(this->chosen_id);
     if (candidate == this->members.all().end() || !candidate->second.report ||
@@ -524,11 +562,14 @@
         return false;
     }
     log_position const reached = candidate->second.report->received;
-    return std::all_of(
-        this->members.all().begin(), this->members.all().end(), [&](auto const& each) {
-            return !this->members.counts(each.first) ||
-                   (each.second.report && each.second.report->received <= reached);
-        });
+    return this->covers_serving_primary(candidate->second) &&
+           std::all_of(
+               this->members.all().begin(), this->members.all().end(),
+               [&](auto const& each) {
+                   bool const is_left_out = !each.second.report && this->serves_on();
+                   return !this->members.counts(each.first) || is_left_out ||
+                          (each.second.report && each.second.report->received <= reached);
+               });
 }
 
 bool leadership_change::positions_are_recent(instant now) const {
@@ -543,7 +584,7 @@
 }
 
 void leadership_change::compare(std::vector<change_action>& actions, instant now) {
-    if (this->ends_as_overtaken()) {
+    if (this->leader_stays(now)) {
         return;
     }
     if (!this->has_candidate() || this->has_to_stop_primary(now) ||
@@ -556,6 +597,12 @@
         return;
     }
     this->watch_primary(actions, now);
+    if (this->hold_candidate && this->positions_are_recent(now) &&
+        this->members.find(this->chosen_id)->fresh && !this->candidate_is_caught_up()) {
+        // Another one that was held too is ahead.
+        this->machine.fire(leadership_event::candidate_lost);
+        return;
+    }
     if (this->candidate_is_caught_up() && !this->positions_are_recent(now)) {
         this->refresh_stale_reports(actions, now);
         this->poll_candidate(actions, now);
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -92,15 +92,22 @@
 class leadership_change {
 public:
     /// @param databases All that are registered, the old primary included.
+    /// @param replica_left A replica left the group, and no commit was acknowledged
+    /// since.
     leadership_change(
         std::string old_primary,
         std::vector<group_replica> const& databases,
         std::uint64_t term,
         change_reason reason,
-        instant now);
+        instant now,
+        bool replica_left = false);
 
     /// Updates the group's databases, which may be added and removed during the change.
     void set_databases(std::span<group_replica const> databases);
+    /// A replica left, for example by a restart that lost its log.
+    void note_replica_left() { this->members.note_replica_left(); }
+    /// A commit was acknowledged that was sent after any replica had left.
+    void note_commit_acknowledged() { this->members.note_commit_acknowledged(); }
     /// The old primary responded. Cancels a change that was started because the primary
     /// was lost, unless this or another host has held a replica already.
     void primary_seen();
@@ -138,8 +145,12 @@
     void release(std::vector<change_action>& actions, instant now);
 
     void poll_candidate(std::vector<change_action>& actions, instant now);
-    /// Gives up an aim that another host has reached. Returns true if the change ends.
-    bool ends_as_overtaken();
+    /// True if the primary that leads now is not to be replaced: another host made it
+    /// lead, or it is the only one known to have all commits.
+    bool aim_is_void(instant now);
+    /// If the aim is void, calls the change off, and returns true; or lets it go on to
+    /// confirm the leader, if replicas have been held.
+    bool leader_stays(instant now);
     /// True while the candidate is registered and, if it is only confirmed, still leads.
     bool has_candidate() const;
     bool all_reported(std::vector<change_action>& actions, instant now);
@@ -149,6 +160,13 @@
     bool has_to_stop_primary(instant now) const;
     /// Asks the primary for its state and stops it if it leads again.
     void watch_primary(std::vector<change_action>& actions, instant now);
+    bool primary_answers(instant now) const;
+    /// True while the old primary goes on serving until its planned replacement leads.
+    bool serves_on() const;
+    /// True if replicas that don't answer need not be waited for: the old primary serves
+    /// on, and its own position is compared.
+    bool leaves_silent_out(instant now) const;
+    bool covers_serving_primary(change_member const& candidate) const;
     bool must_be_held(std::string_view id, instant now) const;
     bool hold_all(std::vector<change_action>& actions, instant now);
     /// Holds replicas that joined or were released since all were held.
@@ -176,6 +194,7 @@
 
     change_members members;
     std::string begun_on; ///< The primary that the change is to replace.
+    std::optional<std::uint64_t> begun_term; ///< In which it led at first.
     change_reason cause;
     leadership_machine machine;
     std::uint64_t token = 0;
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -53,6 +53,7 @@
     std::size_t next_step = 0;
     bool main_sent = false;
     bool counts_as_commit = false;
+    instant commit_sent_at{};
 };
 
 } // namespace
@@ -323,7 +324,8 @@
         if (next.is_main) {
             on.main_sent = true;
             if (on.counts_as_commit) {
-                this->commits.started(this->time.now());
+                on.commit_sent_at = this->time.now();
+                this->commits.started(on.commit_sent_at);
                 this->observer.on_commit_sent(this->database.id);
             }
         }
@@ -411,6 +413,9 @@
 
     void main_answered(lane& on, upstream_answer answer) {
         upstream_request const& order = on.current->order;
+        if (on.counts_as_commit && answer.error == statement_error::none) {
+            this->observer.on_commit_acknowledged(this->database.id, on.commit_sent_at);
+        }
         this->commit_ended(on);
         upstream_response out;
         out.outcome = upstream_outcome::answered;
--- a/src/persimmonpoint/engine/database_owner.hpp
+++ b/src/persimmonpoint/engine/database_owner.hpp
@@ -23,6 +23,8 @@
     virtual void on_silent(std::string const& database) = 0;
     virtual void on_commit_sent(std::string const& database) = 0;
     virtual void on_commit_answered(std::string const& database) = 0;
+    /// A write or COMMIT succeeded that was sent at `sent_at`.
+    virtual void on_commit_acknowledged(std::string const& database, instant sent_at) = 0;
 };
 
 /// Identifies who has given an order, so that its transactions end with it.
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -64,6 +64,11 @@
 
 struct watched_group {
     std::string primary; ///< Empty if none is known.
+    /// Registered databases, with the time of their start.
+    std::map<std::string, std::uint64_t> databases;
+    /// When a database was last found to have left or lost its log. Unset once a commit
+    /// that was sent later is acknowledged.
+    std::optional<instant> database_left_at;
     std::unique_ptr<primary_failure_detector> suspicion;
     instant managed_since{};
     instant last_answer{};
@@ -102,6 +107,7 @@
     instant now() const { return this->context.time.now(); }
 
     void look() {
+        this->note_departures();
         for (auto& [name, routing] : this->context.view.all_groups()) {
             if (this->context.view.configuration->groups.count(name) == 0 ||
                 routing.databases().empty()) {
@@ -119,6 +125,37 @@
         }
     }
 
+    void note_departures() {
+        store_version const version = this->context.view.directory.current().version;
+        if (version == this->seen_directory) {
+            return;
+        }
+        this->seen_directory = version;
+        for (auto& [name, routing] : this->context.view.all_groups()) {
+            this->note_departures_from(this->groups[name], routing);
+        }
+    }
+
+    void note_departures_from(watched_group& group, group_routing const& routing) {
+        std::map<std::string, std::uint64_t> present;
+        for (registered_database const& each : routing.databases()) {
+            present[each.id] = each.started_ms;
+        }
+        bool const any_left = std::any_of(
+            group.databases.begin(), group.databases.end(), [&present](auto const& each) {
+                auto const found = present.find(each.first);
+                return found == present.end() || found->second != each.second;
+            });
+        group.databases = std::move(present);
+        if (!any_left) {
+            return;
+        }
+        group.database_left_at = this->now();
+        if (group.change) {
+            group.change->note_replica_left();
+        }
+    }
+
     /// The host that owns the primary's connections has the evidence; without a primary
     /// some host must still act.
     bool manages(std::string const& name, group_routing const& routing) const {
@@ -363,7 +400,8 @@
         group.change_started = time;
         ++group.change_number;
         group.change = std::make_unique<leadership_change>(
-            group.primary, databases, leader ? leader->term : 0, reason, time);
+            group.primary, databases, leader ? leader->term : 0, reason, time,
+            group.database_left_at.has_value());
         observe::log_event(
             observe::log_level::warning, "leadership_change_begins",
             {{"group", name},
@@ -578,6 +616,7 @@
     /// A change is kept until it is no longer on the stack.
     std::unique_ptr<leadership_change> retired;
     std::uint64_t finished = 0;
+    store_version seen_directory;
 };
 
 leadership_keeper::leadership_keeper(
@@ -651,6 +690,25 @@
     }
 }
 
+void leadership_keeper::on_commit_acknowledged(
+    std::string const& database, instant sent_at) {
+    registered_database const* const entry =
+        this->impl->context.view.find_database(database);
+    auto const found = entry == nullptr ? this->impl->groups.end()
+                                        : this->impl->groups.find(entry->group);
+    if (found == this->impl->groups.end()) {
+        return;
+    }
+    watched_group& group = found->second;
+    if (!group.database_left_at || sent_at < *group.database_left_at) {
+        return;
+    }
+    group.database_left_at.reset();
+    if (group.change) {
+        group.change->note_commit_acknowledged();
+    }
+}
+
 std::uint64_t leadership_keeper::changes_finished() const {
     return this->impl->finished;
 }
--- a/src/persimmonpoint/engine/leadership_keeper.hpp
+++ b/src/persimmonpoint/engine/leadership_keeper.hpp
@@ -45,6 +45,7 @@
     void on_silent(std::string const& database) override;
     void on_commit_sent(std::string const& database) override;
     void on_commit_answered(std::string const& database) override;
+    void on_commit_acknowledged(std::string const& database, instant sent_at) override;
 
     std::uint64_t changes_finished() const;
 
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -134,6 +134,10 @@
         void on_commit_answered(std::string const& database) override {
             this->host.keeper.on_commit_answered(database);
         }
+        void
+        on_commit_acknowledged(std::string const& database, instant sent_at) override {
+            this->host.keeper.on_commit_acknowledged(database, sent_at);
+        }
         implementation& host;
     };
 
--- a/tests/introspective/caller_session.tests.cpp
+++ b/tests/introspective/caller_session.tests.cpp
@@ -35,6 +35,7 @@
     MAKE_MOCK1(on_silent, void(std::string const&), override);
     MAKE_MOCK1(on_commit_sent, void(std::string const&), override);
     MAKE_MOCK1(on_commit_answered, void(std::string const&), override);
+    MAKE_MOCK2(on_commit_acknowledged, void(std::string const&, instant), override);
 };
 
 /// A session on a route that is open to all, which no database serves.
--- a/tests/introspective/database_owner.tests.cpp
+++ b/tests/introspective/database_owner.tests.cpp
@@ -28,6 +28,10 @@
     void on_silent(std::string const&) override {}
     void on_commit_sent(std::string const&) override {}
     void on_commit_answered(std::string const&) override {}
+    void on_commit_acknowledged(std::string const&, instant) override {
+        ++this->acknowledged;
+    }
+    unsigned acknowledged = 0;
 };
 
 /// What one connection was sent, in order.
@@ -240,3 +244,14 @@
     CHECK(stage.connector.sent[0] == sent_texts{"BEGIN", "WRITE a 1", "ROLLBACK"});
     CHECK(stage.owner->open_transactions() == 0);
 }
+
+TEST_CASE("An acknowledged write is told to the observer, a read is not", "[owner]") {
+    owner_stage stage;
+    upstream_request read;
+    stage.run(read, first_link);
+    CHECK(stage.observer.acknowledged == 0);
+    upstream_request write;
+    write.writes = true;
+    stage.run(write, first_link);
+    CHECK(stage.observer.acknowledged == 1);
+}
--- a/tests/introspective/leadership_premises.tests.cpp
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -54,7 +54,7 @@
         std::vector<group_replica> all;
         for (auto const& each : this->copies) {
             if (this->lapsed != each.first) {
-                all.push_back({each.first, false});
+                all.push_back({each.first, this->leaving == each.first});
             }
         }
         return all;
@@ -117,6 +117,8 @@
     std::map<std::string, copy> copies;
     std::string leader = "p";
     std::string lapsed; ///< Its registration is gone.
+    std::string leaving;
+    std::string leads_when_held; ///< Another host's promotion of it takes effect then.
     std::uint64_t term = first_term;
     std::uint64_t acknowledged = 0;
     std::vector<change_action> actions;
@@ -129,7 +131,12 @@
         if (!one.alive) {
             return;
         }
-        if (action.kind == change_action_kind::hold && !leads) {
+        if (action.kind == change_action_kind::hold &&
+            action.database == this->leads_when_held) {
+            this->leads_when_held.clear();
+            this->leader = action.database;
+            ++this->term;
+        } else if (action.kind == change_action_kind::hold && !leads) {
             one.held = action.term;
         } else if (action.kind == change_action_kind::resume) {
             one.held = 0;
@@ -166,9 +173,10 @@
     return group;
 }
 
-leadership_change change_in(
-    acting_group const& group, change_reason reason, std::string const& primary = "p") {
-    return leadership_change(primary, group.registered(), first_term, reason, start);
+leadership_change
+change_in(acting_group const& group, change_reason reason, bool replica_left = false) {
+    return leadership_change(
+        "p", group.registered(), first_term, reason, start, replica_left);
 }
 
 } // namespace
@@ -344,3 +352,100 @@
     }
     CHECK(resumes == 0);
 }
+
+TEST_CASE(
+    "A replica that left before the change began is missed as one that leaves during it",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["r1"].receives = false;
+    group.write();
+    group.copies.erase("r0");
+    leadership_change change = change_in(group, change_reason::commits_stalled, true);
+    instant now = start;
+    group.run(change, now, seconds(3));
+    CHECK(change.is_over());
+    CHECK(group.leader == "p");
+    CHECK(group.count(change_action_kind::stop_primary) == 0);
+    CHECK_FALSE(group.any_held());
+}
+
+TEST_CASE(
+    "A leaving replica that alone has the commits is promoted before it is gone",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["r1"].receives = false;
+    group.write();
+    group.leaving = "r0";
+    group.copies["p"].alive = false;
+    leadership_change change = change_in(group, change_reason::primary_lost);
+    instant now = start;
+    group.run(change, now, seconds(3));
+    CHECK(change.is_over());
+    CHECK(group.leader == "r0");
+    CHECK_FALSE(group.lost_commit);
+}
+
+TEST_CASE(
+    "The replacement of a primary that leaves doesn't wait for a silent replica",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.leaving = "p";
+    group.copies["r1"].alive = false;
+    leadership_change change = change_in(group, change_reason::primary_leaving);
+    instant now = start;
+    for (int i = 0; i < 200 && !change.is_over(); ++i) {
+        group.write();
+        group.run(change, now, milliseconds(10));
+    }
+    CHECK(change.is_over());
+    CHECK(group.leader == "r0");
+    CHECK(group.count(change_action_kind::stop_primary) == 0);
+    CHECK_FALSE(group.lost_commit);
+}
+
+TEST_CASE(
+    "A primary that leaves is not replaced by a replica that lags behind it",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.leaving = "p";
+    group.copies["r1"].receives = false;
+    group.write();
+    group.copies.erase("r0");
+    leadership_change change = change_in(group, change_reason::primary_leaving, true);
+    instant now = start;
+    group.run(change, now, seconds(3));
+    CHECK_FALSE(group.lost_commit);
+    CHECK(group.leader == "p");
+}
+
+TEST_CASE(
+    "A database that comes to lead while it is to be held ends the change",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["p"].alive = false;
+    group.leads_when_held = "r1";
+    leadership_change change = change_in(group, change_reason::primary_lost);
+    instant now = start;
+    group.run(change, now, seconds(5));
+    CHECK(change.is_over());
+    CHECK(group.leader == "r1");
+    CHECK(group.count(change_action_kind::hold) < 5);
+    CHECK_FALSE(group.any_held());
+}
+
+TEST_CASE(
+    "A leader that is lost before it is confirmed is replaced",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.leader = "r1";
+    ++group.term;
+    group.copies["r0"].held = 1;
+    leadership_change change = change_in(group, change_reason::primary_lost);
+    instant now = start;
+    group.run(change, now, milliseconds(1250));
+    group.leader.clear();
+    group.run(change, now, seconds(10));
+    CHECK(change.is_over());
+    CHECK_FALSE(group.leader.empty());
+    CHECK_FALSE(group.any_held());
+}
