Stand-in: promotions are checked, take a while, and orders come late

The group now checks each promotion when it takes effect, against the commits that it answered COMPLETE, and keeps who else had what is missing. New, and off unless set: a delay of promotions; promotions and orders that get no answer and are carried out later, the former behind their fence; a database without a link to the others; a copy with another's log.

A commit was acknowledged if any copy's log was as long as the primary's, even if it held another history; now the copy must have that commit. For the same reason a copy could report a term that it lacked.

--- a/src/persimmonpoint/standin/line_group.cpp
+++ b/src/persimmonpoint/standin/line_group.cpp
@@ -25,6 +25,7 @@
 };
 
 using shared_log = std::vector<std::shared_ptr<log_entry const>>;
+using entry_set = std::set<std::shared_ptr<log_entry const>>;
 
 /// The item's newest data; null if the log has none.
 std::string const* newest(shared_log const& log, std::string_view item) {
@@ -53,6 +54,14 @@
         primary.end());
 }
 
+/// Of `entries`, those that the log has.
+std::size_t count_of(entry_set const& entries, shared_log const& log) {
+    return static_cast<std::size_t>(
+        std::count_if(log.begin(), log.end(), [&entries](auto const& each) {
+            return entries.count(each) > 0;
+        }));
+}
+
 class session;
 
 /// One database of the group.
@@ -63,9 +72,13 @@
     shared_log log;
     std::uint64_t held_term = 0;
     bool alive = true;
+    std::size_t deaths = 0;
     bool deaf = false;
+    bool isolated = false;
     bool silent = false;
     std::chrono::milliseconds delay{0};
+    std::chrono::milliseconds order_delay{0};
+    std::size_t orders = 0; ///< Since the delay of orders was set.
     bool lose_write = false;
     bool lose_read = false;
     std::set<std::shared_ptr<session>> sessions;
@@ -74,7 +87,8 @@
 /// A commit that waits for its first copy.
 struct waiting_commit {
     std::uint64_t number = 0;
-    std::function<void()> done;
+    /// Answers; false if it couldn't.
+    std::function<bool()> answer;
 };
 
 } // namespace
@@ -84,21 +98,37 @@
     implementation(asio::io_context& loop, std::string name)
         : loop(loop), name(std::move(name)) {}
 
+    member& add();
     void accept(member& on);
     void deliver();
+    void lead(member& next);
+    void check_promotion(member const& next);
+
+    bool receives(member const& copy) const {
+        bool const linked = !copy.deaf && !copy.isolated && !this->primary->isolated;
+        return linked && copy.alive && copy.held_term == 0 && this->primary->alive;
+    }
+
+    /// Whether a copy has the primary's log up to this number.
+    bool has(member const& copy, std::uint64_t number) const {
+        return number == 0 || (copy.log.size() >= number &&
+                               copy.log[number - 1] == this->primary->log[number - 1]);
+    }
 
     log_position position(member const& of) const {
-        bool const has_all = of.log.size() == this->primary->log.size() && !of.deaf;
+        std::uint64_t const last_number = this->primary->log.size();
+        bool const has_all =
+            of.log.size() == last_number && this->has(of, last_number) && !of.deaf;
         std::uint64_t const last = of.log.empty() ? 1 : of.log.back()->term;
         return {has_all ? this->current_term : last, of.log.size()};
     }
 
     void commit(
         std::vector<std::pair<std::string, std::string>> writes,
-        std::function<void()> done) {
+        std::function<bool()> answer) {
         this->primary->log.push_back(std::make_shared<log_entry const>(
             log_entry{this->current_term, std::move(writes)}));
-        this->commits.push_back({this->primary->log.size(), std::move(done)});
+        this->commits.push_back({this->primary->log.size(), std::move(answer)});
         this->deliver();
     }
 
@@ -110,6 +140,11 @@
     member* primary = nullptr;
     std::uint64_t current_term = 1;
     std::list<waiting_commit> commits;
+    entry_set acknowledged; ///< But for those that a promotion dropped.
+    std::vector<lossy_promotion> lossy;
+    std::chrono::milliseconds promotion_delay{0};
+    std::function<void()> promotion_hook;
+    order_hook on_order;
     std::map<std::string, std::size_t> teams;
     std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> runs;
     std::uint64_t signatures = 0;
@@ -248,12 +283,46 @@
     }
 
     void control(std::string const& word, std::string_view arguments) {
-        if (word == "PAUSE") {
+        bool const late =
+            this->home.order_delay.count() > 0 && this->home.orders++ % 2 == 0;
+        if (late) {
+            this->carry_out_later(word, std::string(arguments));
+            return;
+        }
+        this->carry_out(word, arguments);
+        this->report_state();
+    }
+
+    /// The connection stays open and carries nothing any more.
+    void carry_out_later(std::string word, std::string arguments) {
+        this->busy = true;
+        auto const timer = std::make_shared<asio::steady_timer>(
+            this->group.loop, this->home.order_delay);
+        timer->async_wait([self = this->shared_from_this(),
+                           group = this->group.shared_from_this(), timer,
+                           deaths = this->home.deaths, word = std::move(word),
+                           arguments = std::move(arguments)](boost::system::error_code) {
+            if (self->home.deaths == deaths) {
+                self->carry_out(word, arguments);
+            }
+        });
+    }
+
+    /// The platform's pages: PAUSE stops a replica from receiving. It holds nothing at a
+    /// primary, which receives nothing.
+    void carry_out(std::string const& word, std::string_view arguments) {
+        if (word == "PAUSE" && !this->leads()) {
             this->home.held_term = std::stoull(std::string(arguments));
         } else if (word == "RESUME") {
             this->home.held_term = 0;
             this->group.deliver();
         }
+        if (word != "STATUS" && this->group.on_order) {
+            this->group.on_order(this->home.id, word + " " + std::string(arguments));
+        }
+    }
+
+    void report_state() {
         std::string const role = this->leads() ? "primary" : "replica";
         this->send(
             "ROW " + role + " " + std::to_string(this->group.current_term) + " " +
@@ -339,19 +408,24 @@
         this->busy = true;
         this->group.commit(std::move(writes), [weak = this->weak_from_this()] {
             auto const self = weak.lock();
-            if (!self || self->closed) {
-                return;
-            }
-            self->busy = false;
-            if (std::exchange(self->home.lose_write, false)) {
-                self->shut();
-                return;
-            }
-            self->complete(self->signature());
-            self->take_lines();
+            return self && self->answer_commit();
         });
     }
 
+    bool answer_commit() {
+        if (this->closed) {
+            return false;
+        }
+        this->busy = false;
+        if (std::exchange(this->home.lose_write, false)) {
+            this->shut();
+            return false;
+        }
+        this->complete(this->signature());
+        this->take_lines();
+        return true;
+    }
+
     void end() {
         this->open = false;
         this->broken = false;
@@ -422,37 +496,81 @@
 
 /// Brings all copies up to the primary's log, and answers the commits that one has.
 void line_group::implementation::deliver() {
-    std::uint64_t furthest = 0;
     for (auto& each : this->members) {
         member& copy = *each.second;
-        if (&copy == this->primary) {
-            continue;
-        }
-        bool const receives =
-            copy.alive && !copy.deaf && copy.held_term == 0 && this->primary->alive;
-        if (receives) {
+        if (&copy != this->primary && this->receives(copy)) {
             follow(copy.log, this->primary->log);
         }
-        furthest = std::max<std::uint64_t>(furthest, copy.log.size());
     }
-    while (!this->commits.empty() && this->commits.front().number <= furthest) {
-        auto const done = std::move(this->commits.front().done);
+    auto const received = [this](std::uint64_t number) {
+        return std::any_of(
+            this->members.begin(), this->members.end(), [&](auto const& each) {
+                member const& copy = *each.second;
+                return &copy != this->primary && this->has(copy, number);
+            });
+    };
+    while (!this->commits.empty() && received(this->commits.front().number)) {
+        waiting_commit const first = std::move(this->commits.front());
         this->commits.pop_front();
-        done();
+        auto const entry = this->primary->log[first.number - 1];
+        if (first.answer()) {
+            this->acknowledged.insert(entry);
+        }
+    }
+}
+
+member& line_group::implementation::add() {
+    auto made = std::make_unique<member>();
+    made->id = this->name + "-" + std::to_string(this->members.size());
+    made->acceptor = std::make_unique<tcp::acceptor>(
+        this->loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    made->port = made->acceptor->local_endpoint().port();
+    this->accept(*made);
+    std::string const id = made->id;
+    return *this->members.emplace(id, std::move(made)).first->second;
+}
+
+void line_group::implementation::lead(member& next) {
+    if (&next == this->primary) {
+        return;
+    }
+    this->check_promotion(next);
+    ++this->current_term;
+    this->primary = &next;
+    next.held_term = 0;
+    this->commits.clear();
+    this->deliver();
+    if (this->promotion_hook) {
+        this->promotion_hook();
+    }
+}
+
+void line_group::implementation::check_promotion(member const& next) {
+    entry_set dropped = this->acknowledged;
+    for (auto const& each : next.log) {
+        dropped.erase(each);
+    }
+    if (dropped.empty()) {
+        return;
+    }
+    lossy_promotion found{next.id, this->current_term + 1, dropped.size(), {}};
+    for (auto const& [id, other] : this->members) {
+        std::size_t const commits = count_of(dropped, other->log);
+        if (commits > 0) {
+            found.holders.push_back({id, commits, other->alive});
+        }
+    }
+    this->lossy.push_back(std::move(found));
+    for (auto const& each : dropped) {
+        this->acknowledged.erase(each);
     }
 }
 
 line_group::line_group(asio::io_context& loop, std::string name, std::size_t databases)
     : impl(std::make_shared<implementation>(loop, std::move(name))) {
     for (std::size_t i = 0; i < databases; ++i) {
-        auto made = std::make_unique<member>();
-        made->id = this->impl->name + "-" + std::to_string(i);
-        made->acceptor = std::make_unique<tcp::acceptor>(
-            loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-        made->port = made->acceptor->local_endpoint().port();
-        this->impl->accept(*made);
-        this->impl->primary = this->impl->primary ? this->impl->primary : made.get();
-        this->impl->members.emplace(made->id, std::move(made));
+        member& made = this->impl->add();
+        this->impl->primary = this->impl->primary ? this->impl->primary : &made;
     }
 }
 
@@ -482,24 +600,46 @@
     return this->impl->current_term;
 }
 
+std::string line_group::add_copy_of(std::string const& id) {
+    member& made = this->impl->add();
+    made.log = this->impl->at(id).log;
+    this->impl->deliver();
+    return made.id;
+}
+
 bool line_group::promote(std::string const& id) {
     member& next = this->impl->at(id);
     if (!next.alive) {
         return false;
     }
-    if (&next != this->impl->primary) {
-        ++this->impl->current_term;
-        this->impl->primary = &next;
-        next.held_term = 0;
-        this->impl->commits.clear();
-        this->impl->deliver();
+    if (this->impl->promotion_delay.count() == 0) {
+        this->impl->lead(next);
+        return true;
     }
+    auto const timer = std::make_shared<asio::steady_timer>(
+        this->impl->loop, this->impl->promotion_delay);
+    timer->async_wait([weak = std::weak_ptr(this->impl), timer, &next,
+                       deaths = next.deaths](boost::system::error_code) {
+        auto const self = weak.lock();
+        if (self && next.deaths == deaths) {
+            self->lead(next);
+        }
+    });
     return true;
 }
 
+void line_group::set_promotion_delay(std::chrono::milliseconds delay) {
+    this->impl->promotion_delay = delay;
+}
+
+void line_group::set_promotion_hook(std::function<void()> hook) {
+    this->impl->promotion_hook = std::move(hook);
+}
+
 void line_group::kill(std::string const& id) {
     member& victim = this->impl->at(id);
     victim.alive = false;
+    ++victim.deaths;
     // The port stays taken, so that nobody else gets it; connections to it are refused.
     victim.acceptor->close();
     victim.acceptor->open(tcp::v4());
@@ -538,6 +678,25 @@
     this->impl->at(id).silent = silent;
 }
 
+void line_group::set_isolated(std::string const& id, bool isolated) {
+    this->impl->at(id).isolated = isolated;
+    this->impl->deliver();
+}
+
+void line_group::set_order_delay(std::string const& id, std::chrono::milliseconds delay) {
+    member& target = this->impl->at(id);
+    target.order_delay = delay;
+    target.orders = 0;
+}
+
+void line_group::set_order_hook(order_hook hook) {
+    this->impl->on_order = std::move(hook);
+}
+
+std::vector<line_group::lossy_promotion> line_group::lossy_promotions() const {
+    return this->impl->lossy;
+}
+
 std::string line_group::data(std::string const& item) const {
     std::string const* const found = newest(this->impl->primary->log, item);
     return found == nullptr ? std::string() : *found;
--- a/src/persimmonpoint/standin/line_group.hpp
+++ b/src/persimmonpoint/standin/line_group.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -14,6 +15,9 @@
 /// A group of replicated databases that speak the platform's line protocol. A commit is
 /// acknowledged once one copy beside the primary has it; it waits until then.
 ///
+/// Each promotion is checked when it takes effect: a commit that was acknowledged must be
+/// in the log of the database that is promoted.
+///
 /// A READ answers two rows: the item's data, and the values of the session that it ran
 /// in. Used from its loop's thread.
 class line_group {
@@ -25,8 +29,15 @@
     std::string address(std::string const& id) const;
     std::string leader() const;
     std::uint64_t term() const;
+    /// Another database with this one's log; its id.
+    std::string add_copy_of(std::string const& id);
     /// The platform's promotion. False if the database isn't running.
     bool promote(std::string const& id);
+    /// From the call to the moment at which the database leads; none unless it is set. A
+    /// database that dies in between isn't promoted.
+    void set_promotion_delay(std::chrono::milliseconds delay);
+    /// Called when another database leads.
+    void set_promotion_hook(std::function<void()> hook);
 
     /// Refuses connections and breaks those that are open.
     void kill(std::string const& id);
@@ -42,6 +53,33 @@
     /// Takes requests and answers nothing.
     void set_silent(std::string const& id, bool silent);
 
+    /// No copy receives anything from this database, and it receives nothing. It lives
+    /// and answers.
+    void set_isolated(std::string const& id, bool isolated);
+    /// Every second STATUS, PAUSE and RESUME gets no answer and is carried out this much
+    /// later, unless the database dies before; none are if the delay is zero.
+    void set_order_delay(std::string const& id, std::chrono::milliseconds delay);
+    /// Called when a database carries out a PAUSE or RESUME, with the text of it.
+    using order_hook =
+        std::function<void(std::string const& id, std::string const& text)>;
+    void set_order_hook(order_hook hook);
+
+    /// Another database at the time of a promotion that dropped commits.
+    struct commit_holder {
+        std::string id;
+        std::size_t commits = 0; ///< Of those that were dropped.
+        bool alive = false;
+    };
+    /// A promotion that dropped commits which had been acknowledged.
+    struct lossy_promotion {
+        std::string database;
+        std::uint64_t term = 0;
+        std::size_t missing = 0;
+        std::vector<commit_holder> holders;
+    };
+    /// In order. Each commit counts at the first promotion that drops it.
+    std::vector<lossy_promotion> lossy_promotions() const;
+
     /// Data of an item in the log of the primary; empty if there is none.
     std::string data(std::string const& item) const;
     /// Times that a write of this data took effect in the primary's log.
--- a/src/persimmonpoint/standin/row_store.cpp
+++ b/src/persimmonpoint/standin/row_store.cpp
@@ -44,6 +44,13 @@
     std::chrono::steady_clock::time_point until;
 };
 
+/// A call for a promotion.
+struct promotion {
+    std::string group;
+    std::string database;
+    std::uint64_t token = 0;
+};
+
 std::string parameter(std::string_view target, std::string_view name) {
     std::size_t at = target.find('?');
     while (at != std::string_view::npos) {
@@ -127,7 +134,7 @@
         } else if (target.rfind("/api/rows-tx", 0) == 0) {
             reply(this->transact(question.body));
         } else if (target == "/promote") {
-            reply(this->promote(question));
+            this->take_promotion(question, std::move(reply));
         } else {
             reply({status_bad_request, "application/json", "{}"});
         }
@@ -267,18 +274,37 @@
         return {status_ok, "application/json", json::serialize(this->head())};
     }
 
-    net::http_response promote(net::http_question const& question) {
-        json::object const call = json::parse(question.body).as_object();
-        std::string const group(call.at("service").as_string());
-        std::string const database(call.at("id").as_string());
-        std::uint64_t const token =
-            number(question.header("Persimmonpoint-Fencing-Token"));
-        std::uint64_t& highest = this->tokens[group];
-        if (token < highest) {
-            return {status_conflict, "application/json", "{}"};
+    void
+    take_promotion(net::http_question const& question, net::http_responder::reply reply) {
+        json::object const body = json::parse(question.body).as_object();
+        promotion const call{
+            std::string(body.at("service").as_string()),
+            std::string(body.at("id").as_string()),
+            number(question.header("Persimmonpoint-Fencing-Token"))};
+        bool const late =
+            this->promotion_delay.count() > 0 && this->promotions++ % 2 == 0;
+        if (!late) {
+            reply({this->promote(call), "application/json", "{}"});
+            return;
         }
-        highest = token;
-        return {this->on_promote(group, database, token), "application/json", "{}"};
+        this->unanswered.push_back(std::move(reply));
+        auto const wait = std::make_shared<asio::steady_timer>(
+            this->timer.get_executor(), this->promotion_delay);
+        wait->async_wait(
+            [weak = this->weak_from_this(), wait, call](boost::system::error_code) {
+                if (auto const self = weak.lock()) {
+                    self->promote(call);
+                }
+            });
+    }
+
+    unsigned promote(promotion const& call) {
+        std::uint64_t& highest = this->tokens[call.group];
+        if (call.token < highest) {
+            return status_conflict;
+        }
+        highest = call.token;
+        return this->on_promote(call.group, call.database, call.token);
     }
 
     promote_handler on_promote;
@@ -289,6 +315,8 @@
     std::list<watcher> watchers;
     std::list<net::http_responder::reply> unanswered;
     std::map<std::string, std::uint64_t> tokens;
+    std::chrono::milliseconds promotion_delay{0};
+    std::size_t promotions = 0; ///< Since the delay was set.
     std::uint64_t version = 0;
     std::uint64_t era = 1;
     std::map<std::string, std::size_t> reads; ///< By table.
@@ -340,6 +368,11 @@
     this->impl->fault = fault;
 }
 
+void row_store::set_promotion_delay(std::chrono::milliseconds delay) {
+    this->impl->promotion_delay = delay;
+    this->impl->promotions = 0;
+}
+
 void row_store::silence_watches() {
     for (watcher& each : this->impl->watchers) {
         this->impl->unanswered.push_back(std::move(each.reply));
--- a/src/persimmonpoint/standin/row_store.hpp
+++ b/src/persimmonpoint/standin/row_store.hpp
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -35,6 +36,9 @@
     void remove(std::string const& table, std::string const& key);
     /// Promotions are not touched by it.
     void set_fault(store_fault fault);
+    /// Every second promotion gets no answer and is carried out this much later, with its
+    /// fence checked then; none is if the delay is zero.
+    void set_promotion_delay(std::chrono::milliseconds delay);
     /// While they are held, transactions wait and readings are answered.
     void hold_transactions();
     void release_transactions();
