--- a/tests/introspective/soak_record.tests.cpp
+++ b/tests/introspective/soak_record.tests.cpp
@@ -53,6 +53,11 @@
         evidence.log.pop_back();
         check_finds(evidence, "acknowledged and lost");
     }
+    SECTION("a promotion that dropped an acknowledged write") {
+        evidence.lossy_promotions = {{"db-1", 2, 1, {{"db-0", 1, true}}}};
+        check_finds(evidence, "promoted without acknowledged commits: db-1");
+        check_finds(evidence, "db-0 (alive) had 1");
+    }
     SECTION("a write that took effect twice") {
         evidence.log.push_back({"c0-0", "second"});
         check_finds(evidence, "took effect twice");
@@ -123,8 +128,9 @@
 }
 
 TEST_CASE("A soak's plan is the same for the same seed", "[soak]") {
-    auto const first = plan_soak(7, seconds(20), 3, 3);
-    auto const again = plan_soak(7, seconds(20), 3, 3);
+    auto const plan = GENERATE(plan_soak, plan_leadership_soak);
+    auto const first = plan(7, seconds(20), 3, 3);
+    auto const again = plan(7, seconds(20), 3, 3);
     REQUIRE(first.size() == again.size());
     REQUIRE_FALSE(first.empty());
     for (std::size_t i = 0; i < first.size(); ++i) {
@@ -135,3 +141,13 @@
         first.begin(), first.end(),
         [](auto const& left, auto const& right) { return left.at < right.at; }));
 }
+
+TEST_CASE("The soak's seeds that failed once keep their plans", "[soak]") {
+    // Drawn before the faults of leadership were added.
+    auto const plan = plan_soak(105, seconds(10), 3, 3);
+    REQUIRE(plan.size() == 10);
+    CHECK(plan.front().kind == soak_fault::database_slow);
+    CHECK(plan.front().at == milliseconds(816));
+    CHECK(plan.back().kind == soak_fault::host_reloaded);
+    CHECK(plan.back().at == milliseconds(9007));
+}
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -26,6 +26,7 @@
     std::size_t hosts = 3;
     std::size_t callers = 12;
     milliseconds length{10000};
+    bool of_leadership = false;
 };
 
 soak_time now() {
@@ -40,8 +41,8 @@
     std::vector<bool> over(plan.size(), false);
     for (std::size_t next = 0; now() - start < length;) {
         while (next < plan.size() && now() - start >= plan[next].at) {
-            all.push_back({plan[next], now(), soak_time::max()});
-            stage.begin(plan[next]);
+            soak_time const begun = now();
+            all.push_back({stage.begin(plan[next]), begun, soak_time::max()});
             ++next;
         }
         for (std::size_t i = 0; i < all.size(); ++i) {
@@ -103,9 +104,21 @@
     return sums;
 }
 
+void print(planned_fault const& fault) {
+    std::cout << "  at " << fault.at.count() << " ms for " << fault.length.count()
+              << " ms: " << to_string(fault.kind) << " " << fault.target;
+    bool const late = fault.kind == soak_fault::orders_late ||
+                      fault.kind == soak_fault::promotions_late;
+    if (late) {
+        std::cout << " by " << fault.delay.count() << " ms";
+    }
+    std::cout << '\n';
+}
+
 /// Violations of one seed.
 std::vector<std::string> run_seed(soak_options const& options) {
-    auto const plan = plan_soak(options.seed, options.length, options.hosts, 3);
+    auto const draw = options.of_leadership ? plan_leadership_soak : plan_soak;
+    auto const plan = draw(options.seed, options.length, options.hosts, 3);
     soak_stage stage(options.program, options.folder, options.hosts);
     if (!stage.wait_ready(ready_patience)) {
         return {"hosts did not become ready"};
@@ -153,9 +166,8 @@
               << " refused, " << sums.unknown << " unknown, " << plan.size()
               << " faults: " << (violations.empty() ? "held" : "FAILED") << std::endl;
     if (!violations.empty()) {
-        for (planned_fault const& each : plan) {
-            std::cout << "  at " << each.at.count() << " ms for " << each.length.count()
-                      << " ms: " << to_string(each.kind) << " " << each.target << '\n';
+        for (soak_disturbance const& each : evidence.disturbances) {
+            print(each.fault);
         }
     }
     return violations;
@@ -170,13 +182,16 @@
         "count", "Number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "length", "Seconds of faults", cxxopts::value<unsigned>()->default_value("10"))(
         "hosts", "Processes", cxxopts::value<std::size_t>()->default_value("3"))(
-        "callers", "Callers", cxxopts::value<std::size_t>()->default_value("12"));
+        "callers", "Callers", cxxopts::value<std::size_t>()->default_value("12"))(
+        "faults", "everyday, or leadership",
+        cxxopts::value<std::string>()->default_value("everyday"));
     auto const given = parser.parse(argc, argv);
     soak_options options;
     options.program = given["program"].as<std::string>();
     options.length = std::chrono::seconds(given["length"].as<unsigned>());
     options.hosts = given["hosts"].as<std::size_t>();
     options.callers = given["callers"].as<std::size_t>();
+    options.of_leadership = given["faults"].as<std::string>() == "leadership";
     std::uint64_t const first = given["seed"].as<std::uint64_t>();
     std::uint64_t const seeds = given["count"].as<std::uint64_t>();
     std::size_t failed = 0;
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -20,7 +20,7 @@
     bool host;
 };
 
-constexpr std::array<kind_traits, 22> traits = {{
+constexpr std::array<kind_traits, 28> traits = {{
     {soak_fault::host_killed, "host killed", false, false, true},
     {soak_fault::host_stopped, "host stopped", true, false, true},
     {soak_fault::host_paused, "host paused", false, false, true},
@@ -43,8 +43,59 @@
     {soak_fault::read_answer_lost, "read answer lost", false, false, false},
     {soak_fault::configuration_changed, "configuration changed", true, false, false},
     {soak_fault::key_withdrawn, "key withdrawn", true, false, false},
+    {soak_fault::orders_late, "orders late", false, false, false},
+    {soak_fault::promotions_late, "promotions late", false, false, false},
+    {soak_fault::primary_killed, "primary killed", false, false, false},
+    {soak_fault::primary_isolated, "primary isolated", false, false, false},
+    {soak_fault::registration_silent, "registration silent", false, false, false},
+    {soak_fault::database_replaced, "database replaced", true, false, false},
 }};
 
+/// The kinds that plan_soak draws from: the first ones. The seeds that failed once keep
+/// their plans by it.
+constexpr std::size_t everyday_kinds = 22;
+
+/// What plan_leadership_soak draws from; a kind comes as often as it stands here.
+constexpr std::array leadership_kinds = {
+    soak_fault::primary_killed,      soak_fault::primary_killed,
+    soak_fault::primary_killed,      soak_fault::primary_isolated,
+    soak_fault::primary_isolated,    soak_fault::orders_late,
+    soak_fault::orders_late,         soak_fault::promotions_late,
+    soak_fault::registration_silent, soak_fault::registration_silent,
+    soak_fault::replica_deaf,        soak_fault::replica_deaf,
+    soak_fault::database_killed,     soak_fault::database_killed,
+    soak_fault::database_cut,        soak_fault::host_killed,
+    soak_fault::host_paused,         soak_fault::host_store_cut,
+    soak_fault::store_unavailable,   soak_fault::database_replaced,
+};
+
+struct length_range {
+    std::int64_t least_ms;
+    std::int64_t most_ms;
+};
+
+/// Lengths among the faults of leadership. A registration lapses after 3.6 s of silence.
+length_range leadership_length(soak_fault kind) {
+    switch (kind) {
+    case soak_fault::primary_killed:
+        return {300, 2000};
+    case soak_fault::primary_isolated:
+        return {300, 5000};
+    case soak_fault::registration_silent:
+    case soak_fault::database_replaced:
+        return {4000, 8000};
+    case soak_fault::orders_late:
+    case soak_fault::promotions_late:
+        return {1000, 6000};
+    case soak_fault::replica_deaf:
+        return {2000, 9000};
+    case soak_fault::database_killed:
+        return {200, 7000};
+    default:
+        return {200, 3000};
+    }
+}
+
 kind_traits const& traits_of(soak_fault kind) {
     return *std::find_if(traits.begin(), traits.end(), [kind](kind_traits const& each) {
         return each.kind == kind;
@@ -55,12 +106,66 @@
     return kind <= soak_fault::host_store_reset;
 }
 
+class planner {
+public:
+    planner(std::uint64_t seed, milliseconds length) : random(seed), length(length) {}
+
+    std::int64_t draw(std::int64_t least, std::int64_t most) {
+        return std::uniform_int_distribution<std::int64_t>(least, most)(this->random);
+    }
+
+    std::size_t draw_index(std::size_t size) {
+        return static_cast<std::size_t>(
+            this->draw(0, static_cast<std::int64_t>(size) - 1));
+    }
+
+    /// Some come in series on the same target.
+    void add(planned_fault next, std::int64_t times) {
+        for (std::int64_t i = 0; i < times; ++i) {
+            this->plan.push_back(next);
+            next.at += next.length + milliseconds(this->draw(20, 400));
+        }
+    }
+
+    std::vector<planned_fault> finish() {
+        std::erase_if(this->plan, [this](planned_fault const& each) {
+            return each.at >= this->length;
+        });
+        std::stable_sort(
+            this->plan.begin(), this->plan.end(),
+            [](planned_fault const& left, planned_fault const& right) {
+                return left.at < right.at;
+            });
+        return std::move(this->plan);
+    }
+
+private:
+    std::mt19937_64 random;
+    milliseconds length;
+    std::vector<planned_fault> plan;
+};
+
+/// Another database dies meanwhile, for longer than its registration lasts.
+planned_fault
+other_killed(planner& drawn, planned_fault const& first, std::size_t databases) {
+    planned_fault next;
+    next.kind = soak_fault::database_killed;
+    next.target = (first.target + 1 + drawn.draw_index(databases - 1)) % databases;
+    next.at = first.at + milliseconds(drawn.draw(100, 2000));
+    next.length = milliseconds(drawn.draw(4500, 8000));
+    return next;
+}
+
 } // namespace
 
 char const* to_string(soak_fault kind) {
     return traits_of(kind).name;
 }
 
+bool hits_primary(soak_fault kind) {
+    return kind == soak_fault::primary_killed || kind == soak_fault::primary_isolated;
+}
+
 bool is_planned(soak_fault kind) {
     return traits_of(kind).planned;
 }
@@ -75,37 +180,43 @@
 
 std::vector<planned_fault> plan_soak(
     std::uint64_t seed, milliseconds length, std::size_t hosts, std::size_t databases) {
-    std::mt19937_64 random(seed);
-    auto const draw = [&random](std::int64_t least, std::int64_t most) {
-        return std::uniform_int_distribution<std::int64_t>(least, most)(random);
-    };
-    std::vector<planned_fault> plan;
-    for (milliseconds at(draw(300, 1200)); at < length;
-         at += milliseconds(draw(50, 1800))) {
+    planner drawn(seed, length);
+    for (milliseconds at(drawn.draw(300, 1200)); at < length;
+         at += milliseconds(drawn.draw(50, 1800))) {
         planned_fault next;
-        next.kind = traits[static_cast<std::size_t>(draw(0, traits.size() - 1))].kind;
-        std::size_t const targets = hits_host(next.kind) ? hosts : databases;
-        next.target =
-            static_cast<std::size_t>(draw(0, static_cast<std::int64_t>(targets) - 1));
+        next.kind = traits[drawn.draw_index(everyday_kinds)].kind;
+        next.target = drawn.draw_index(hits_host(next.kind) ? hosts : databases);
         next.at = at;
         next.length = next.kind == soak_fault::host_stopped
                           ? stop_time
-                          : milliseconds(draw(200, 3000));
-        // Some come in series on the same target.
-        std::int64_t const times = draw(0, 5) == 0 ? 3 : 1;
-        for (std::int64_t i = 0; i < times; ++i) {
-            plan.push_back(next);
-            next.at += next.length + milliseconds(draw(20, 400));
+                          : milliseconds(drawn.draw(200, 3000));
+        drawn.add(next, drawn.draw(0, 5) == 0 ? 3 : 1);
+    }
+    return drawn.finish();
+}
+
+std::vector<planned_fault> plan_leadership_soak(
+    std::uint64_t seed, milliseconds length, std::size_t hosts, std::size_t databases) {
+    planner drawn(seed, length);
+    for (milliseconds at(drawn.draw(300, 1200)); at < length;
+         at += milliseconds(drawn.draw(50, 1800))) {
+        planned_fault next;
+        next.kind = leadership_kinds[drawn.draw_index(leadership_kinds.size())];
+        next.target = drawn.draw_index(hits_host(next.kind) ? hosts : databases);
+        next.at = at;
+        auto const [least, most] = leadership_length(next.kind);
+        next.length = milliseconds(drawn.draw(least, most));
+        next.delay = milliseconds(drawn.draw(2000, 12000));
+        bool const in_series = drawn.draw(0, 5) == 0 || hits_primary(next.kind);
+        drawn.add(next, in_series ? drawn.draw(1, 3) : 1);
+        bool const leaves_one_copy = next.kind == soak_fault::replica_deaf ||
+                                     next.kind == soak_fault::registration_silent ||
+                                     next.kind == soak_fault::orders_late;
+        if (leaves_one_copy && drawn.draw(0, 1) == 0) {
+            drawn.add(other_killed(drawn, next, databases), 1);
         }
     }
-    std::erase_if(
-        plan, [length](planned_fault const& each) { return each.at >= length; });
-    std::stable_sort(
-        plan.begin(), plan.end(),
-        [](planned_fault const& left, planned_fault const& right) {
-            return left.at < right.at;
-        });
-    return plan;
+    return drawn.finish();
 }
 
 } // namespace persimmonpoint::tests
--- a/tests/soak/soak_plan.hpp
+++ b/tests/soak/soak_plan.hpp
@@ -31,11 +31,19 @@
     write_answer_lost,
     read_answer_lost,
     configuration_changed,
-    key_withdrawn
+    key_withdrawn,
+    orders_late,         ///< A part of STATUS, PAUSE and RESUME at a database.
+    promotions_late,     ///< A part of the platform's promotions.
+    primary_killed,      ///< Whichever leads then.
+    primary_isolated,    ///< Lives and answers, and has no link to its copies.
+    registration_silent, ///< A database that works doesn't reach the store.
+    database_replaced,   ///< Drains until it heals, then ends; a copy takes its place.
 };
 
 /// Name in the soak's report.
 char const* to_string(soak_fault kind);
+/// Whether it hits whichever database leads when it begins.
+bool hits_primary(soak_fault kind);
 /// Planned work, under which no request may be cut.
 bool is_planned(soak_fault kind);
 /// Whether it may keep a host from learning a configuration.
@@ -47,6 +55,7 @@
     std::size_t target = 0; ///< Host or database, by number.
     std::chrono::milliseconds at{0};
     std::chrono::milliseconds length{0};
+    std::chrono::milliseconds delay{0}; ///< Of what comes late.
 };
 
 /// Faults that come in series and overlap, drawn from the seed, ordered by time.
@@ -56,6 +65,13 @@
     std::size_t hosts,
     std::size_t databases);
 
+/// The same of the faults that changes of leadership come from and that may disturb them.
+std::vector<planned_fault> plan_leadership_soak(
+    std::uint64_t seed,
+    std::chrono::milliseconds length,
+    std::size_t hosts,
+    std::size_t databases);
+
 } // namespace persimmonpoint::tests
 
 #endif // PERSIMMONPOINT_TESTS_SOAK_SOAK_PLAN_HPP_INCLUDED
--- a/tests/soak/soak_record.cpp
+++ b/tests/soak/soak_record.cpp
@@ -15,6 +15,18 @@
 constexpr double quota_overrun = 0.1;
 constexpr double quota_slack = 20;
 
+/// Says which other databases had the commits.
+std::string describe(standin::line_group::lossy_promotion const& promotion) {
+    std::string text = "promoted without acknowledged commits: " + promotion.database +
+                       " in term " + std::to_string(promotion.term) + " lacked " +
+                       std::to_string(promotion.missing);
+    for (auto const& each : promotion.holders) {
+        text.append(", ").append(each.id).append(each.alive ? " (alive)" : " (dead)");
+        text.append(" had ").append(std::to_string(each.commits));
+    }
+    return text;
+}
+
 class checker {
 public:
     explicit checker(soak_evidence const& evidence) : evidence(evidence) {
@@ -29,6 +41,9 @@
     }
 
     std::vector<std::string> run() {
+        for (auto const& each : this->evidence.lossy_promotions) {
+            this->found.push_back(describe(each));
+        }
         for (soak_operation const& each : this->evidence.operations) {
             if (each.writes) {
                 this->check_write(each);
--- a/tests/soak/soak_stage.cpp
+++ b/tests/soak/soak_stage.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <fstream>
 #include <future>
@@ -28,6 +29,10 @@
 constexpr milliseconds poll_pause(50);
 /// From SIGTERM to SIGKILL, as the platform does it.
 constexpr milliseconds grace(3000);
+/// From the call for a promotion to the new primary, some hundred ms on the platform.
+constexpr milliseconds promotion_delay(600);
+/// A registration lapses after three heartbeats of silence.
+constexpr milliseconds lapse_time(3600);
 
 std::string at(std::uint16_t port) {
     return "127.0.0.1:" + std::to_string(port);
@@ -87,20 +92,33 @@
 
 soak_stage::soak_stage(
     std::filesystem::path given, std::filesystem::path logs, std::size_t host_count)
-    : program(std::move(given)), folder(std::move(logs)) {
+    : program(std::move(given)),
+      folder(std::move(logs)),
+      notes(this->folder / "stage.log") {
     this->group =
         std::make_unique<standin::line_group>(this->loop, group_name, databases_in_group);
     this->store = std::make_unique<standin::row_store>(
-        this->loop, [this](std::string const&, std::string const& id, std::uint64_t) {
-            bool const done = this->group->promote(id);
-            this->register_databases();
-            return done ? 200U : 409U;
+        this->loop,
+        [this](std::string const&, std::string const& id, std::uint64_t token) {
+            bool const taken = this->group->promote(id);
+            this->note(
+                id + (taken ? " is to lead, token " : " can't lead, token ") +
+                std::to_string(token));
+            return taken ? 200U : 409U;
         });
+    this->group->set_promotion_delay(promotion_delay);
+    this->group->set_promotion_hook([this] {
+        this->note(
+            this->group->leader() + " leads " + std::to_string(this->group->term()));
+        this->register_databases();
+    });
+    this->group->set_order_hook([this](std::string const& id, std::string const& text) {
+        this->note(id + " carries out " + text);
+    });
     for (std::string const& id : this->group->ids()) {
         this->databases.push_back(
-            {id,
-             std::make_unique<fault_proxy>(this->loop, port_of(this->group->address(id))),
-             true});
+            {id, std::make_unique<fault_proxy>(
+                     this->loop, port_of(this->group->address(id)))});
     }
     for (std::size_t i = 0; i < host_count; ++i) {
         auto slot = std::make_unique<host_slot>();
@@ -130,6 +148,7 @@
             each->store.reset();
         }
         this->databases.clear();
+        this->successors.clear();
         this->store.reset();
         this->group.reset();
     });
@@ -171,20 +190,71 @@
 }
 
 void soak_stage::register_databases() {
-    for (database_slot const& each : this->databases) {
-        if (!each.alive) {
-            this->store->remove("servers", each.id);
-            continue;
-        }
-        std::string const role = each.id == this->group->leader() ? "primary" : "replica";
+    for (database_slot& each : this->databases) {
+        this->register_database(each);
+    }
+    for (auto& [number, slot] : this->successors) {
+        this->register_database(slot);
+    }
+}
+
+void soak_stage::register_database(database_slot& slot) {
+    if (!slot.silent_since) {
+        std::string const state = slot.draining ? "draining" : "ready";
+        std::string const role = slot.id == this->group->leader() ? "primary" : "replica";
+        slot.registered = true;
         this->store->put(
-            "servers", each.id,
+            "servers", slot.id,
             R"({"service":")" + std::string(group_name) + R"(","address":")" +
-                at(each.proxy->port()) +
-                R"(","zone":"a","version":"v1","slots":4,"state":"ready",)" +
-                R"("database_role":")" + role +
+                at(slot.proxy->port()) +
+                R"(","zone":"a","version":"v1","slots":4,"state":")" + state +
+                R"(","database_role":")" + role +
                 R"(","cold_remaining_ms":0,"sequence":1,"born":1000})");
+        return;
+    }
+    bool const lapsed =
+        std::chrono::steady_clock::now() - *slot.silent_since >= lapse_time;
+    if (lapsed && slot.registered) {
+        slot.registered = false;
+        this->store->remove("servers", slot.id);
+    }
+}
+
+void soak_stage::set_silent(database_slot& slot, bool silent) {
+    if (!silent) {
+        slot.silent_since.reset();
+        this->register_database(slot);
+        return;
     }
+    slot.silent_since = std::chrono::steady_clock::now();
+    auto const lapse = std::make_shared<asio::steady_timer>(this->loop, lapse_time);
+    lapse->async_wait(
+        [this, lapse](boost::system::error_code) { this->register_databases(); });
+}
+
+void soak_stage::begin_replacement(std::size_t database) {
+    database_slot& slot = this->databases[database];
+    if (slot.draining || !slot.alive) {
+        return;
+    }
+    slot.draining = true;
+    std::string const id = this->group->add_copy_of(slot.id);
+    this->note(id + " is to replace " + slot.id);
+    auto proxy =
+        std::make_unique<fault_proxy>(this->loop, port_of(this->group->address(id)));
+    this->successors[database] = {id, std::move(proxy)};
+    this->register_databases();
+}
+
+void soak_stage::end_replacement(std::size_t database) {
+    database_slot& slot = this->databases[database];
+    this->note(slot.id + " ends");
+    if (slot.alive) {
+        this->group->kill(slot.id);
+    }
+    this->store->remove("servers", slot.id);
+    slot = std::move(this->successors.at(database));
+    this->successors.erase(database);
 }
 
 void soak_stage::write_settings(std::size_t host) {
@@ -240,7 +310,32 @@
         [kind](auto const& each) { return each.first == kind; });
 }
 
-void soak_stage::begin(planned_fault const& fault) {
+void soak_stage::note(std::string const& text) {
+    auto const now = std::chrono::system_clock::now().time_since_epoch();
+    this->notes << std::chrono::duration_cast<milliseconds>(now).count() << ' ' << text
+                << std::endl;
+}
+
+std::size_t soak_stage::primary_number() {
+    std::size_t number = 0;
+    this->on_loop([&] {
+        std::string const leader = this->group->leader();
+        while (number < this->databases.size() && this->databases[number].id != leader) {
+            ++number;
+        }
+    });
+    return number;
+}
+
+planned_fault soak_stage::begin(planned_fault fault) {
+    if (hits_primary(fault.kind)) {
+        fault.target = this->primary_number();
+    }
+    this->on_loop([&] {
+        this->note(
+            to_string(fault.kind) + std::string(" begins ") +
+            std::to_string(fault.target));
+    });
     this->lasting.emplace(fault.kind, fault.target);
     this->act_once(fault);
     this->refresh_store();
@@ -250,9 +345,14 @@
     if (fault.target < this->databases.size()) {
         this->refresh_database(fault.target);
     }
+    return fault;
 }
 
 void soak_stage::end(planned_fault const& fault) {
+    this->on_loop([&] {
+        this->note(
+            to_string(fault.kind) + std::string(" ends ") + std::to_string(fault.target));
+    });
     auto const found = this->lasting.find({fault.kind, fault.target});
     if (found != this->lasting.end()) {
         this->lasting.erase(found);
@@ -304,6 +404,17 @@
         this->withdrawn[passing_key] =
             std::min(this->withdrawn[passing_key], std::chrono::steady_clock::now());
         return;
+    case soak_fault::orders_late:
+        this->on_loop([&] {
+            this->group->set_order_delay(this->databases[target].id, fault.delay);
+        });
+        return;
+    case soak_fault::database_replaced:
+        this->on_loop([&] { this->begin_replacement(target); });
+        return;
+    case soak_fault::promotions_late:
+        this->on_loop([&] { this->store->set_promotion_delay(fault.delay); });
+        return;
     default:
         return;
     }
@@ -337,7 +448,9 @@
 
 void soak_stage::refresh_database(std::size_t database) {
     database_slot& slot = this->databases[database];
-    bool const dead = this->lasts(soak_fault::database_killed, database);
+    bool const dead = this->lasts(soak_fault::database_killed, database) ||
+                      this->lasts(soak_fault::primary_killed, database);
+    bool const silent = dead || this->lasts(soak_fault::registration_silent, database);
     link_fault link = link_fault::none;
     if (this->lasts(soak_fault::database_cut, database)) {
         link = link_fault::cut;
@@ -348,17 +461,26 @@
     } else if (this->lasts(soak_fault::database_slow, database)) {
         link = link_fault::delayed;
     }
+    bool const leaves = this->lasts(soak_fault::database_replaced, database);
     this->on_loop([&] {
+        if (slot.draining && !leaves) {
+            this->end_replacement(database);
+        }
         slot.proxy->set_fault(link);
         this->group->set_deaf(slot.id, this->lasts(soak_fault::replica_deaf, database));
+        this->group->set_isolated(
+            slot.id, this->lasts(soak_fault::primary_isolated, database));
+        if (!this->lasts(soak_fault::orders_late, database)) {
+            this->group->set_order_delay(slot.id, milliseconds(0));
+        }
         if (dead && slot.alive) {
             this->group->kill(slot.id);
         } else if (!dead && !slot.alive) {
             this->group->revive(slot.id);
         }
-        if (slot.alive == dead) {
-            slot.alive = !dead;
-            this->register_databases();
+        slot.alive = !dead;
+        if (silent != slot.silent_since.has_value()) {
+            this->set_silent(slot, silent);
         }
     });
 }
@@ -373,6 +495,9 @@
         fault = standin::store_fault::answer_lost;
     }
     this->store->set_fault(fault);
+    if (!this->lasts_anywhere(soak_fault::promotions_late)) {
+        this->on_loop([&] { this->store->set_promotion_delay(milliseconds(0)); });
+    }
 }
 
 void soak_stage::heal() {
@@ -404,6 +529,7 @@
 void soak_stage::collect(soak_evidence& evidence) {
     this->on_loop([&] {
         evidence.log = this->group->writes();
+        evidence.lossy_promotions = this->group->lossy_promotions();
         evidence.runs[metered.team] = this->group->runs_of(metered.team);
         for (auto const& each : this->group->teams()) {
             evidence.teams_seen.insert(each.first);
--- a/tests/soak/soak_stage.hpp
+++ b/tests/soak/soak_stage.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <persimmonpoint/standin/line_group.hpp>
@@ -34,7 +35,8 @@
     std::size_t database_count() const { return this->databases.size(); }
     std::uint16_t caller_port(std::size_t host) const;
 
-    void begin(planned_fault const& fault);
+    /// The fault as it is played, with the target that it met.
+    planned_fault begin(planned_fault fault);
     /// Heals a fault, unless another of its kind still lasts on the same target.
     void end(planned_fault const& fault);
     /// Everything works again; hosts that are gone are started.
@@ -62,6 +64,10 @@
         std::string id;
         std::unique_ptr<fault_proxy> proxy;
         bool alive = true;
+        bool registered = false;
+        bool draining = false;
+        std::optional<soak_time>
+            silent_since{}; ///< Its heartbeats don't reach the store.
     };
 
     bool lasts(soak_fault kind, std::size_t target) const;
@@ -69,6 +75,13 @@
     void on_loop(std::function<void()> const& action);
     void configure();
     void register_databases();
+    void register_database(database_slot& slot);
+    void set_silent(database_slot& slot, bool silent);
+    void begin_replacement(std::size_t database);
+    void end_replacement(std::size_t database);
+    std::size_t primary_number();
+    /// Writes a line to the stage's own log, beside the hosts'; on the loop's thread.
+    void note(std::string const& text);
     void write_settings(std::size_t host);
     void start_host(std::size_t host);
     void end_process(std::size_t host, int signal);
@@ -80,12 +93,15 @@
 
     std::filesystem::path program;
     std::filesystem::path folder;
+    std::ofstream notes;
     boost::asio::io_context loop{1};
     std::thread thread;
     std::unique_ptr<standin::line_group> group;
     std::unique_ptr<standin::row_store> store;
     std::vector<std::unique_ptr<host_slot>> hosts;
     std::vector<database_slot> databases;
+    /// By the number of the database that drains.
+    std::map<std::size_t, database_slot> successors;
     std::map<std::string, soak_time> withdrawn;
     std::vector<std::string> endings;
     std::uint64_t version = 0;
