Soak: replicas that stay held are found, and odd seeds leave a change more time

Odd seeds now leave more time between faults and freeze a host while a primary is replaced. The plans of even seeds stay as they were.

After the faults no replica may be held for good, as it is no second copy then.

--- a/src/persimmonpoint/standin/line_group.cpp
+++ b/src/persimmonpoint/standin/line_group.cpp
@@ -693,6 +693,16 @@
     this->impl->on_order = std::move(hook);
 }
 
+std::vector<std::string> line_group::held() const {
+    std::vector<std::string> out;
+    for (auto const& [id, each] : this->impl->members) {
+        if (each->alive && each->held_term > 0) {
+            out.push_back(id);
+        }
+    }
+    return out;
+}
+
 std::vector<line_group::lossy_promotion> line_group::lossy_promotions() const {
     return this->impl->lossy;
 }
--- a/src/persimmonpoint/standin/line_group.hpp
+++ b/src/persimmonpoint/standin/line_group.hpp
@@ -64,6 +64,9 @@
         std::function<void(std::string const& id, std::string const& text)>;
     void set_order_hook(order_hook hook);
 
+    /// Replicas that live and that a PAUSE holds.
+    std::vector<std::string> held() const;
+
     /// Another database at the time of a promotion that dropped commits.
     struct commit_holder {
         std::string id;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -15,6 +15,9 @@
 
 /// The users allow twelve seconds until service is back.
 constexpr milliseconds recovery_bound(12000);
+/// What comes late has come by then.
+constexpr milliseconds latest_order(12000);
+constexpr milliseconds poll_pause(50);
 constexpr milliseconds ready_patience(15000);
 constexpr std::size_t flooding_callers = 3;
 constexpr std::size_t most_violations_shown = 10;
@@ -84,6 +87,22 @@
     return found;
 }
 
+/// A replica that stays held receives nothing any more: it is no second copy, and a loss
+/// if it is promoted.
+std::vector<std::string> check_holds(soak_stage& stage) {
+    soak_time const start = now();
+    auto held = stage.held_replicas();
+    while (!held.empty() && now() - start < latest_order + recovery_bound) {
+        std::this_thread::sleep_for(poll_pause);
+        held = stage.held_replicas();
+    }
+    std::vector<std::string> found;
+    for (std::string const& each : held) {
+        found.push_back("replica " + each + " is held and nobody resumes it");
+    }
+    return found;
+}
+
 struct tally {
     std::size_t succeeded = 0;
     std::size_t refused = 0;
@@ -142,6 +161,11 @@
     soak_evidence evidence;
     evidence.disturbances = play(stage, plan, options.length);
     auto violations = check_recovery(stage);
+    if (options.of_leadership) {
+        for (std::string& each : check_holds(stage)) {
+            violations.push_back(std::move(each));
+        }
+    }
     over = true;
     for (std::thread& each : threads) {
         each.join();
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -156,6 +156,17 @@
     return next;
 }
 
+/// The host that replaces the primary may freeze in the middle of it.
+planned_fault
+host_paused_meanwhile(planner& drawn, planned_fault const& first, std::size_t hosts) {
+    planned_fault next;
+    next.kind = soak_fault::host_paused;
+    next.target = drawn.draw_index(hosts);
+    next.at = first.at + milliseconds(drawn.draw(100, 1200));
+    next.length = milliseconds(drawn.draw(1000, 4000));
+    return next;
+}
+
 } // namespace
 
 char const* to_string(soak_fault kind) {
@@ -197,9 +208,11 @@
 
 std::vector<planned_fault> plan_leadership_soak(
     std::uint64_t seed, milliseconds length, std::size_t hosts, std::size_t databases) {
+    // Some causes need faults that overlap much, others a change that gets far.
+    bool const calm = seed % 2 == 1;
     planner drawn(seed, length);
     for (milliseconds at(drawn.draw(300, 1200)); at < length;
-         at += milliseconds(drawn.draw(50, 1800))) {
+         at += milliseconds(calm ? drawn.draw(500, 4000) : drawn.draw(50, 1800))) {
         planned_fault next;
         next.kind = leadership_kinds[drawn.draw_index(leadership_kinds.size())];
         next.target = drawn.draw_index(hits_host(next.kind) ? hosts : databases);
@@ -215,6 +228,9 @@
         if (leaves_one_copy && drawn.draw(0, 1) == 0) {
             drawn.add(other_killed(drawn, next, databases), 1);
         }
+        if (calm && next.kind == soak_fault::primary_killed) {
+            drawn.add(host_paused_meanwhile(drawn, next, hosts), 1);
+        }
     }
     return drawn.finish();
 }
--- a/tests/soak/soak_stage.cpp
+++ b/tests/soak/soak_stage.cpp
@@ -526,6 +526,12 @@
     return false;
 }
 
+std::vector<std::string> soak_stage::held_replicas() {
+    std::vector<std::string> held;
+    this->on_loop([&] { held = this->group->held(); });
+    return held;
+}
+
 void soak_stage::collect(soak_evidence& evidence) {
     this->on_loop([&] {
         evidence.log = this->group->writes();
--- a/tests/soak/soak_stage.hpp
+++ b/tests/soak/soak_stage.hpp
@@ -44,6 +44,8 @@
     /// Waits until each host is ready; false if one isn't in time.
     bool wait_ready(std::chrono::milliseconds patience);
 
+    /// Replicas that a PAUSE holds.
+    std::vector<std::string> held_replicas();
     /// What the databases saw, and what was withdrawn.
     void collect(soak_evidence& evidence);
     /// Endings of processes that nobody asked for.
