A change that was overtaken while it waited for its token ends, and so does one done

The traces show a change that waited for the lease while another host replaced the primary; it then took the lease for nothing, so that the next change had to wait 3 s, and the one replica with the commits was gone by then. A change whose promotion was done went on for 5 s, to resume a database that was silent; its host watched nothing meanwhile. And a leaving database that had to be promoted waited 3 s for another host's lease until it could be replaced.

Now a change in its first state ends as another leader is known; a silent database isn't waited for to be resumed (it's found as replica_held); and the host that promoted a leaving database replaces it itself, as it has the lease.

--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -89,6 +89,15 @@
     }
 }
 
+void leadership_change::leader_learned(std::string_view id, std::uint64_t leader_term) {
+    bool const is_overtaken = id != this->begun_on && leader_term > this->members.term();
+    bool const is_waiting = this->machine.state() == leadership_state::securing;
+    if (is_overtaken && is_waiting && !this->hold_requested &&
+        !this->promotion_unsettled) {
+        this->machine.fire(leadership_event::called_off);
+    }
+}
+
 void leadership_change::token_granted(std::uint64_t granted) {
     this->token = granted;
     this->token_rejected = false;
@@ -701,7 +710,10 @@
         // longer be carried out.
         bool const needs_resume = member.held || (this->promoted && member.held_by_other);
         if (needs_resume && !leads && !this->skip_resume) {
-            all_released = false;
+            // One that is silent is found later, should it come back and be held.
+            bool const may_answer = now - this->state_entered_at < primary_silence ||
+                                    member.answers(now, primary_silence);
+            all_released = all_released && !may_answer;
             // An unanswered RESUME may be carried out during a later change: none is sent
             // unless a report shows that the last one wasn't carried out.
             this->send_request(
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -111,6 +111,9 @@
     /// The old primary responded. Cancels a change that was started because the primary
     /// was lost, unless this or another host has held a replica already.
     void primary_seen();
+    /// Another host told who leads. Cancels a change that still waits for its token, if
+    /// that was overtaken.
+    void leader_learned(std::string_view id, std::uint64_t leader_term);
     void token_granted(std::uint64_t token);
     /// Another host has the group's lease, or the store is unreachable.
     void token_refused(instant now);
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -78,6 +78,7 @@
     std::uint64_t change_number = 0; ///< Of the present change, or the last.
     instant change_started{};
     instant next_change{};
+    instant lease_until{}; ///< Until then no other host may change the group's leader.
     instant leave_alone_until{};
     bool asking = false;
     bool token_prepared = false;
@@ -118,6 +119,9 @@
                 this->step(name, group);
             } else if (this->manages(name, routing)) {
                 this->watch(name, group, routing);
+            } else if (this->has_to_hand_over(group, routing)) {
+                group.primary = routing.leader()->database;
+                this->begin(name, group, change_reason::primary_leaving);
             } else {
                 group.managed_since = instant();
                 group.suspicion.reset();
@@ -125,6 +129,16 @@
         }
     }
 
+    /// No other host gets the group's lease yet: a leaving database that this host has
+    /// just promoted is this host's to replace.
+    bool
+    has_to_hand_over(watched_group const& group, group_routing const& routing) const {
+        auto const& leader = routing.leader();
+        registered_database const* const entry =
+            leader ? routing.find(leader->database) : nullptr;
+        return entry != nullptr && entry->leaving && this->now() < group.lease_until;
+    }
+
     void note_departures() {
         store_version const version = this->context.view.directory.current().version;
         if (version == this->seen_directory) {
@@ -393,7 +407,8 @@
             std::any_of(databases.begin(), databases.end(), [&group](auto const& each) {
                 return each.id != group.primary;
             });
-        if (time < group.next_change || !has_replica) {
+        bool const is_planned = reason == change_reason::primary_leaving;
+        if ((time < group.next_change && !is_planned) || !has_replica) {
             return;
         }
         auto const& leader = this->context.view.group(name).leader();
@@ -413,6 +428,9 @@
 
     void step(std::string const& name, watched_group& group) {
         group.change->set_databases(this->databases_of(name));
+        if (auto const& leader = this->context.view.group(name).leader()) {
+            group.change->leader_learned(leader->database, leader->term);
+        }
         for (change_action const& each : group.change->step(this->now())) {
             this->carry_out(name, group, each);
             if (!group.change) {
@@ -581,6 +599,7 @@
         if (!promoted) {
             return;
         }
+        group.lease_until = time + std::chrono::milliseconds(lease_duration_ms);
         ++this->finished;
         this->context.view.group(name).confirm_leader(action.database, action.term);
         this->mesh->broadcast(leader_message{name, action.database, action.term});
--- a/tests/introspective/leadership_premises.tests.cpp
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -449,3 +449,38 @@
     CHECK_FALSE(group.leader.empty());
     CHECK_FALSE(group.any_held());
 }
+
+TEST_CASE(
+    "A change that waits for its token ends once another host's leader is known",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    leadership_change change = change_in(group, change_reason::primary_leaving);
+    change.step(start);
+    SECTION("that leads a later term") {
+        change.leader_learned("r0", first_term + 1);
+        change.step(start + milliseconds(10));
+        CHECK(change.is_over());
+    }
+    SECTION("but not for what it knew before") {
+        change.leader_learned("p", first_term);
+        change.leader_learned("r0", first_term);
+        change.step(start + milliseconds(10));
+        CHECK_FALSE(change.is_over());
+    }
+}
+
+TEST_CASE(
+    "A change doesn't wait to resume a database that is silent",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["r0"].receives = false;
+    group.copies["r1"].receives = false;
+    leadership_change change = change_in(group, change_reason::commits_stalled);
+    instant now = start;
+    while (group.count(change_action_kind::promote) == 0 && now < start + seconds(5)) {
+        group.run(change, now, milliseconds(10));
+    }
+    group.copies["p"].alive = false;
+    group.run(change, now, seconds(2));
+    CHECK(change.is_over());
+}
