--- /dev/null
+++ b/tests/introspective/leadership_model.tests.cpp
@@ -0,0 +1,460 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <support/leadership_hosts_model.hpp>
+#include <support/random_leadership_faults.hpp>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <utility>
+
+using namespace persimmonpoint;
+using namespace persimmonpoint::tests;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// What the orders and calls of a scene are to meet, by their number among their kind.
+struct scripted_faults final : fault_plan {
+    order_fate order(
+        std::string const& host,
+        change_action_kind kind,
+        std::string const& database) override {
+        return this->on_order ? this->on_order(host, kind, database) : order_fate();
+    }
+    promotion_fate
+    promotion(std::string const& host, std::string const& database) override {
+        return this->on_promotion ? this->on_promotion(host, database) : promotion_fate();
+    }
+    std::optional<duration> news(std::string const&, std::string const&) override {
+        return this->tells ? std::optional<duration>(milliseconds(10)) : std::nullopt;
+    }
+
+    std::function<order_fate(std::string const&, change_action_kind, std::string const&)>
+        on_order;
+    std::function<promotion_fate(std::string const&, std::string const&)> on_promotion;
+    bool tells = true;
+};
+
+/// Three databases, of which d0 leads, and two hosts that act only when they are told.
+struct scene {
+    scene() {
+        this->fleet.add_host("h0");
+        this->fleet.add_host("h1");
+        this->play(milliseconds(100));
+    }
+
+    modelled_host& host(std::size_t index) { return this->fleet.host(index); }
+
+    void play(duration how_long) {
+        instant const end = this->group.now() + how_long;
+        while (this->group.now() < end) {
+            this->group.advance(this->group.now() + milliseconds(10));
+            this->move_commits();
+            for (auto const& each : this->fleet.hosts) {
+                each->deliver([one = each.get()] { one->read_directory(); });
+            }
+            this->fleet.tick();
+        }
+    }
+
+    void move_commits() {
+        if (this->writes) {
+            this->group.write();
+        }
+        for (auto const& each : this->group.databases()) {
+            this->group.receive(each.first);
+        }
+    }
+
+    bool is_paused() const {
+        auto const& all = this->group.databases();
+        return std::any_of(all.begin(), all.end(), [](auto const& each) {
+            return each.second.alive && each.second.held != 0;
+        });
+    }
+
+    std::string story() const { return shown(this->group.trace()); }
+
+    static std::string shown(std::vector<std::string> const& trace) {
+        constexpr std::size_t most = 80;
+        std::vector<std::string> lines;
+        for (std::string const& each : trace) {
+            bool const dull = each.find("STATUS") != std::string::npos ||
+                              each.find("-> primary") != std::string::npos;
+            if (!dull) {
+                lines.push_back(each);
+            }
+        }
+        std::string out;
+        std::size_t const skipped = lines.size() > most ? lines.size() - most : 0;
+        for (std::size_t i = skipped; i < lines.size(); ++i) {
+            out += "\n" + lines[i];
+        }
+        return out;
+    }
+
+    replicated_group group{3};
+    scripted_faults faults;
+    modelled_fleet fleet{this->group, this->faults, {}};
+    bool writes = true;
+};
+
+/// Runs it in a process of its own; false if it computes for two seconds.
+bool ends(std::function<void()> const& action) {
+    pid_t const child = fork();
+    if (child == 0) {
+        rlimit const time{2, 2};
+        rlimit const no_core{0, 0};
+        setrlimit(RLIMIT_CORE, &no_core);
+        setrlimit(RLIMIT_CPU, &time);
+        action();
+        _exit(0);
+    }
+    int status = 0;
+    waitpid(child, &status, 0);
+    return WIFEXITED(status) && WEXITSTATUS(status) == 0;
+}
+
+std::string told(std::uint64_t seed, random_run_result const& run) {
+    std::string out =
+        "seed " + std::to_string(seed) + ", " + run.faults + scene::shown(run.trace);
+    for (std::string const& each : run.stuck) {
+        out += "\n" + each;
+    }
+    return out;
+}
+
+/// Plays the seeds and tells of the first run that is wrong.
+void play_seeds(
+    std::uint64_t last_seed,
+    std::function<bool(random_run_result const&)> const& is_wrong) {
+    std::vector<std::uint64_t> const none;
+    std::vector<std::uint64_t> endless;
+    std::vector<std::uint64_t> wrong;
+    std::string first;
+    for (std::uint64_t seed = 1; seed <= last_seed; ++seed) {
+        if (!ends([seed] { run_with_random_faults(seed, all_faults()); })) {
+            endless.push_back(seed);
+            continue;
+        }
+        random_run_result const run = run_with_random_faults(seed, all_faults());
+        if (is_wrong(run)) {
+            wrong.push_back(seed);
+            first = first.empty() ? told(seed, run) : first;
+        }
+    }
+    INFO(first);
+    CHECK(wrong == none);
+    CHECK(endless == none);
+}
+
+constexpr std::uint64_t seeds_in_ci = 150;
+constexpr std::uint64_t seeds_in_long_run = 5000;
+
+bool has_lost(random_run_result const& run) {
+    return !run.losses.empty();
+}
+
+bool is_stuck(random_run_result const& run) {
+    return !run.stuck.empty();
+}
+
+database_state
+replica_at(std::uint64_t offset, std::uint64_t held_by_token, bool leads = false) {
+    return database_state{leads, 3, {3, offset}, held_by_token << 20U};
+}
+
+} // namespace
+
+TEST_CASE(
+    "No acknowledged commit is lost in random runs of the fleet's model",
+    "[leadership][leadership-model]") {
+    play_seeds(seeds_in_ci, has_lost);
+}
+
+TEST_CASE(
+    "Every change ends and no replica stays paused once the model's faults are over",
+    "[leadership][leadership-model]") {
+    play_seeds(seeds_in_ci, is_stuck);
+}
+
+TEST_CASE(
+    "No acknowledged commit is lost in many random runs of the fleet's model",
+    "[.][leadership-model-long]") {
+    play_seeds(seeds_in_long_run, has_lost);
+}
+
+TEST_CASE(
+    "Every change ends in many random runs of the fleet's model",
+    "[.][leadership-model-long]") {
+    play_seeds(seeds_in_long_run, is_stuck);
+}
+
+TEST_CASE(
+    "Commits that the living primary has are not left behind when the replica that had "
+    "them lapses",
+    "[leadership][leadership-model]") {
+    scene it;
+    it.group.at("d1").deaf = true;
+    it.play(milliseconds(500));
+    it.group.crash("d2", seconds(30));
+    REQUIRE(it.host(0).begin(change_reason::commits_stalled));
+    it.play(seconds(10));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
+TEST_CASE(
+    "A former primary that has become a replica is compared by a host that takes it for "
+    "the primary",
+    "[leadership][leadership-model]") {
+    scene it;
+    it.faults.tells = false;
+    REQUIRE(it.group.call_promotion("d1", 0, "a host") == promotion_result::accepted);
+    it.play(seconds(1));
+    REQUIRE(it.group.primary() == "d1");
+    it.group.at("d2").deaf = true;
+    it.play(milliseconds(500));
+    it.group.crash("d1", std::nullopt);
+    REQUIRE(it.host(1).begin(change_reason::primary_lost));
+    it.play(seconds(10));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
+TEST_CASE(
+    "A change ends when a replica that it would hold has come to lead",
+    "[leadership][leadership-model]") {
+    scene it;
+    it.writes = false;
+    REQUIRE(it.group.call_promotion("d2", 0, "a host") == promotion_result::accepted);
+    bool const from_the_start = GENERATE(true, false);
+    if (from_the_start) {
+        it.play(seconds(1));
+        REQUIRE(it.group.primary() == "d2");
+    } else {
+        it.faults.on_order = [](std::string const&, change_action_kind kind,
+                                std::string const& id) {
+            order_fate fate;
+            bool const slow = kind == change_action_kind::hold && id == "d2";
+            fate.carried_out_after = milliseconds(slow ? 190 : 5);
+            return fate;
+        };
+        it.play(milliseconds(500));
+    }
+    REQUIRE(it.host(1).begin(change_reason::commits_stalled));
+    it.play(seconds(20));
+    INFO(it.story());
+    CHECK_FALSE(it.host(1).is_changing());
+    CHECK_FALSE(it.is_paused());
+}
+
+TEST_CASE(
+    "A PAUSE that is carried out after its change leaves no replica paused for ever",
+    "[leadership][leadership-model]") {
+    scene it;
+    it.host(0).manages = true;
+    bool delayed = false;
+    it.faults.on_order =
+        [&delayed](std::string const&, change_action_kind kind, std::string const&) {
+            order_fate fate;
+            if (kind == change_action_kind::hold && !std::exchange(delayed, true)) {
+                fate.carried_out_after = seconds(5);
+                fate.answered_after.reset();
+            }
+            return fate;
+        };
+    REQUIRE(it.host(0).begin(change_reason::commits_stalled));
+    it.play(seconds(25));
+    INFO(it.story());
+    CHECK_FALSE(it.host(0).is_changing());
+    CHECK_FALSE(it.is_paused());
+}
+
+TEST_CASE(
+    "Replicas that a killed host has paused receive again",
+    "[leadership][leadership-model]") {
+    scene it;
+    it.host(1).manages = true;
+    REQUIRE(it.host(0).begin(change_reason::commits_stalled));
+    bool const promoted = GENERATE(true, false);
+    while (!it.is_paused()) {
+        it.play(milliseconds(10));
+    }
+    if (promoted) {
+        it.play(milliseconds(200));
+    }
+    it.host(0).kill(seconds(3));
+    it.play(seconds(25));
+    INFO(it.story());
+    CHECK_FALSE(it.is_paused());
+}
+
+TEST_CASE(
+    "A RESUME that is carried out late does not let commits pass by a later candidate",
+    "[leadership][leadership-model]") {
+    scene it;
+    bool delayed = false;
+    it.faults.on_order =
+        [&delayed](std::string const&, change_action_kind kind, std::string const&) {
+            order_fate fate;
+            if (kind == change_action_kind::resume && !std::exchange(delayed, true)) {
+                fate.carried_out_after = seconds(4);
+                fate.answered_after.reset();
+            }
+            return fate;
+        };
+    it.writes = false;
+    REQUIRE(it.host(0).begin(change_reason::commits_stalled));
+    it.play(seconds(2));
+    REQUIRE(it.group.primary() == "d1");
+    REQUIRE(delayed);
+    it.play(milliseconds(2500));
+    it.group.at("d0").deaf = true;
+    REQUIRE(it.host(0).begin(change_reason::commits_stalled));
+    it.play(milliseconds(150));
+    it.writes = true;
+    it.play(seconds(2));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
+TEST_CASE(
+    "No other candidate is called for while the answer to a call is awaited",
+    "[leadership][leadership-model]") {
+    scene it;
+    it.faults.on_promotion = [](std::string const&, std::string const&) {
+        promotion_fate fate;
+        fate.answered = false;
+        return fate;
+    };
+    it.group.crash("d2", milliseconds(6500));
+    it.group.at("d1").deaf = true;
+    it.play(milliseconds(100));
+    it.group.at("d1").deaf = false;
+    it.play(milliseconds(5900));
+    REQUIRE(it.host(0).begin(change_reason::commits_stalled));
+    it.play(milliseconds(200));
+    std::size_t called = 0;
+    it.faults.on_promotion = [&called](std::string const&, std::string const& id) {
+        called += id == "d2" ? 1 : 0;
+        return promotion_fate();
+    };
+    it.play(milliseconds(400));
+    INFO(it.story());
+    CHECK(called == 0);
+}
+
+TEST_CASE(
+    "A replica that comes back while a promotion is unsettled is held",
+    "[leadership][leadership-model]") {
+    scene it;
+    it.writes = false;
+    it.group.crash("d2", seconds(9));
+    it.play(milliseconds(6300));
+    bool called = false;
+    it.faults.on_promotion = [&called](std::string const&, std::string const&) {
+        promotion_fate fate;
+        fate.answered = false;
+        fate.carried_out_after.reset();
+        if (!std::exchange(called, true)) {
+            fate.carried_out_after = seconds(8);
+        }
+        return fate;
+    };
+    REQUIRE(it.host(0).begin(change_reason::commits_stalled));
+    it.play(milliseconds(300));
+    REQUIRE(called);
+    it.group.at("d1").deaf = true;
+    it.writes = true;
+    it.play(seconds(10));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
+TEST_CASE(
+    "An answer that waited while its host was frozen is not taken for a new one",
+    "[leadership][leadership-model]") {
+    scene it;
+    it.writes = false;
+    it.faults.on_order = [](std::string const&, change_action_kind kind,
+                            std::string const&) {
+        order_fate fate;
+        bool const slow = kind == change_action_kind::hold;
+        fate.answered_after = milliseconds(slow ? 50 : 5);
+        return fate;
+    };
+    REQUIRE(it.host(0).begin(change_reason::commits_stalled));
+    while (!it.is_paused()) {
+        it.play(milliseconds(10));
+    }
+    it.host(0).freeze(seconds(2));
+    it.group.at("d1").deaf = true;
+    it.group.crash("d2", milliseconds(300));
+    it.writes = true;
+    it.play(seconds(4));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
+TEST_CASE(
+    "A change that finds its candidate leading releases nothing before another host's "
+    "accepted promotion has taken effect",
+    "[leadership][leadership-model]") {
+    scene it;
+    it.writes = false;
+    REQUIRE(it.group.call_promotion("d1", 0, "a host") == promotion_result::accepted);
+    it.play(seconds(1));
+    it.host(1).learn("d1", it.group.term());
+    REQUIRE(it.group.call_promotion("d0", 0, "a host") == promotion_result::accepted);
+    it.play(seconds(1));
+    REQUIRE(it.group.primary() == "d0");
+    bool called = false;
+    it.faults.on_promotion = [&called](std::string const& host, std::string const&) {
+        promotion_fate fate;
+        bool const first = !std::exchange(called, true);
+        if (host == "h0") {
+            fate.answered = false;
+            fate.carried_out_after =
+                first ? std::optional<duration>(milliseconds(4200)) : std::nullopt;
+        }
+        return fate;
+    };
+    REQUIRE(it.host(0).begin(change_reason::commits_stalled));
+    it.play(milliseconds(300));
+    REQUIRE(called);
+    it.group.at("d1").deaf = true;
+    it.play(milliseconds(2800));
+    REQUIRE(it.host(1).begin(change_reason::commits_stalled));
+    it.writes = true;
+    it.play(seconds(3));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
+TEST_CASE(
+    "A step ends though another host holds the candidate of an unsettled promotion",
+    "[leadership][leadership-model]") {
+    CHECK(ends([] {
+        instant const now{seconds(1000)};
+        leadership_change change(
+            "p", {{"r0"}, {"r1"}}, 3, change_reason::primary_lost, now);
+        change.token_granted(1);
+        change.step(now);
+        change.reported("r0", replica_at(5, 0), now);
+        change.reported("r1", replica_at(5, 0), now);
+        change.step(now);
+        change.reported("r1", replica_at(5, 1), now);
+        change.step(now);
+        change.reported("r0", replica_at(5, 0), now);
+        change.step(now);
+        change.promotion_answered(promotion_result::unanswered, now);
+        change.promotion_answered(promotion_result::conflict, now);
+        change.token_granted(3);
+        change.reported("r0", replica_at(5, 2), now);
+        change.reported("r1", replica_at(5, 3), now);
+        change.step(now);
+    }));
+}
--- /dev/null
+++ b/tests/support/leadership_hosts_model.cpp
@@ -0,0 +1,460 @@
+#include <algorithm>
+#include <support/leadership_hosts_model.hpp>
+#include <utility>
+
+namespace persimmonpoint::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// As in leadership_keeper.
+constexpr duration probe_interval = milliseconds(150);
+constexpr duration order_budget = milliseconds(200);
+constexpr duration leave_alone = milliseconds(700);
+constexpr duration between_changes = milliseconds(1500);
+constexpr duration settle_time = milliseconds(700);
+constexpr duration token_retry = milliseconds(200);
+constexpr duration commit_stall_timeout = milliseconds(600);
+
+constexpr duration token_delay = milliseconds(15);
+constexpr duration refusal_delay = milliseconds(3);
+constexpr duration promotion_timeout = seconds(1);
+
+} // namespace
+
+order_fate fault_plan::order(std::string const&, change_action_kind, std::string const&) {
+    return {};
+}
+
+promotion_fate fault_plan::promotion(std::string const&, std::string const&) {
+    return {};
+}
+
+std::optional<duration> fault_plan::news(std::string const&, std::string const&) {
+    return milliseconds(10);
+}
+
+bool fault_plan::store_answers(std::string const&) {
+    return true;
+}
+
+bool fault_plan::reads_first() {
+    return true;
+}
+
+void modelled_fleet::add_host(std::string const& name) {
+    this->hosts.push_back(std::make_unique<modelled_host>(*this, name));
+}
+
+bool modelled_fleet::is_alive(std::string const& host) const {
+    return std::any_of(this->hosts.begin(), this->hosts.end(), [&host](auto const& each) {
+        return each->name() == host && each->is_alive();
+    });
+}
+
+bool modelled_fleet::others_reach(
+    std::string const& host, std::string const& database) const {
+    return std::any_of(this->hosts.begin(), this->hosts.end(), [&](auto const& each) {
+        return each->name() != host && each->is_alive() && !each->is_frozen() &&
+               each->reaches(database);
+    });
+}
+
+void modelled_fleet::tick() {
+    for (auto const& each : this->hosts) {
+        each->tick();
+    }
+}
+
+modelled_host::modelled_host(modelled_fleet& fleet, std::string name)
+    : fleet(fleet), own_name(std::move(name)) {
+    this->read_directory();
+    this->routing.confirm_leader(fleet.group.primary(), fleet.group.term());
+}
+
+void modelled_host::note(std::string const& event) {
+    this->fleet.group.note(this->own_name + ": " + event);
+}
+
+void modelled_host::deliver(std::function<void()> action) {
+    if (!this->alive) {
+        return;
+    }
+    if (this->frozen) {
+        this->inbox.push_back(std::move(action));
+    } else {
+        action();
+    }
+}
+
+void modelled_host::deliver_after(duration delay, std::function<void()> action) {
+    this->fleet.group.after(
+        delay, [this, was = this->life, action = std::move(action)]() mutable {
+            if (this->life == was) {
+                this->deliver(std::move(action));
+            }
+        });
+}
+
+bool modelled_host::reaches(std::string const& id) const {
+    auto const& all = this->fleet.group.databases();
+    auto const found = all.find(id);
+    return found != all.end() && found->second.alive &&
+           found->second.unreachable_from.count(this->own_name) == 0;
+}
+
+void modelled_host::read_directory() {
+    this->routing.set_databases(this->fleet.group.directory());
+}
+
+void modelled_host::learn(std::string const& database, std::uint64_t term) {
+    if (this->routing.confirm_leader(database, term)) {
+        this->note("learns that " + database + " leads");
+    }
+}
+
+void modelled_host::tick() {
+    if (!this->alive || this->frozen) {
+        return;
+    }
+    this->retired.reset();
+    if (this->change) {
+        this->step();
+    } else if (this->manages) {
+        this->watch();
+    } else {
+        this->managed_since = instant();
+        this->suspicion.reset();
+    }
+}
+
+void modelled_host::watch() {
+    instant const time = this->fleet.group.now();
+    auto const& leader = this->routing.leader();
+    std::string const known = leader ? leader->database : "";
+    if (this->managed_since == instant() || this->primary != known || !this->suspicion) {
+        this->primary = known;
+        this->managed_since = time;
+        this->last_answer = time;
+        this->suspicion = std::make_unique<primary_failure_detector>(time);
+    }
+    if (known.empty()) {
+        if (time - this->managed_since > settle_time) {
+            this->begin(change_reason::primary_lost);
+        }
+        return;
+    }
+    if (this->routing.find(known)->leaving) {
+        this->begin(change_reason::primary_leaving);
+        return;
+    }
+    if (time - this->last_answer > probe_interval &&
+        time - this->last_probe > probe_interval) {
+        this->last_probe = time;
+        this->ask_leader();
+    }
+    bool const stalled = this->reaches(known) && this->fleet.group.leads(known) &&
+                         this->fleet.group.commit_stalled_for() > commit_stall_timeout;
+    switch (this->suspicion->judge(time, commit_progress())) {
+    case primary_health::down:
+        this->begin(change_reason::primary_lost);
+        return;
+    case primary_health::silent:
+        if (time < this->leave_alone_until) {
+            return;
+        }
+        if (this->fleet.others_reach(this->own_name, known)) {
+            this->leave_alone_until = time + leave_alone;
+        } else {
+            this->begin(change_reason::primary_lost);
+        }
+        return;
+    default:
+        if (stalled) {
+            this->begin(change_reason::commits_stalled);
+        }
+    }
+}
+
+void modelled_host::ask_leader() {
+    auto const& leader = this->routing.leader();
+    if (!leader || !this->alive || this->frozen) {
+        return;
+    }
+    std::string const id = leader->database;
+    auto const& all = this->fleet.group.databases();
+    auto const found = all.find(id);
+    if (found == all.end() || !found->second.alive) {
+        this->deliver_after(refusal_delay, [this, id] {
+            if (this->suspicion && this->primary == id) {
+                this->suspicion->refused(this->fleet.group.now());
+            }
+        });
+        return;
+    }
+    if (!this->reaches(id)) {
+        this->deliver_after(order_budget, [this, id] {
+            if (this->suspicion && this->primary == id) {
+                this->suspicion->unanswered(this->fleet.group.now());
+            }
+        });
+        return;
+    }
+    bool const leads = this->fleet.group.leads(id);
+    std::uint64_t const term = this->fleet.group.term();
+    this->deliver_after(refusal_delay, [this, id, leads, term] {
+        this->heard_from(id);
+        if (leads) {
+            this->learn(id, term);
+        } else {
+            this->routing.clear_leader(id);
+        }
+    });
+}
+
+void modelled_host::heard_from(std::string const& database) {
+    if (this->primary != database) {
+        return;
+    }
+    this->last_answer = this->fleet.group.now();
+    if (this->suspicion) {
+        this->suspicion->answered(this->last_answer);
+    }
+    if (this->change) {
+        this->change->primary_seen();
+    }
+}
+
+std::vector<group_replica> modelled_host::replicas() const {
+    std::vector<group_replica> out;
+    for (registered_database const& each : this->routing.databases()) {
+        if (each.id != this->primary) {
+            out.push_back(group_replica{each.id, each.leaving});
+        }
+    }
+    return out;
+}
+
+bool modelled_host::begin(change_reason reason) {
+    if (this->change) {
+        return false;
+    }
+    instant const time = this->fleet.group.now();
+    auto const& leader = this->routing.leader();
+    this->primary = leader ? leader->database : "";
+    auto present = this->replicas();
+    if (time < this->next_change || present.empty()) {
+        return false;
+    }
+    this->change = std::make_unique<leadership_change>(
+        this->primary, std::move(present), leader ? leader->term : 0, reason, time);
+    this->last_state.clear();
+    this->note(
+        std::string("change begins, ") + to_string(reason) + ", old primary " +
+        (this->primary.empty() ? "none" : this->primary));
+    this->step();
+    return true;
+}
+
+void modelled_host::step() {
+    this->change->set_replicas(this->replicas());
+    for (change_action const& each : this->change->step(this->fleet.group.now())) {
+        this->carry_out(each);
+        if (!this->change) {
+            return;
+        }
+    }
+    std::string const state(this->change->state_name());
+    if (state != this->last_state || this->change->candidate() != this->last_candidate) {
+        this->last_state = state;
+        this->last_candidate = this->change->candidate();
+        this->note("now " + state + ", candidate " + this->last_candidate);
+    }
+}
+
+void modelled_host::carry_out(change_action const& action) {
+    switch (action.kind) {
+    case change_action_kind::request_token:
+        this->request_token();
+        return;
+    case change_action_kind::promote:
+        this->call_promotion(action);
+        return;
+    case change_action_kind::finished:
+    case change_action_kind::abandoned:
+        this->finish(action);
+        return;
+    default:
+        this->send_order(action);
+    }
+}
+
+void modelled_host::request_token() {
+    bool const need_new = std::exchange(this->token_outdated, false);
+    this->deliver_after(token_delay, [this, need_new] {
+        std::optional<std::uint64_t> token;
+        if (this->fleet.faults.store_answers(this->own_name)) {
+            bool const lives = this->fleet.is_alive(this->fleet.group.lease_holder());
+            token = this->fleet.group.acquire_token(this->own_name, lives);
+            this->cached_token = token ? token : this->cached_token;
+        } else if (!need_new) {
+            token = this->cached_token;
+        }
+        if (!this->change) {
+            return;
+        }
+        if (token) {
+            this->note("has token " + std::to_string(*token));
+            this->change->token_granted(*token);
+            this->step();
+            return;
+        }
+        this->deliver_after(token_retry, [this] {
+            if (this->change) {
+                this->change->token_refused(this->fleet.group.now());
+            }
+        });
+    });
+}
+
+void modelled_host::send_order(change_action const& action) {
+    order_fate const fate =
+        this->fleet.faults.order(this->own_name, action.kind, action.database);
+    // An answer finds the change that is under way when it arrives.
+    auto const report = [this,
+                         id = action.database](std::optional<database_state> state) {
+        if (this->change) {
+            this->change->reported(id, state, this->fleet.group.now());
+            this->step();
+        }
+    };
+    bool const runs = this->reaches(action.database);
+    bool const answers = runs && fate.carried_out_after && fate.answered_after;
+    if (!answers) {
+        bool const refused = this->fleet.group.databases().count(action.database) == 0 ||
+                             !this->fleet.group.at(action.database).alive;
+        this->deliver_after(
+            refused ? refusal_delay : order_budget, [report] { report(std::nullopt); });
+    }
+    if (!runs || !fate.carried_out_after) {
+        return;
+    }
+    unsigned const starts = this->fleet.group.at(action.database).starts;
+    this->fleet.group.after(*fate.carried_out_after, [=, this] {
+        if (this->fleet.group.at(action.database).starts != starts) {
+            return;
+        }
+        bool const late = *fate.carried_out_after > order_budget;
+        auto const state = this->fleet.group.carry_out(
+            action.kind, action.database, action.term,
+            this->own_name + (late       ? " (late)"
+                              : !answers ? " (unanswered)"
+                                         : ""));
+        if (answers) {
+            this->deliver_after(*fate.answered_after, [=] { report(state); });
+        }
+    });
+}
+
+void modelled_host::call_promotion(change_action const& action) {
+    promotion_fate const fate =
+        this->fleet.faults.promotion(this->own_name, action.database);
+    this->note(
+        "calls for the promotion of " + action.database + ", token " +
+        std::to_string(action.token));
+    auto const answer = [this](promotion_result result) {
+        if (this->change) {
+            this->token_outdated = result == promotion_result::conflict;
+            this->change->promotion_answered(result, this->fleet.group.now());
+            this->step();
+        }
+    };
+    if (fate.throttled) {
+        this->deliver_after(
+            refusal_delay, [answer] { answer(promotion_result::not_applied); });
+        return;
+    }
+    if (!fate.answered) {
+        this->deliver_after(
+            promotion_timeout, [answer] { answer(promotion_result::unanswered); });
+    }
+    if (!fate.carried_out_after) {
+        return;
+    }
+    std::string const caller = this->own_name + ", old primary " + this->primary;
+    this->fleet.group.after(*fate.carried_out_after, [=, this] {
+        promotion_result const result =
+            this->fleet.group.call_promotion(action.database, action.token, caller);
+        if (fate.answered) {
+            this->deliver_after(token_delay, [answer, result] { answer(result); });
+        }
+    });
+}
+
+void modelled_host::finish(change_action const& action) {
+    bool const promoted = action.kind == change_action_kind::finished;
+    this->note(
+        promoted ? "change is over, " + action.database + " leads"
+                 : "change is abandoned");
+    this->retired = std::move(this->change);
+    this->next_change = this->fleet.group.now() + between_changes;
+    this->suspicion.reset();
+    this->managed_since = instant();
+    if (!promoted) {
+        return;
+    }
+    this->routing.confirm_leader(action.database, action.term);
+    for (auto const& each : this->fleet.hosts) {
+        auto const delay = this->fleet.faults.news(this->own_name, each->name());
+        if (each.get() != this && delay) {
+            each->deliver_after(*delay, [other = each.get(), action] {
+                other->learn(action.database, action.term);
+            });
+        }
+    }
+}
+
+void modelled_host::freeze(duration how_long) {
+    this->frozen = true;
+    this->note("is frozen");
+    this->fleet.group.after(how_long, [this, was = this->life] {
+        if (this->life == was) {
+            this->wake();
+        }
+    });
+}
+
+void modelled_host::wake() {
+    this->frozen = false;
+    this->note("wakes up");
+    if (!this->fleet.faults.reads_first()) {
+        this->tick();
+    }
+    auto const waiting = std::exchange(this->inbox, {});
+    for (auto const& each : waiting) {
+        each();
+    }
+}
+
+void modelled_host::kill(duration down_for) {
+    ++this->life;
+    this->alive = false;
+    this->frozen = false;
+    this->inbox.clear();
+    this->change.reset();
+    this->suspicion.reset();
+    this->managed_since = instant();
+    this->primary.clear();
+    this->cached_token.reset();
+    this->note("is killed");
+    this->fleet.group.after(down_for, [this] {
+        this->alive = true;
+        this->routing = group_routing();
+        this->read_directory();
+        this->note("is back");
+    });
+}
+
+} // namespace persimmonpoint::tests
--- /dev/null
+++ b/tests/support/leadership_hosts_model.hpp
@@ -0,0 +1,126 @@
+#ifndef PERSIMMONPOINT_TESTS_SUPPORT_LEADERSHIP_HOSTS_MODEL_HPP_INCLUDED
+#define PERSIMMONPOINT_TESTS_SUPPORT_LEADERSHIP_HOSTS_MODEL_HPP_INCLUDED
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <persimmonpoint/core/recovery/leadership_change.hpp>
+#include <persimmonpoint/core/recovery/primary_failure_detector.hpp>
+#include <persimmonpoint/core/routing/group_routing.hpp>
+#include <string>
+#include <support/replicated_group_model.hpp>
+#include <vector>
+
+namespace persimmonpoint::tests {
+
+/// What becomes of an order to a database.
+struct order_fate {
+    std::optional<duration> carried_out_after = std::chrono::milliseconds(5);
+    /// From then on; without it the host gives up after the order's budget.
+    std::optional<duration> answered_after = std::chrono::milliseconds(5);
+};
+
+/// What becomes of a call for a promotion.
+struct promotion_fate {
+    std::optional<duration> carried_out_after = std::chrono::milliseconds(20);
+    bool answered = true;
+    bool throttled = false;
+};
+
+/// Decides what goes wrong between hosts, databases and the platform. As it is, nothing.
+struct fault_plan {
+    virtual ~fault_plan() = default;
+    virtual order_fate
+    order(std::string const& host, change_action_kind kind, std::string const& database);
+    virtual promotion_fate
+    promotion(std::string const& host, std::string const& database);
+    /// Without it the other host never hears of a new leader.
+    virtual std::optional<duration> news(std::string const& from, std::string const& to);
+    virtual bool store_answers(std::string const& host);
+    /// True if a host that wakes up reads what has arrived before it acts.
+    virtual bool reads_first();
+};
+
+class modelled_host;
+
+/// The hosts of a fleet, and what is between them.
+struct modelled_fleet {
+    replicated_group& group;
+    fault_plan& faults;
+    std::vector<std::unique_ptr<modelled_host>> hosts;
+
+    void add_host(std::string const& name);
+    modelled_host& host(std::size_t index) { return *this->hosts.at(index); }
+    bool is_alive(std::string const& host) const;
+    /// True if another host gets answers from the database.
+    bool others_reach(std::string const& host, std::string const& database) const;
+    void tick();
+};
+
+/// One host: what the leadership keeper does for one group. Everything that the model
+/// knows of leadership_change's interface is in this class.
+class modelled_host {
+public:
+    modelled_host(modelled_fleet& fleet, std::string name);
+
+    std::string const& name() const { return this->own_name; }
+    /// What the keeper does every 30 ms.
+    void tick();
+    /// Begins a change by what the host believes now; false if one is under way.
+    bool begin(change_reason reason);
+    /// A client's statement at the believed primary, or the keeper's own question.
+    void ask_leader();
+
+    void freeze(duration how_long);
+    void kill(duration down_for);
+    bool is_alive() const { return this->alive; }
+    bool is_frozen() const { return this->frozen; }
+    bool is_changing() const { return this->change != nullptr; }
+    bool reaches(std::string const& database) const;
+    group_routing const& view() const { return this->routing; }
+    void learn(std::string const& database, std::uint64_t term);
+    /// Runs `action` on this host: at once, or when it wakes up; never if it was killed.
+    void deliver(std::function<void()> action);
+    void read_directory();
+
+    bool manages = false; ///< It takes itself for the owner of the primary.
+
+private:
+    void step();
+    void watch();
+    void carry_out(change_action const& action);
+    void request_token();
+    void send_order(change_action const& action);
+    void call_promotion(change_action const& action);
+    void finish(change_action const& action);
+    void heard_from(std::string const& database);
+    std::vector<group_replica> replicas() const;
+    void wake();
+    void note(std::string const& event);
+    void deliver_after(duration delay, std::function<void()> action);
+
+    modelled_fleet& fleet;
+    std::string own_name;
+    group_routing routing;
+    std::unique_ptr<leadership_change> change;
+    std::unique_ptr<leadership_change> retired;
+    std::string primary; ///< That is watched, or replaced by the change.
+    std::unique_ptr<primary_failure_detector> suspicion;
+    instant managed_since{};
+    instant last_answer{};
+    instant last_probe{};
+    instant next_change{};
+    instant leave_alone_until{};
+    std::string last_state;
+    std::string last_candidate;
+    std::optional<std::uint64_t> cached_token;
+    bool token_outdated = false;
+    bool alive = true;
+    bool frozen = false;
+    unsigned life = 1;
+    std::vector<std::function<void()>> inbox;
+};
+
+} // namespace persimmonpoint::tests
+
+#endif // PERSIMMONPOINT_TESTS_SUPPORT_LEADERSHIP_HOSTS_MODEL_HPP_INCLUDED
--- /dev/null
+++ b/tests/support/random_leadership_faults.cpp
@@ -0,0 +1,396 @@
+#include <algorithm>
+#include <support/random_leadership_faults.hpp>
+
+namespace persimmonpoint::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto tick = milliseconds(10);
+constexpr duration time_with_faults = seconds(30);
+constexpr duration time_to_recover = seconds(20);
+constexpr int ticks_per_look = 3;
+constexpr std::size_t fewest_databases = 3;
+
+class random_leadership_run final : private fault_plan {
+public:
+    random_leadership_run(std::uint64_t seed, fault_set const& allowed)
+        : dice(seed),
+          group(this->dice.once_in(4) ? fewest_databases + 1 : fewest_databases),
+          fleet{this->group, *this, {}} {
+        this->choose_faults(allowed);
+        std::size_t const hosts = this->dice.between(2, 3);
+        for (std::size_t i = 0; i < hosts; ++i) {
+            this->fleet.add_host("h" + std::to_string(i));
+        }
+        this->fleet.host(0).manages = true;
+        this->group.pause_overwrites = this->dice.once_in(2);
+    }
+
+    random_run_result run() {
+        this->play(time_with_faults);
+        this->end_faults();
+        this->play(time_to_recover);
+        return this->result();
+    }
+
+private:
+    // Which faults
+
+    void choose_faults(fault_set const& allowed) {
+        this->rarity = this->dice.between(1, 4);
+        for (std::size_t i = 0; i < fault_kinds; ++i) {
+            this->chosen[i] = allowed[i] && !this->dice.once_in(3);
+        }
+    }
+
+    bool has(fault_kind kind) const {
+        return this->faults_go_on && this->chosen[static_cast<std::size_t>(kind)];
+    }
+
+    /// True about once in `seconds_apart` if called on every tick.
+    bool strikes(fault_kind kind, std::uint64_t seconds_apart) {
+        constexpr std::uint64_t ticks_per_second = 100;
+        return this->has(kind) &&
+               this->dice.once_in(seconds_apart * ticks_per_second * this->rarity);
+    }
+
+    // Time
+
+    void play(duration how_long) {
+        instant const end = this->group.now() + how_long;
+        while (this->group.now() < end) {
+            this->group.advance(this->group.now() + tick);
+            this->strike();
+            this->commit();
+            this->talk();
+            if (++this->ticks % ticks_per_look == 0) {
+                this->fleet.tick();
+            }
+        }
+    }
+
+    void commit() {
+        bool reached = false;
+        for (auto const& each : this->fleet.hosts) {
+            reached = reached || (each->is_alive() && !each->is_frozen() &&
+                                  each->reaches(this->group.primary()));
+        }
+        if (reached && this->dice.once_in(3)) {
+            this->group.write();
+        }
+        for (auto const& each : this->group.databases()) {
+            if (this->dice.once_in(2)) {
+                this->group.receive(each.first);
+            }
+        }
+    }
+
+    void talk() {
+        for (auto const& each : this->fleet.hosts) {
+            if (this->dice.once_in(10)) {
+                each->ask_leader();
+            }
+            if (this->dice.once_in(8)) {
+                each->deliver([host = each.get()] { host->read_directory(); });
+            }
+        }
+    }
+
+    // Faults
+
+    void strike() {
+        this->strike_databases();
+        this->strike_network();
+        this->strike_hosts();
+    }
+
+    void strike_databases() {
+        if (this->strikes(fault_kind::brief_crash, 5)) {
+            this->crash_some(this->dice.milliseconds_between(300, 8000));
+        }
+        bool const may_die = this->deaths == 0;
+        if (may_die && this->strikes(fault_kind::death, 12)) {
+            ++this->deaths;
+            this->crash_some(std::nullopt);
+            this->group.after(seconds(8), [this] {
+                this->group.add_empty_replica(this->joining_time());
+            });
+        }
+        bool const may_leave = this->leavers == 0;
+        if (may_leave && this->strikes(fault_kind::leaving, 12)) {
+            this->let_some_leave();
+        }
+        if (this->strikes(fault_kind::deaf_replica, 5)) {
+            this->deafen_some();
+        }
+    }
+
+    void strike_network() {
+        if (this->strikes(fault_kind::primary_cut, 8) && !this->group.primary_is_cut()) {
+            this->group.note("primary is cut from its replicas");
+            this->group.set_primary_cut(true);
+            this->group.after(this->dice.milliseconds_between(300, 5000), [this] {
+                this->group.set_primary_cut(false);
+                this->group.note("replicas receive again");
+            });
+        }
+        if (this->strikes(fault_kind::host_cut, 5)) {
+            this->cut_hosts();
+        }
+        if (this->strikes(fault_kind::store_away, 10)) {
+            this->store_away_until =
+                this->group.now() + this->dice.milliseconds_between(500, 4000);
+            this->group.note("store is away");
+        }
+    }
+
+    void strike_hosts() {
+        modelled_host& host = this->some_host();
+        if (this->strikes(fault_kind::frozen_host, 4) && host.is_alive() &&
+            !host.is_frozen()) {
+            host.freeze(this->dice.milliseconds_between(300, 5000));
+        }
+        if (this->strikes(fault_kind::killed_host, 10) && host.is_alive()) {
+            host.kill(this->dice.milliseconds_between(500, 4000));
+        }
+        if (this->strikes(fault_kind::owners_differ, 3)) {
+            host.manages = !host.manages;
+        }
+        bool const can_begin = host.is_alive() && !host.is_frozen();
+        if (can_begin && this->strikes(fault_kind::false_alarm, 6)) {
+            host.begin(
+                this->dice.once_in(2) ? change_reason::primary_lost
+                                      : change_reason::commits_stalled);
+        }
+        this->pass_ownership();
+    }
+
+    /// Some host that can act owns the primary.
+    void pass_ownership() {
+        auto const owns = [](auto const& each) {
+            return each->manages && each->is_alive() && !each->is_frozen();
+        };
+        auto const& hosts = this->fleet.hosts;
+        bool const owned = std::any_of(hosts.begin(), hosts.end(), owns);
+        if (!owned && this->dice.once_in(100)) {
+            this->some_host().manages = true;
+        }
+    }
+
+    modelled_host& some_host() {
+        return this->fleet.host(this->dice.between(0, this->fleet.hosts.size() - 1));
+    }
+
+    /// A primary as often as a replica; empty if too few live.
+    std::string some_database() {
+        if (this->dice.once_in(2)) {
+            return this->group.at(this->group.primary()).alive ? this->group.primary()
+                                                               : "";
+        }
+        std::vector<std::string> replicas;
+        for (auto const& [id, each] : this->group.databases()) {
+            if (each.alive && !this->group.leads(id)) {
+                replicas.push_back(id);
+            }
+        }
+        return replicas.empty() ? ""
+                                : replicas[this->dice.between(0, replicas.size() - 1)];
+    }
+
+    void crash_some(std::optional<duration> down_for) {
+        std::string const victim = this->some_database();
+        if (!victim.empty()) {
+            this->group.crash(victim, down_for);
+        }
+    }
+
+    void let_some_leave() {
+        std::string const victim = this->some_database();
+        if (!victim.empty()) {
+            ++this->leavers;
+            this->group.leave(
+                victim, this->dice.milliseconds_between(3000, 9000),
+                this->joining_time());
+        }
+    }
+
+    duration joining_time() { return this->dice.milliseconds_between(1000, 3000); }
+
+    void deafen_some() {
+        std::string const victim = this->some_database();
+        if (victim.empty() || this->group.at(victim).deaf) {
+            return;
+        }
+        this->group.at(victim).deaf = true;
+        this->group.note(victim + " is deaf");
+        this->group.after(this->dice.milliseconds_between(500, 8000), [this, victim] {
+            this->group.at(victim).deaf = false;
+            this->group.note(victim + " hears again");
+        });
+    }
+
+    void cut_hosts() {
+        std::string const victim = this->some_database();
+        if (victim.empty()) {
+            return;
+        }
+        duration const how_long = this->dice.milliseconds_between(300, 5000);
+        for (auto const& each : this->fleet.hosts) {
+            std::string const host = each->name();
+            if (this->dice.once_in(3)) {
+                continue;
+            }
+            this->group.at(victim).unreachable_from.insert(host);
+            this->group.note(host + " does not reach " + victim);
+            this->group.after(how_long, [this, victim, host] {
+                this->group.at(victim).unreachable_from.erase(host);
+                this->group.note(host + " reaches " + victim);
+            });
+        }
+    }
+
+    void end_faults() {
+        this->faults_go_on = false;
+        this->group.note("faults end");
+        this->group.set_primary_cut(false);
+        for (auto const& each : this->group.databases()) {
+            this->group.at(each.first).deaf = false;
+            this->group.at(each.first).unreachable_from.clear();
+        }
+    }
+
+    // What becomes of messages
+
+    order_fate
+    order(std::string const&, change_action_kind, std::string const&) override {
+        order_fate fate;
+        fate.carried_out_after = this->dice.milliseconds_between(1, 20);
+        fate.answered_after = this->dice.milliseconds_between(1, 20);
+        if (this->has(fault_kind::lost_order) && this->dice.once_in(20)) {
+            fate.answered_after.reset();
+            if (this->dice.once_in(2)) {
+                fate.carried_out_after.reset();
+            }
+        }
+        if (this->has(fault_kind::late_order) && this->dice.once_in(25)) {
+            fate.carried_out_after = this->dice.milliseconds_between(2000, 12000);
+            fate.answered_after.reset();
+        }
+        if (this->has(fault_kind::late_answer) && this->dice.once_in(15)) {
+            fate.answered_after = this->dice.milliseconds_between(20, 400);
+        }
+        return fate;
+    }
+
+    promotion_fate promotion(std::string const&, std::string const&) override {
+        promotion_fate fate;
+        fate.carried_out_after = this->dice.milliseconds_between(5, 60);
+        if (this->has(fault_kind::lost_promotion) && this->dice.once_in(4)) {
+            fate.answered = false;
+            if (this->dice.once_in(3)) {
+                fate.carried_out_after.reset();
+            }
+        }
+        if (this->has(fault_kind::late_promotion) && this->dice.once_in(4)) {
+            fate.answered = false;
+            fate.carried_out_after = this->dice.milliseconds_between(100, 12000);
+        }
+        fate.throttled = this->dice.once_in(30);
+        return fate;
+    }
+
+    std::optional<duration> news(std::string const&, std::string const&) override {
+        if (!this->has(fault_kind::lost_news) || this->dice.once_in(2)) {
+            return this->dice.milliseconds_between(2, 30);
+        }
+        if (this->dice.once_in(2)) {
+            return this->dice.milliseconds_between(500, 5000);
+        }
+        return std::nullopt;
+    }
+
+    bool store_answers(std::string const&) override {
+        return this->group.now() >= this->store_away_until || this->dice.once_in(3);
+    }
+
+    bool reads_first() override { return this->dice.once_in(2); }
+
+    // The end
+
+    random_run_result result() {
+        random_run_result out;
+        if (!this->group.at(this->group.primary()).alive) {
+            out.stuck.push_back("nobody leads");
+        }
+        for (auto const& [id, each] : this->group.databases()) {
+            if (each.alive && each.held != 0) {
+                out.stuck.push_back(id + " is paused");
+            }
+        }
+        for (auto const& each : this->fleet.hosts) {
+            if (each->is_changing()) {
+                out.stuck.push_back("the change of " + each->name() + " is not over");
+            }
+        }
+        out.losses = this->group.losses();
+        out.promotions = this->group.promotions();
+        out.acknowledged = this->group.acknowledged_count();
+        out.exempted_absent = this->group.exempted_absent();
+        out.exempted_joined = this->group.exempted_joined();
+        out.exempted_returned = this->group.exempted_returned();
+        out.trace = this->group.trace();
+        for (std::size_t i = 0; i < fault_kinds; ++i) {
+            if (this->chosen[i]) {
+                out.faults += std::string(out.faults.empty() ? "" : " ") +
+                              to_string(static_cast<fault_kind>(i));
+            }
+        }
+        return out;
+    }
+
+    seeded_dice dice;
+    replicated_group group;
+    modelled_fleet fleet;
+    fault_set chosen{};
+    std::uint64_t rarity = 1;
+    bool faults_go_on = true;
+    unsigned deaths = 0;
+    unsigned leavers = 0;
+    int ticks = 0;
+    instant store_away_until{};
+};
+
+} // namespace
+
+char const* to_string(fault_kind kind) {
+    static std::array<char const*, fault_kinds> const names = {
+        "brief_crash",    "death",       "primary_cut", "host_cut",      "deaf_replica",
+        "leaving",        "frozen_host", "killed_host", "owners_differ", "false_alarm",
+        "store_away",     "lost_order",  "late_order",  "late_answer",   "lost_promotion",
+        "late_promotion", "lost_news"};
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+std::uint64_t seeded_dice::between(std::uint64_t low, std::uint64_t high) {
+    return low + this->engine() % (high - low + 1);
+}
+
+duration seeded_dice::milliseconds_between(std::uint64_t low, std::uint64_t high) {
+    return milliseconds(this->between(low, high));
+}
+
+random_run_result run_with_random_faults(std::uint64_t seed, fault_set const& allowed) {
+    random_leadership_run run(seed, allowed);
+    return run.run();
+}
+
+fault_set all_faults() {
+    fault_set out;
+    out.fill(true);
+    return out;
+}
+
+} // namespace persimmonpoint::tests
--- /dev/null
+++ b/tests/support/random_leadership_faults.hpp
@@ -0,0 +1,75 @@
+#ifndef PERSIMMONPOINT_TESTS_SUPPORT_RANDOM_LEADERSHIP_FAULTS_HPP_INCLUDED
+#define PERSIMMONPOINT_TESTS_SUPPORT_RANDOM_LEADERSHIP_FAULTS_HPP_INCLUDED
+
+#include <array>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <support/leadership_hosts_model.hpp>
+#include <vector>
+
+namespace persimmonpoint::tests {
+
+/// Kinds of faults that a random run may have.
+enum class fault_kind {
+    brief_crash,    ///< A database is down for 0.3 to 8 s.
+    death,          ///< A database is dead for good.
+    primary_cut,    ///< No replica receives.
+    host_cut,       ///< Some hosts get no answer from the primary.
+    deaf_replica,   ///< A replica receives nothing, but answers.
+    leaving,        ///< A database leaves and is replaced.
+    frozen_host,    ///< For 0.3 to 5 s.
+    killed_host,    ///< Its change vanishes.
+    owners_differ,  ///< Several hosts take themselves for the primary's owner.
+    false_alarm,    ///< A host begins a change though nothing is wrong.
+    store_away,     ///< Some hosts get no new token.
+    lost_order,     ///< An order is not carried out, or its answer is lost.
+    late_order,     ///< An order is carried out 2 to 12 s later.
+    late_answer,    ///< An answer takes up to 0.4 s.
+    lost_promotion, ///< A call is not carried out, or its answer is lost.
+    late_promotion, ///< A call is carried out up to 12 s later.
+    lost_news,      ///< A new leader is told late or never.
+    count
+};
+
+char const* to_string(fault_kind kind);
+
+inline constexpr auto fault_kinds = static_cast<std::size_t>(fault_kind::count);
+using fault_set = std::array<bool, fault_kinds>;
+
+/// The same numbers from a seed on every platform.
+class seeded_dice {
+public:
+    explicit seeded_dice(std::uint64_t seed) : engine(seed) {}
+    /// From `low` to `high`, both included.
+    std::uint64_t between(std::uint64_t low, std::uint64_t high);
+    /// True once in `times` on average.
+    bool once_in(std::uint64_t times) { return this->between(1, times) == 1; }
+    duration milliseconds_between(std::uint64_t low, std::uint64_t high);
+
+private:
+    std::mt19937_64 engine;
+};
+
+/// What became of one random run.
+struct random_run_result {
+    std::vector<lost_commits> losses;
+    std::vector<std::string> stuck; ///< What was not as it should be at the end.
+    std::size_t promotions = 0;
+    std::size_t acknowledged = 0;
+    std::size_t exempted_absent = 0;
+    std::size_t exempted_returned = 0;
+    std::size_t exempted_joined = 0;
+    std::string faults;
+    std::vector<std::string> trace;
+};
+
+/// Plays a group of databases and a few hosts for half a minute with faults, and until
+/// 20 s after them. Each seed has its own selection of `allowed`.
+random_run_result run_with_random_faults(std::uint64_t seed, fault_set const& allowed);
+
+fault_set all_faults();
+
+} // namespace persimmonpoint::tests
+
+#endif // PERSIMMONPOINT_TESTS_SUPPORT_RANDOM_LEADERSHIP_FAULTS_HPP_INCLUDED
--- /dev/null
+++ b/tests/support/replicated_group_model.cpp
@@ -0,0 +1,323 @@
+#include <algorithm>
+#include <support/replicated_group_model.hpp>
+
+namespace persimmonpoint::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+instant const start{seconds(1000)};
+constexpr duration promotion_delay = milliseconds(600);
+constexpr duration registration_lifetime = seconds(6);
+constexpr duration lease_lifetime = seconds(3);
+/// A database that came back so shortly before a promotion's effect could not be known
+/// to the caller.
+constexpr duration return_notice = milliseconds(1500);
+
+std::string join(std::vector<std::string> const& parts) {
+    std::string out;
+    for (std::string const& each : parts) {
+        out += (out.empty() ? "" : ", ") + each;
+    }
+    return out;
+}
+
+std::string format(log_position position) {
+    return std::to_string(position.term) + "." + std::to_string(position.offset);
+}
+
+/// Terms of holds are large: shown as the token that they are made of.
+std::string format_hold(std::uint64_t term) {
+    return term == 0 ? "" : " held by token " + std::to_string(term >> 20U);
+}
+
+char const* word_for(change_action_kind kind) {
+    switch (kind) {
+    case change_action_kind::hold:
+        return "PAUSE";
+    case change_action_kind::resume:
+        return "RESUME";
+    default:
+        return "STATUS";
+    }
+}
+
+} // namespace
+
+replicated_group::replicated_group(std::size_t databases) : time(start) {
+    for (std::size_t i = 0; i < databases; ++i) {
+        this->members["d" + std::to_string(i)].last_alive = start;
+    }
+    this->leader = "d0";
+    this->added = databases;
+}
+
+void replicated_group::advance(instant to) {
+    while (!this->agenda.empty() && this->agenda.begin()->first <= to) {
+        auto const next = this->agenda.begin();
+        this->time = std::max(this->time, next->first);
+        auto const action = std::move(next->second);
+        this->agenda.erase(next);
+        action();
+    }
+    this->time = to;
+    this->update_registrations();
+}
+
+void replicated_group::after(duration delay, std::function<void()> action) {
+    this->agenda.emplace(this->time + delay, std::move(action));
+}
+
+void replicated_group::note(std::string event) {
+    auto const since =
+        std::chrono::duration_cast<milliseconds>(this->time - start).count();
+    std::string stamp = std::to_string(since);
+    stamp.insert(0, stamp.size() < 6 ? 6 - stamp.size() : 0, ' ');
+    this->events.push_back(stamp + " ms  " + std::move(event));
+}
+
+void replicated_group::update_registrations() {
+    for (auto& [id, each] : this->members) {
+        if (each.alive) {
+            each.last_alive = this->time;
+            each.claims_primary = this->leads(id);
+            if (!each.registered) {
+                this->note(id + " is registered again");
+            }
+            each.registered = true;
+            continue;
+        }
+        bool const expired = this->time - each.last_alive > registration_lifetime;
+        if (each.registered && expired) {
+            this->note("registration of " + id + " lapses");
+            each.registered = false;
+        }
+        if (!each.registered) {
+            each.absent_at = this->time;
+        }
+    }
+}
+
+std::vector<registered_database> replicated_group::directory() const {
+    std::vector<registered_database> out;
+    for (auto const& [id, each] : this->members) {
+        if (each.registered) {
+            out.push_back(registered_database{
+                id, "g", {}, {}, 1, each.leaving, each.claims_primary, 1});
+        }
+    }
+    return out;
+}
+
+void replicated_group::write() {
+    database& primary = this->at(this->leader);
+    if (primary.alive) {
+        primary.log.push_back(++this->written);
+        this->waiting.push_back({this->written, this->time});
+    }
+}
+
+bool replicated_group::receive(std::string const& id) {
+    database& replica = this->at(id);
+    database const& primary = this->at(this->leader);
+    bool const can = !this->leads(id) && primary.alive && !this->primary_cut &&
+                     replica.alive && !replica.deaf && replica.held == 0 &&
+                     this->time >= replica.joins;
+    if (!can) {
+        return false;
+    }
+    replica.log = primary.log;
+    replica.log_term = this->current_term;
+    for (waiting_commit const& each : this->waiting) {
+        this->acknowledged.emplace(each.number, acknowledgement{id, this->time});
+    }
+    this->waiting.clear();
+    return true;
+}
+
+duration replicated_group::commit_stalled_for() const {
+    return this->waiting.empty() ? duration(0) : this->time - this->waiting.front().since;
+}
+
+log_position replicated_group::position_of(database const& of) const {
+    return log_position{of.log_term, of.log.size()};
+}
+
+std::optional<database_state> replicated_group::carry_out(
+    change_action_kind kind,
+    std::string const& id,
+    std::uint64_t given_term,
+    std::string const& sender) {
+    auto const found = this->members.find(id);
+    if (found == this->members.end() || !found->second.alive) {
+        return std::nullopt;
+    }
+    database& target = found->second;
+    if (kind == change_action_kind::hold && !this->leads(id) &&
+        given_term > this->current_term) {
+        target.held =
+            this->pause_overwrites ? given_term : std::max(target.held, given_term);
+    }
+    if (kind == change_action_kind::resume) {
+        target.held = 0;
+    }
+    this->note(
+        sender + ": " + word_for(kind) + " " + id + " -> " +
+        (this->leads(id) ? "primary " : "replica ") + format(this->position_of(target)) +
+        format_hold(target.held));
+    return database_state{
+        this->leads(id), this->current_term, this->position_of(target), target.held};
+}
+
+promotion_result replicated_group::call_promotion(
+    std::string const& id, std::uint64_t token, std::string const& caller) {
+    auto const found = this->members.find(id);
+    bool const runs = found != this->members.end() && found->second.alive;
+    if (token < this->highest_token || !runs) {
+        this->note(caller + ": promotion of " + id + " conflicts");
+        return promotion_result::conflict;
+    }
+    this->highest_token = token;
+    if (!this->leads(id)) {
+        this->note(
+            caller + ": promotion of " + id + " accepted, token " +
+            std::to_string(token));
+        this->after(
+            promotion_delay, [this, id, caller] { this->take_effect(id, caller); });
+    }
+    return promotion_result::accepted;
+}
+
+void replicated_group::take_effect(std::string const& id, std::string const& caller) {
+    database& next = this->at(id);
+    if (this->leads(id) || !next.alive) {
+        return;
+    }
+    ++this->current_term;
+    ++this->promoted;
+    this->note(
+        id + " leads in term " + std::to_string(this->current_term) + " with " +
+        format(this->position_of(next)) + " instead of " + this->leader + " with " +
+        format(this->position_of(this->at(this->leader))));
+    this->check_promotion(id, caller);
+    this->leader = id;
+    next.held = 0;
+    next.log_term = this->current_term;
+    this->primary_cut = false;
+    this->waiting.clear();
+}
+
+/// True if the replica that acknowledged it had started shortly before.
+bool replicated_group::joined_lately(acknowledgement const& of) const {
+    instant const started = this->members.at(of.replica).started;
+    return of.at >= started && this->time - started <= return_notice;
+}
+
+void replicated_group::check_promotion(std::string const& id, std::string const& caller) {
+    database const& next = this->at(id);
+    auto missing = this->acknowledged;
+    for (std::uint64_t const each : next.log) {
+        missing.erase(each);
+    }
+    if (missing.empty()) {
+        return;
+    }
+    std::vector<std::string> holders;
+    bool all_absent = true;
+    bool all_were_absent = true;
+    for (auto const& [name, each] : this->members) {
+        bool const has_some =
+            std::any_of(each.log.begin(), each.log.end(), [&](std::uint64_t number) {
+                return missing.count(number) > 0;
+            });
+        if (!has_some) {
+            continue;
+        }
+        bool const absent = each.gone || (!each.alive && !each.registered);
+        bool const was_absent =
+            each.absent_at && this->time - *each.absent_at <= return_notice;
+        all_absent = all_absent && absent;
+        all_were_absent = all_were_absent && (absent || was_absent);
+        holders.push_back(
+            name + (this->leads(name) ? " (primary" : " (replica") +
+            (absent       ? ", absent)"
+             : each.alive ? ", alive)"
+                          : ", down)"));
+    }
+    bool const all_joined =
+        std::all_of(missing.begin(), missing.end(), [this](auto const& each) {
+            return this->joined_lately(each.second);
+        });
+    for (auto const& each : missing) {
+        this->acknowledged.erase(each.first);
+    }
+    if (all_absent || all_were_absent || all_joined) {
+        ++(all_absent        ? this->exempt_absent
+           : all_were_absent ? this->exempt_returned
+                             : this->exempt_joined);
+        this->note("exempt: lacks acknowledged commits of " + join(holders));
+        return;
+    }
+    this->note(
+        "LOST " + std::to_string(missing.size()) + " that these have: " + join(holders) +
+        "; called by " + caller);
+    this->lost.push_back({this->time, id, caller, missing.size(), std::move(holders)});
+}
+
+std::optional<std::uint64_t>
+replicated_group::acquire_token(std::string const& host, bool holder_is_alive) {
+    bool const free = this->holder.empty() || this->holder == host || !holder_is_alive ||
+                      this->time - this->lease_taken >= lease_lifetime;
+    if (!free) {
+        return std::nullopt;
+    }
+    this->holder = host;
+    this->lease_taken = this->time;
+    return ++this->last_token;
+}
+
+void replicated_group::crash(std::string const& id, std::optional<duration> down_for) {
+    database& victim = this->at(id);
+    victim.alive = false;
+    victim.held = 0;
+    victim.gone = victim.gone || !down_for;
+    if (this->leads(id)) {
+        this->waiting.clear();
+    }
+    this->note(id + (victim.gone ? " dies for good" : " crashes"));
+    if (victim.gone) {
+        return;
+    }
+    this->after(*down_for, [this, id] {
+        database& back = this->at(id);
+        if (!back.gone) {
+            back.alive = true;
+            ++back.starts;
+            back.started = this->time;
+            this->note(id + (this->leads(id) ? " is back and leads" : " is back"));
+        }
+    });
+}
+
+void replicated_group::leave(std::string const& id, duration drain, duration joining) {
+    this->at(id).leaving = true;
+    this->note(id + " is leaving");
+    this->add_empty_replica(joining);
+    this->after(drain, [this, id] {
+        this->crash(id, std::nullopt);
+        this->at(id).registered = false;
+    });
+}
+
+void replicated_group::add_empty_replica(duration joining) {
+    std::string const id = "d" + std::to_string(this->added++);
+    database& made = this->members[id];
+    made.started = this->time + joining;
+    made.joins = made.started;
+    made.last_alive = this->time;
+    this->note("new empty replica " + id);
+}
+
+} // namespace persimmonpoint::tests
--- /dev/null
+++ b/tests/support/replicated_group_model.hpp
@@ -0,0 +1,159 @@
+#ifndef PERSIMMONPOINT_TESTS_SUPPORT_REPLICATED_GROUP_MODEL_HPP_INCLUDED
+#define PERSIMMONPOINT_TESTS_SUPPORT_REPLICATED_GROUP_MODEL_HPP_INCLUDED
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <persimmonpoint/core/catalog/database_directory.hpp>
+#include <persimmonpoint/core/recovery/leadership_change.hpp>
+#include <persimmonpoint/core/time.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace persimmonpoint::tests {
+
+/// A promotion that took effect without commits that had been acknowledged.
+struct lost_commits {
+    instant at;
+    std::string promoted;
+    std::string caller; ///< Who called for the promotion, as told to call_promotion().
+    std::size_t count = 0;
+    std::vector<std::string> holders; ///< Databases that have the last of them.
+};
+
+/// One group of databases with the platform's part: registrations, fencing tokens and
+/// promotions. It has its own clock and keeps a trace of what happened.
+class replicated_group {
+public:
+    struct database {
+        std::vector<std::uint64_t> log; ///< Numbers of the commits received.
+        std::uint64_t log_term = 1;     ///< Term of the primary that sent the last ones.
+        std::uint64_t held = 0;
+        bool alive = true;
+        bool deaf = false;
+        bool leaving = false;
+        bool gone = false; ///< Dead for good.
+        bool registered = true;
+        bool claims_primary = false; ///< As it registered when it last could.
+        unsigned starts = 1;
+        instant started{}; ///< Or came back.
+        instant joins{};   ///< A new replica receives nothing before.
+        instant last_alive{};
+        /// When it was last down, or gone, without a registration.
+        std::optional<instant> absent_at;
+        std::set<std::string> unreachable_from; ///< Hosts that get no answer.
+    };
+
+    explicit replicated_group(std::size_t databases);
+
+    instant now() const { return this->time; }
+    /// Carries out all that is due until `to`.
+    void advance(instant to);
+    void after(duration delay, std::function<void()> action);
+    void note(std::string event);
+
+    database& at(std::string const& id) { return this->members.at(id); }
+    std::map<std::string, database> const& databases() const { return this->members; }
+    std::string const& primary() const { return this->leader; }
+    bool leads(std::string const& id) const { return id == this->leader; }
+    std::uint64_t term() const { return this->current_term; }
+    std::vector<registered_database> directory() const;
+
+    // Commits
+
+    void write();
+    /// The replica receives all that the primary has; true if it could.
+    bool receive(std::string const& id);
+    void set_primary_cut(bool cut) { this->primary_cut = cut; }
+    bool primary_is_cut() const { return this->primary_cut; }
+    /// How long the oldest commit has waited for its first replica.
+    duration commit_stalled_for() const;
+    std::size_t acknowledged_count() const { return this->acknowledged.size(); }
+
+    // Orders
+
+    /// STATUS, PAUSE or RESUME (request_state, hold, resume); nothing if it is down.
+    std::optional<database_state> carry_out(
+        change_action_kind kind,
+        std::string const& id,
+        std::uint64_t term,
+        std::string const& sender);
+
+    // The platform
+
+    /// POST /promote. The promotion takes effect some hundred milliseconds later.
+    promotion_result
+    call_promotion(std::string const& id, std::uint64_t token, std::string const& caller);
+    /// The next fencing token, if `host` may take the lease.
+    std::optional<std::uint64_t>
+    acquire_token(std::string const& host, bool holder_is_alive);
+    std::string const& lease_holder() const { return this->holder; }
+
+    // Faults
+
+    /// It comes back after `down_for`, or never.
+    void crash(std::string const& id, std::optional<duration> down_for);
+    /// It goes on serving for `drain` and is then gone; an empty replica replaces it.
+    void leave(std::string const& id, duration drain, duration joining);
+    /// It receives nothing until it has caught up, `joining` from now.
+    void add_empty_replica(duration joining);
+
+    // What was seen
+
+    std::vector<lost_commits> const& losses() const { return this->lost; }
+    /// Promotions that lacked commits which only databases had that were absent.
+    std::size_t exempted_absent() const { return this->exempt_absent; }
+    /// The same, but such a database came back shortly before the promotion's effect.
+    std::size_t exempted_returned() const { return this->exempt_returned; }
+    /// Promotions that lacked commits which only replicas acknowledged that had started
+    /// shortly before the promotion's effect: nobody could have held them.
+    std::size_t exempted_joined() const { return this->exempt_joined; }
+    std::size_t promotions() const { return this->promoted; }
+    std::vector<std::string> const& trace() const { return this->events; }
+    bool pause_overwrites = true; ///< PAUSE with a lower term replaces a higher one.
+
+private:
+    struct waiting_commit {
+        std::uint64_t number;
+        instant since;
+    };
+
+    struct acknowledgement {
+        std::string replica; ///< That received the commit first.
+        instant at;
+    };
+
+    log_position position_of(database const& of) const;
+    void take_effect(std::string const& id, std::string const& caller);
+    void check_promotion(std::string const& id, std::string const& caller);
+    bool joined_lately(acknowledgement const& of) const;
+    void update_registrations();
+
+    instant time;
+    std::multimap<instant, std::function<void()>> agenda;
+    std::map<std::string, database> members;
+    std::string leader;
+    std::uint64_t current_term = 1;
+    std::uint64_t written = 0;
+    std::vector<waiting_commit> waiting;
+    std::map<std::uint64_t, acknowledgement> acknowledged;
+    bool primary_cut = false;
+    std::uint64_t highest_token = 0; ///< Seen by the platform's fence.
+    std::uint64_t last_token = 0;    ///< Given out.
+    std::string holder;
+    instant lease_taken{};
+    std::size_t added = 0;
+    std::vector<lost_commits> lost;
+    std::size_t exempt_absent = 0;
+    std::size_t exempt_returned = 0;
+    std::size_t exempt_joined = 0;
+    std::size_t promoted = 0;
+    std::vector<std::string> events;
+};
+
+} // namespace persimmonpoint::tests
+
+#endif // PERSIMMONPOINT_TESTS_SUPPORT_REPLICATED_GROUP_MODEL_HPP_INCLUDED
