--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <cmath>
 #include <map>
 #include <persimmonpoint/core/recovery/primary_failure_detector.hpp>
 #include <persimmonpoint/core/routing/owner_ranking.hpp>
@@ -26,15 +27,50 @@
 constexpr duration between_changes = std::chrono::milliseconds(1500);
 /// Owners of a group's primary that have been so for this long prepare for a change.
 constexpr duration settle_time = std::chrono::milliseconds(700);
+/// How often the replicas of a watched primary are asked whether they are held.
+constexpr duration hold_check_interval = std::chrono::seconds(2);
 constexpr auto token_retry = std::chrono::milliseconds(200);
 
+/// One database in the log line of a promotion, for example
+/// "db-2 7.3337 held 35 ms" or "db-1 no report, left out: old primary".
+std::string describe(promotion_evidence const& each, instant now) {
+    std::string text = each.id;
+    if (each.report) {
+        text += " " + std::to_string(each.report->received.term) + "." +
+                std::to_string(each.report->received.offset);
+        text += each.report->leads ? " leads" : "";
+        text += each.is_candidate ? " candidate" : "";
+        text += each.held ? " held" : "";
+        text += " " +
+                std::to_string(std::lround(to_seconds(now - each.asked_at) * 1000)) +
+                " ms";
+    } else {
+        text += " no report";
+    }
+    text += each.leaving ? " leaving" : "";
+    if (!each.left_out.empty()) {
+        text += ", left out: " + std::string(each.left_out);
+    }
+    return text;
+}
+
+std::string describe(std::vector<promotion_evidence> const& all, instant now) {
+    std::string text;
+    for (promotion_evidence const& each : all) {
+        text += (text.empty() ? "" : "; ") + describe(each, now);
+    }
+    return text;
+}
+
 struct watched_group {
     std::string primary; ///< Empty if none is known.
     std::unique_ptr<primary_failure_detector> suspicion;
     instant managed_since{};
     instant last_answer{};
     instant last_probe{};
+    instant last_hold_check{};
     std::unique_ptr<leadership_change> change;
+    std::uint64_t change_number = 0; ///< Of the present change, or the last.
     instant change_started{};
     instant next_change{};
     instant leave_alone_until{};
@@ -121,6 +157,66 @@
             this->ask_leader(name, primary);
         }
         this->judge(name, group, time);
+        if (!group.change) {
+            this->check_holds(name, group, time);
+        }
+    }
+
+    /// A hold outlives the host that asked for it, and may be carried out long after its
+    /// change is over.
+    void check_holds(std::string const& name, watched_group& group, instant time) {
+        bool const settled = time - group.managed_since > settle_time;
+        if (!settled || time - group.last_hold_check < hold_check_interval) {
+            return;
+        }
+        group.last_hold_check = time;
+        for (group_replica const& each : this->databases_of(name)) {
+            if (each.id != group.primary) {
+                this->check_hold(name, each.id, group.primary);
+            }
+        }
+    }
+
+    void check_hold(
+        std::string const& name, std::string const& replica, std::string const& primary) {
+        this->context.orders.submit(
+            this->control_order(name, replica, upstream_request_kind::report_state),
+            [weak = this->weak_from_this(), name, replica,
+             primary](upstream_response answer, std::string const&) {
+                auto const keeper = weak.lock();
+                bool const is_held = answer.report && answer.report->held_term > 0;
+                if (keeper && is_held) {
+                    keeper->found_held(name, replica, primary, answer.report->held_term);
+                }
+            });
+    }
+
+    void found_held(
+        std::string const& name,
+        std::string const& replica,
+        std::string const& primary,
+        std::uint64_t held_term) {
+        watched_group& group = this->groups[name];
+        if (group.change || group.primary != primary) {
+            return;
+        }
+        observe::log_event(
+            observe::log_level::warning, "replica_found_held",
+            {{"group", name}, {"database", replica}, {"held_term", held_term}});
+        this->begin(name, group, change_reason::replica_held);
+    }
+
+    upstream_request control_order(
+        std::string const& name,
+        std::string const& database,
+        upstream_request_kind kind) const {
+        upstream_request order;
+        order.kind = kind;
+        order.group = name;
+        order.database = database;
+        order.team = this->some_team();
+        order.budget_ms = probe_budget_ms;
+        return order;
     }
 
     primary_health verdict_on(watched_group const& group, instant time) const {
@@ -165,12 +261,8 @@
     }
 
     void ask_leader(std::string const& name, std::string const& primary) {
-        upstream_request order;
-        order.kind = upstream_request_kind::leader_check;
-        order.group = name;
-        order.database = primary;
-        order.team = this->some_team();
-        order.budget_ms = probe_budget_ms;
+        upstream_request order =
+            this->control_order(name, primary, upstream_request_kind::leader_check);
         instant const sent = this->now();
         group_routing& routing = this->context.view.group(name);
         routing.sent(primary);
@@ -248,28 +340,30 @@
 
     // A change of leadership
 
-    std::vector<group_replica>
-    copies_of(std::string const& name, std::string const& primary) {
-        std::vector<group_replica> copies;
+    std::vector<group_replica> databases_of(std::string const& name) {
+        std::vector<group_replica> all;
         for (registered_database const& each :
              this->context.view.group(name).databases()) {
-            if (each.id != primary) {
-                copies.push_back(group_replica{each.id, each.leaving});
-            }
+            all.push_back(group_replica{each.id, each.leaving});
         }
-        return copies;
+        return all;
     }
 
     void begin(std::string const& name, watched_group& group, change_reason reason) {
         instant const time = this->now();
-        auto copies = this->copies_of(name, group.primary);
-        if (time < group.next_change || copies.empty()) {
+        auto const databases = this->databases_of(name);
+        bool const has_replica =
+            std::any_of(databases.begin(), databases.end(), [&group](auto const& each) {
+                return each.id != group.primary;
+            });
+        if (time < group.next_change || !has_replica) {
             return;
         }
         auto const& leader = this->context.view.group(name).leader();
         group.change_started = time;
+        ++group.change_number;
         group.change = std::make_unique<leadership_change>(
-            group.primary, std::move(copies), leader ? leader->term : 0, reason, time);
+            group.primary, databases, leader ? leader->term : 0, reason, time);
         observe::log_event(
             observe::log_level::warning, "leadership_change_begins",
             {{"group", name},
@@ -280,7 +374,7 @@
     }
 
     void step(std::string const& name, watched_group& group) {
-        group.change->set_replicas(this->copies_of(name, group.primary));
+        group.change->set_databases(this->databases_of(name));
         for (change_action const& each : group.change->step(this->now())) {
             this->carry_out(name, group, each);
             if (!group.change) {
@@ -304,29 +398,38 @@
         case change_action_kind::hold:
             this->ask_copy(name, action, upstream_request_kind::hold);
             return;
+        case change_action_kind::stop_primary:
+            this->ask_copy(name, action, upstream_request_kind::stop_primary);
+            return;
         case change_action_kind::resume:
             this->ask_copy(name, action, upstream_request_kind::resume);
             return;
         case change_action_kind::promote:
-            this->call_promotion(name, action);
+            this->call_promotion(name, *group.change, action);
             return;
         default:
             this->finish(name, group, action);
         }
     }
 
-    leadership_change* change_of(std::string const& name) {
-        auto const found = this->groups.find(name);
-        return found == this->groups.end() ? nullptr : found->second.change.get();
+    std::uint64_t change_number(std::string const& name) {
+        return this->groups[name].change_number;
+    }
+
+    /// The change that an answer is for; null if it is over, whatever follows it.
+    leadership_change* change_of(std::string const& name, std::uint64_t number) {
+        watched_group& group = this->groups[name];
+        return group.change_number == number ? group.change.get() : nullptr;
     }
 
     void fetch_token(std::string const& name, token_freshness need) {
         this->authority.request_token(
             name, need,
-            [weak = this->weak_from_this(), name](std::optional<std::uint64_t> token) {
+            [weak = this->weak_from_this(), name,
+             number = this->change_number(name)](std::optional<std::uint64_t> token) {
                 auto const keeper = weak.lock();
                 leadership_change* const change =
-                    keeper ? keeper->change_of(name) : nullptr;
+                    keeper ? keeper->change_of(name, number) : nullptr;
                 if (change == nullptr) {
                     return;
                 }
@@ -334,18 +437,19 @@
                     change->token_granted(*token);
                     keeper->step(name, keeper->groups[name]);
                 } else {
-                    keeper->refuse_token_later(name);
+                    keeper->refuse_token_later(name, number);
                 }
             });
     }
 
-    void refuse_token_later(std::string const& name) {
+    void refuse_token_later(std::string const& name, std::uint64_t number) {
         auto const pause =
             std::make_shared<boost::asio::steady_timer>(this->context.loop, token_retry);
-        pause->async_wait([weak = this->weak_from_this(), name,
+        pause->async_wait([weak = this->weak_from_this(), name, number,
                            pause](boost::system::error_code) {
             auto const keeper = weak.lock();
-            leadership_change* const change = keeper ? keeper->change_of(name) : nullptr;
+            leadership_change* const change =
+                keeper ? keeper->change_of(name, number) : nullptr;
             if (change != nullptr) {
                 change->token_refused(keeper->now());
             }
@@ -356,20 +460,16 @@
         std::string const& name,
         change_action const& action,
         upstream_request_kind kind) {
-        upstream_request order;
-        order.kind = kind;
-        order.group = name;
-        order.database = action.database;
-        order.team = this->some_team();
+        upstream_request order = this->control_order(name, action.database, kind);
         order.term = action.term;
-        order.budget_ms = probe_budget_ms;
         this->context.orders.submit(
             std::move(order),
-            [weak = this->weak_from_this(), name, database = action.database,
-             kind](upstream_response answer, std::string const&) {
+            [weak = this->weak_from_this(), name, number = this->change_number(name),
+             database = action.database, kind,
+             asked_at = this->now()](upstream_response answer, std::string const&) {
                 auto const keeper = weak.lock();
                 leadership_change* const change =
-                    keeper ? keeper->change_of(name) : nullptr;
+                    keeper ? keeper->change_of(name, number) : nullptr;
                 if (change == nullptr) {
                     return;
                 }
@@ -382,23 +482,36 @@
                      {"position", answer.report ? static_cast<std::int64_t>(
                                                       answer.report->received.offset)
                                                 : -1},
+                     {"position_term", answer.report ? answer.report->received.term : 0},
+                     {"leads", answer.report && answer.report->leads},
+                     {"held_term", answer.report ? answer.report->held_term : 0},
+                     {"took_ms", to_seconds(keeper->now() - asked_at) * 1000},
                      {"error", to_string(answer.error)},
                      {"state", change->state_name()}});
-                change->reported(database, answer.report, keeper->now());
+                change->reported(database, answer.report, asked_at);
                 keeper->step(name, keeper->groups[name]);
             });
     }
 
-    void call_promotion(std::string const& name, change_action const& action) {
+    void call_promotion(
+        std::string const& name,
+        leadership_change const& change,
+        change_action const& action) {
         observe::log_event(
             observe::log_level::warning, "promotion_called",
-            {{"group", name}, {"database", action.database}, {"token", action.token}});
+            {{"group", name},
+             {"database", action.database},
+             {"token", action.token},
+             {"reason", to_string(change.reason())},
+             {"compared", describe(change.evidence(), this->now())},
+             {"directory", this->context.view.directory.current().version.number}});
         this->authority.promote(
             name, action.database, action.token,
-            [weak = this->weak_from_this(), name](promotion_result result) {
+            [weak = this->weak_from_this(), name,
+             number = this->change_number(name)](promotion_result result) {
                 auto const keeper = weak.lock();
                 leadership_change* const change =
-                    keeper ? keeper->change_of(name) : nullptr;
+                    keeper ? keeper->change_of(name, number) : nullptr;
                 if (change == nullptr) {
                     return;
                 }
@@ -495,12 +608,8 @@
         done(false);
         return;
     }
-    upstream_request order;
-    order.kind = upstream_request_kind::leader_check;
-    order.group = entry->group;
-    order.database = database;
-    order.team = this->impl->some_team();
-    order.budget_ms = probe_budget_ms;
+    upstream_request order = this->impl->control_order(
+        entry->group, database, upstream_request_kind::leader_check);
     this->impl->context.orders.run_here(
         std::move(order), 0, [done = std::move(done)](upstream_response const& answer) {
             done(answer.outcome == upstream_outcome::answered);
