The fleet's model stops primaries and looks for replicas that stay held

As the keeper does since: DEMOTE, change numbers, the times of requests, and changes that begin because a replica is held. A run also counts as stuck if the last primary was stopped and nobody leads.

--- a/tests/introspective/leadership_model.tests.cpp
+++ b/tests/introspective/leadership_model.tests.cpp
@@ -440,7 +440,7 @@
     CHECK(ends([] {
         instant const now{seconds(1000)};
         leadership_change change(
-            "p", {{"r0"}, {"r1"}}, 3, change_reason::primary_lost, now);
+            "p", {{"p"}, {"r0"}, {"r1"}}, 3, change_reason::primary_lost, now);
         change.token_granted(1);
         change.step(now);
         change.reported("r0", replica_at(5, 0), now);
--- a/tests/support/leadership_hosts_model.cpp
+++ b/tests/support/leadership_hosts_model.cpp
@@ -15,6 +15,7 @@
 constexpr duration leave_alone = milliseconds(700);
 constexpr duration between_changes = milliseconds(1500);
 constexpr duration settle_time = milliseconds(700);
+constexpr duration hold_check_interval = seconds(2);
 constexpr duration token_retry = milliseconds(200);
 constexpr duration commit_stall_timeout = milliseconds(600);
 
@@ -122,7 +123,7 @@
     this->retired.reset();
     if (this->change) {
         this->step();
-    } else if (this->manages) {
+    } else if (this->manages && this->can_watch()) {
         this->watch();
     } else {
         this->managed_since = instant();
@@ -130,6 +131,12 @@
     }
 }
 
+/// News of a leader may come when it isn't registered any more: nobody owns it then.
+bool modelled_host::can_watch() const {
+    auto const& leader = this->routing.leader();
+    return !leader || this->routing.find(leader->database) != nullptr;
+}
+
 void modelled_host::watch() {
     instant const time = this->fleet.group.now();
     auto const& leader = this->routing.leader();
@@ -155,6 +162,15 @@
         this->last_probe = time;
         this->ask_leader();
     }
+    this->judge();
+    if (!this->change) {
+        this->check_holds();
+    }
+}
+
+void modelled_host::judge() {
+    instant const time = this->fleet.group.now();
+    std::string const known = this->primary;
     bool const stalled = this->reaches(known) && this->fleet.group.leads(known) &&
                          this->fleet.group.commit_stalled_for() > commit_stall_timeout;
     switch (this->suspicion->judge(time, commit_progress())) {
@@ -178,6 +194,39 @@
     }
 }
 
+void modelled_host::check_holds() {
+    instant const time = this->fleet.group.now();
+    bool const settled = time - this->managed_since > settle_time;
+    if (!settled || time - this->last_hold_check < hold_check_interval) {
+        return;
+    }
+    this->last_hold_check = time;
+    for (group_replica const& each : this->databases()) {
+        if (each.id != this->primary) {
+            this->check_hold(each.id);
+        }
+    }
+}
+
+void modelled_host::check_hold(std::string const& replica) {
+    this->send(
+        change_action{change_action_kind::request_state, replica},
+        [this, replica, believed = this->primary](auto const& state) {
+            this->found_held(replica, believed, state);
+        });
+}
+
+void modelled_host::found_held(
+    std::string const& replica,
+    std::string const& believed,
+    std::optional<database_state> const& state) {
+    bool const is_held = state && state->held_term > 0;
+    if (is_held && !this->change && this->primary == believed) {
+        this->note("finds " + replica + " held");
+        this->begin(change_reason::replica_held);
+    }
+}
+
 void modelled_host::ask_leader() {
     auto const& leader = this->routing.leader();
     if (!leader || !this->alive || this->frozen) {
@@ -227,12 +276,10 @@
     }
 }
 
-std::vector<group_replica> modelled_host::replicas() const {
+std::vector<group_replica> modelled_host::databases() const {
     std::vector<group_replica> out;
     for (registered_database const& each : this->routing.databases()) {
-        if (each.id != this->primary) {
-            out.push_back(group_replica{each.id, each.leaving});
-        }
+        out.push_back(group_replica{each.id, each.leaving});
     }
     return out;
 }
@@ -244,12 +291,17 @@
     instant const time = this->fleet.group.now();
     auto const& leader = this->routing.leader();
     this->primary = leader ? leader->database : "";
-    auto present = this->replicas();
-    if (time < this->next_change || present.empty()) {
+    auto const present = this->databases();
+    bool const has_replica =
+        std::any_of(present.begin(), present.end(), [this](auto const& each) {
+            return each.id != this->primary;
+        });
+    if (time < this->next_change || !has_replica) {
         return false;
     }
+    ++this->change_number;
     this->change = std::make_unique<leadership_change>(
-        this->primary, std::move(present), leader ? leader->term : 0, reason, time);
+        this->primary, present, leader ? leader->term : 0, reason, time);
     this->last_state.clear();
     this->note(
         std::string("change begins, ") + to_string(reason) + ", old primary " +
@@ -259,7 +311,7 @@
 }
 
 void modelled_host::step() {
-    this->change->set_replicas(this->replicas());
+    this->change->set_databases(this->databases());
     for (change_action const& each : this->change->step(this->fleet.group.now())) {
         this->carry_out(each);
         if (!this->change) {
@@ -293,7 +345,7 @@
 
 void modelled_host::request_token() {
     bool const need_new = std::exchange(this->token_outdated, false);
-    this->deliver_after(token_delay, [this, need_new] {
+    this->deliver_after(token_delay, [this, need_new, guard = this->while_changing()] {
         std::optional<std::uint64_t> token;
         if (this->fleet.faults.store_answers(this->own_name)) {
             bool const lives = this->fleet.is_alive(this->fleet.group.lease_holder());
@@ -302,34 +354,44 @@
         } else if (!need_new) {
             token = this->cached_token;
         }
-        if (!this->change) {
+        if (!token) {
+            this->deliver_after(token_retry, [this, guard] {
+                guard([this] { this->change->token_refused(this->fleet.group.now()); });
+            });
             return;
         }
-        if (token) {
+        guard([this, token] {
             this->note("has token " + std::to_string(*token));
             this->change->token_granted(*token);
             this->step();
-            return;
-        }
-        this->deliver_after(token_retry, [this] {
-            if (this->change) {
-                this->change->token_refused(this->fleet.group.now());
-            }
         });
     });
 }
 
+std::function<void(std::function<void()> const&)> modelled_host::while_changing() {
+    return [this, number = this->change_number](std::function<void()> const& action) {
+        if (this->change && this->change_number == number) {
+            action();
+        }
+    };
+}
+
 void modelled_host::send_order(change_action const& action) {
+    this->send(
+        action, [this, id = action.database, guard = this->while_changing(),
+                 asked_at = this->fleet.group.now()](auto const& state) {
+            guard([&] {
+                this->change->reported(id, state, asked_at);
+                this->step();
+            });
+        });
+}
+
+void modelled_host::send(
+    change_action const& action,
+    std::function<void(std::optional<database_state> const&)> const& report) {
     order_fate const fate =
         this->fleet.faults.order(this->own_name, action.kind, action.database);
-    // An answer finds the change that is under way when it arrives.
-    auto const report = [this,
-                         id = action.database](std::optional<database_state> state) {
-        if (this->change) {
-            this->change->reported(id, state, this->fleet.group.now());
-            this->step();
-        }
-    };
     bool const runs = this->reaches(action.database);
     bool const answers = runs && fate.carried_out_after && fate.answered_after;
     if (!answers) {
@@ -364,12 +426,12 @@
     this->note(
         "calls for the promotion of " + action.database + ", token " +
         std::to_string(action.token));
-    auto const answer = [this](promotion_result result) {
-        if (this->change) {
+    auto const answer = [this, guard = this->while_changing()](promotion_result result) {
+        guard([this, result] {
             this->token_outdated = result == promotion_result::conflict;
             this->change->promotion_answered(result, this->fleet.group.now());
             this->step();
-        }
+        });
     };
     if (fate.throttled) {
         this->deliver_after(
--- a/tests/support/leadership_hosts_model.hpp
+++ b/tests/support/leadership_hosts_model.hpp
@@ -87,14 +87,28 @@
 
 private:
     void step();
+    bool can_watch() const;
     void watch();
+    void judge();
+    void check_holds();
+    void check_hold(std::string const& replica);
+    void found_held(
+        std::string const& replica,
+        std::string const& believed,
+        std::optional<database_state> const& state);
+    /// Carries out an order, or not; `report` gets what the host hears of it.
+    void send(
+        change_action const& action,
+        std::function<void(std::optional<database_state> const&)> const& report);
+    /// Runs `action` if the present change is still under way when it's called.
+    std::function<void(std::function<void()> const&)> while_changing();
     void carry_out(change_action const& action);
     void request_token();
     void send_order(change_action const& action);
     void call_promotion(change_action const& action);
     void finish(change_action const& action);
     void heard_from(std::string const& database);
-    std::vector<group_replica> replicas() const;
+    std::vector<group_replica> databases() const;
     void wake();
     void note(std::string const& event);
     void deliver_after(duration delay, std::function<void()> action);
@@ -109,6 +123,8 @@
     instant managed_since{};
     instant last_answer{};
     instant last_probe{};
+    instant last_hold_check{};
+    unsigned change_number = 0; ///< Of the present change, or the last.
     instant next_change{};
     instant leave_alone_until{};
     std::string last_state;
--- a/tests/support/random_leadership_faults.cpp
+++ b/tests/support/random_leadership_faults.cpp
@@ -27,6 +27,7 @@
         }
         this->fleet.host(0).manages = true;
         this->group.pause_overwrites = this->dice.once_in(2);
+        this->group.stop_survives = this->dice.once_in(2);
     }
 
     random_run_result run() {
@@ -322,7 +323,8 @@
 
     random_run_result result() {
         random_run_result out;
-        if (!this->group.at(this->group.primary()).alive) {
+        if (!this->group.leads(this->group.primary()) ||
+            !this->group.at(this->group.primary()).alive) {
             out.stuck.push_back("nobody leads");
         }
         for (auto const& [id, each] : this->group.databases()) {
--- a/tests/support/replicated_group_model.cpp
+++ b/tests/support/replicated_group_model.cpp
@@ -39,6 +39,8 @@
         return "PAUSE";
     case change_action_kind::resume:
         return "RESUME";
+    case change_action_kind::stop_primary:
+        return "DEMOTE";
     default:
         return "STATUS";
     }
@@ -113,7 +115,7 @@
 
 void replicated_group::write() {
     database& primary = this->at(this->leader);
-    if (primary.alive) {
+    if (primary.alive && !this->stopped) {
         primary.log.push_back(++this->written);
         this->waiting.push_back({this->written, this->time});
     }
@@ -122,9 +124,9 @@
 bool replicated_group::receive(std::string const& id) {
     database& replica = this->at(id);
     database const& primary = this->at(this->leader);
-    bool const can = !this->leads(id) && primary.alive && !this->primary_cut &&
-                     replica.alive && !replica.deaf && replica.held == 0 &&
-                     this->time >= replica.joins;
+    bool const can = id != this->leader && primary.alive && !this->stopped &&
+                     !this->primary_cut && replica.alive && !replica.deaf &&
+                     replica.held == 0 && this->time >= replica.joins;
     if (!can) {
         return false;
     }
@@ -163,6 +165,9 @@
     if (kind == change_action_kind::resume) {
         target.held = 0;
     }
+    if (kind == change_action_kind::stop_primary) {
+        this->stop(id, given_term);
+    }
     this->note(
         sender + ": " + word_for(kind) + " " + id + " -> " +
         (this->leads(id) ? "primary " : "replica ") + format(this->position_of(target)) +
@@ -171,6 +176,15 @@
         this->leads(id), this->current_term, this->position_of(target), target.held};
 }
 
+/// A replica, and a primary whose term isn't lower, refuse it.
+void replicated_group::stop(std::string const& id, std::uint64_t given_term) {
+    if (this->leads(id) && given_term > this->current_term) {
+        this->stopped = true;
+        this->waiting.clear();
+        this->note(id + " leads no more");
+    }
+}
+
 promotion_result replicated_group::call_promotion(
     std::string const& id, std::uint64_t token, std::string const& caller) {
     auto const found = this->members.find(id);
@@ -203,6 +217,7 @@
         format(this->position_of(this->at(this->leader))));
     this->check_promotion(id, caller);
     this->leader = id;
+    this->stopped = false;
     next.held = 0;
     next.log_term = this->current_term;
     this->primary_cut = false;
@@ -290,15 +305,21 @@
     if (victim.gone) {
         return;
     }
-    this->after(*down_for, [this, id] {
-        database& back = this->at(id);
-        if (!back.gone) {
-            back.alive = true;
-            ++back.starts;
-            back.started = this->time;
-            this->note(id + (this->leads(id) ? " is back and leads" : " is back"));
-        }
-    });
+    this->after(*down_for, [this, id] { this->come_back(id); });
+}
+
+void replicated_group::come_back(std::string const& id) {
+    database& back = this->at(id);
+    if (back.gone) {
+        return;
+    }
+    back.alive = true;
+    ++back.starts;
+    back.started = this->time;
+    if (id == this->leader && !this->stop_survives) {
+        this->stopped = false;
+    }
+    this->note(id + (this->leads(id) ? " is back and leads" : " is back"));
 }
 
 void replicated_group::leave(std::string const& id, duration drain, duration joining) {
--- a/tests/support/replicated_group_model.hpp
+++ b/tests/support/replicated_group_model.hpp
@@ -58,7 +58,11 @@
     database& at(std::string const& id) { return this->members.at(id); }
     std::map<std::string, database> const& databases() const { return this->members; }
     std::string const& primary() const { return this->leader; }
-    bool leads(std::string const& id) const { return id == this->leader; }
+    bool leads(std::string const& id) const {
+        return id == this->leader && !this->stopped;
+    }
+    /// True if the last primary gave up its lead, and nobody was promoted since.
+    bool is_primary_stopped() const { return this->stopped; }
     std::uint64_t term() const { return this->current_term; }
     std::vector<registered_database> directory() const;
 
@@ -75,7 +79,8 @@
 
     // Orders
 
-    /// STATUS, PAUSE or RESUME (request_state, hold, resume); nothing if it is down.
+    /// STATUS, PAUSE, DEMOTE or RESUME (request_state, hold, stop_primary, resume);
+    /// nothing if it is down.
     std::optional<database_state> carry_out(
         change_action_kind kind,
         std::string const& id,
@@ -114,6 +119,7 @@
     std::size_t promotions() const { return this->promoted; }
     std::vector<std::string> const& trace() const { return this->events; }
     bool pause_overwrites = true; ///< PAUSE with a lower term replaces a higher one.
+    bool stop_survives = true;    ///< A stopped primary that restarts is a replica.
 
 private:
     struct waiting_commit {
@@ -127,6 +133,8 @@
     };
 
     log_position position_of(database const& of) const;
+    void stop(std::string const& id, std::uint64_t given_term);
+    void come_back(std::string const& id);
     void take_effect(std::string const& id, std::string const& caller);
     void check_promotion(std::string const& id, std::string const& caller);
     bool joined_lately(acknowledgement const& of) const;
@@ -135,7 +143,8 @@
     instant time;
     std::multimap<instant, std::function<void()>> agenda;
     std::map<std::string, database> members;
-    std::string leader;
+    std::string leader;   ///< Or the last one.
+    bool stopped = false; ///< It gave up its lead.
     std::uint64_t current_term = 1;
     std::uint64_t written = 0;
     std::vector<waiting_commit> waiting;
