A stopped primary that answers exempts no loss in the model; a scene knows the present term

The two exemptions for replicas that had just started no longer hold where the last primary was stopped and is alive: it could tell what it has.

'A change that finds its candidate leading ...': its host knew d0 as the primary of term 1, which leads again in term 3. It isn't about that, so the host learns the term first.

--- a/tests/introspective/leadership_model.tests.cpp
+++ b/tests/introspective/leadership_model.tests.cpp
@@ -411,6 +411,7 @@
     REQUIRE(it.group.call_promotion("d0", 0, "a host") == promotion_result::accepted);
     it.play(seconds(1));
     REQUIRE(it.group.primary() == "d0");
+    it.host(0).learn("d0", it.group.term());
     bool called = false;
     it.faults.on_promotion = [&called](std::string const& host, std::string const&) {
         promotion_fate fate;
--- a/tests/support/replicated_group_model.cpp
+++ b/tests/support/replicated_group_model.cpp
@@ -268,7 +268,9 @@
     for (auto const& each : missing) {
         this->acknowledged.erase(each.first);
     }
-    if (all_absent || all_were_absent || all_joined) {
+    // A primary that was stopped could tell what it has.
+    bool const primary_tells = this->stopped && this->at(this->leader).alive;
+    if (all_absent || (!primary_tells && (all_were_absent || all_joined))) {
         ++(all_absent        ? this->exempt_absent
            : all_were_absent ? this->exempt_returned
                              : this->exempt_joined);
