--- a/tests/support/replicated_group_model.cpp
+++ b/tests/support/replicated_group_model.cpp
@@ -201,7 +201,7 @@
         // A primary that was stopped before could tell what it has.
         bool const primary_told = this->stopped && this->at(this->leader).alive;
         this->after(promotion_delay, [this, id, caller, primary_told] {
-            this->take_effect(id, caller, primary_told);
+            this->take_effect(id, caller, primary_told && this->stopped);
         });
     }
     return promotion_result::accepted;
