--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -18,6 +18,8 @@
 constexpr duration primary_silence = std::chrono::milliseconds(500);
 /// A leader that is to be confirmed is replaced if it doesn't answer for this time.
 constexpr duration leader_timeout = std::chrono::seconds(1);
+/// A planned replacement waits so long for replicas that don't answer: they may be alive.
+constexpr duration silent_replica_patience = std::chrono::seconds(3);
 /// How long an accepted promotion may take until the candidate reports that it leads;
 /// after that it is promoted again.
 constexpr duration confirmation_timeout = std::chrono::milliseconds(2500);
@@ -72,6 +74,7 @@
       begun_on(std::move(old_primary)),
       cause(reason),
       machine(loaded_chart()),
+      begun_at(now),
       state_entered_at(now) {
     this->set_databases(databases);
 }
@@ -161,6 +164,7 @@
         return;
     case promotion_result::unanswered:
         this->promotion_unsettled = true;
+        this->unsettled_token = this->token;
         return;
     default:
         return;
@@ -202,6 +206,12 @@
         this->entered_state = this->machine.state();
         this->state_entered_at = now;
     }
+    change_member const* const primary = this->members.primary_member();
+    bool const leads_as_begun = primary != nullptr && primary->leads() &&
+                                this->members.primary() == this->begun_on;
+    if (leads_as_begun && !this->begun_term) {
+        this->begun_term = primary->report->term;
+    }
     if (!this->members.is_primary_stopped()) {
         this->stopped_at.reset();
     } else if (!this->stopped_at) {
@@ -272,20 +282,40 @@
     return !leader_is_other && this->members.all().count(this->chosen_id) > 0;
 }
 
-bool leadership_change::aim_is_void(instant now) {
+bool leadership_change::is_overtaken() const {
+    change_member const* const primary = this->members.primary_member();
+    return primary != nullptr && primary->leads() &&
+           (this->members.primary() != this->begun_on ||
+            primary->report->term > this->begun_term.value_or(primary->report->term));
+}
+
+bool leadership_change::is_pinned() const {
+    bool const is_outdated = this->token > this->unsettled_token;
+    return this->promotion_unsettled &&
+           !(is_outdated && (this->is_behind() || this->is_overtaken()));
+}
+
+bool leadership_change::is_behind() const {
+    auto const candidate = this->members.all().find(this->chosen_id);
+    return candidate != this->members.all().end() && candidate->second.report &&
+           std::any_of(
+               this->members.all().begin(), this->members.all().end(),
+               [&](auto const& each) {
+                   return this->members.counts(each.first) && each.second.report &&
+                          each.second.report->received >
+                              candidate->second.report->received;
+               });
+}
+
+bool leadership_change::aim_is_void(instant now) const {
     change_member const* const primary = this->members.primary_member();
-    if (this->promotion_unsettled || primary == nullptr || !primary->leads()) {
+    if (this->is_pinned() || primary == nullptr || !primary->leads()) {
         return false;
     }
-    if (this->members.primary() == this->begun_on && !this->begun_term) {
-        this->begun_term = primary->report->term;
-    }
-    bool const is_overtaken = this->members.primary() != this->begun_on ||
-                              primary->report->term > *this->begun_term;
     bool const is_ahead = this->members.has_lost_replica() && !this->serves_on() &&
                           this->primary_answers(now) &&
                           primary->report->received > this->members.furthest_replica();
-    return is_overtaken || is_ahead || this->cause == change_reason::replica_held;
+    return this->is_overtaken() || is_ahead || this->cause == change_reason::replica_held;
 }
 
 bool leadership_change::leader_stays(instant now) {
@@ -345,7 +375,7 @@
     }
     // A promotion that may still be carried out rules out any other candidate.
     change_member const* const candidate = this->members.find(this->chosen_id);
-    if (this->promotion_unsettled && candidate != nullptr) {
+    if (this->is_pinned() && candidate != nullptr) {
         this->hold_candidate = this->hold_candidate || candidate->held_by_other;
         this->machine.fire(leadership_event::candidate_chosen);
         return;
@@ -356,6 +386,9 @@
         this->leader_stays(now) || !(all_reported || this->confirms_leader)) {
         return;
     }
+    // While all are held, a candidate that comes to lead by an outdated call acknowledges
+    // nothing.
+    this->hold_candidate = this->hold_candidate || this->promotion_unsettled;
     this->promotion_unsettled = false;
     if (this->confirms_leader) {
         this->chosen_id = this->members.primary();
@@ -371,8 +404,8 @@
 
 bool leadership_change::has_to_stop_primary(instant now) const {
     bool const is_planned = this->cause == change_reason::primary_leaving;
-    return !this->confirms_leader && (!is_planned || this->hold_candidate) &&
-           this->primary_answers(now);
+    return !this->confirms_leader && !this->is_overtaken() &&
+           (!is_planned || this->hold_candidate) && this->primary_answers(now);
 }
 
 bool leadership_change::primary_answers(instant now) const {
@@ -382,7 +415,8 @@
 }
 
 bool leadership_change::leaves_silent_out(instant now) const {
-    return this->serves_on() && this->primary_answers(now);
+    return this->serves_on() && this->primary_answers(now) &&
+           now - this->begun_at >= silent_replica_patience;
 }
 
 void leadership_change::watch_primary(std::vector<change_action>& actions, instant now) {
@@ -657,7 +691,11 @@
         this->promotion_unsettled || this->request_in_flight || this->holds_intact(now);
     bool const primary_is_back = !this->promotion_unsettled && !this->request_in_flight &&
                                  this->has_to_stop_primary(now);
-    if (!this->has_candidate() || !premises_hold || primary_is_back) {
+    bool const needs_newer_token = this->promotion_unsettled &&
+                                   !this->request_in_flight &&
+                                   (this->is_behind() || this->is_overtaken());
+    if (!this->has_candidate() || !premises_hold || primary_is_back ||
+        needs_newer_token) {
         this->request_in_flight = false;
         this->machine.fire(leadership_event::candidate_lost);
         return;
@@ -693,6 +731,7 @@
     }
     this->watch_primary(actions, now);
     this->hold_again(actions, now);
+    this->refresh_stale_reports(actions, now);
     if (now - this->state_entered_at > confirmation_timeout) {
         this->last_promotion_call.reset();
         this->request_in_flight = false;
@@ -703,6 +742,8 @@
 }
 
 void leadership_change::release(std::vector<change_action>& actions, instant now) {
+    // Another host may have come to rely on a replica that was this change's.
+    this->skip_resume = this->skip_resume || this->is_superseded();
     bool all_released = true;
     for (auto const& [id, member] : this->members.all()) {
         bool const leads = this->promoted && id == this->chosen_id;
@@ -716,10 +757,12 @@
             all_released = all_released && !may_answer;
             // An unanswered RESUME may be carried out during a later change: none is sent
             // unless a report shows that the last one wasn't carried out.
+            bool const is_known_held =
+                !member.requested_at && member.asked_at >= this->state_entered_at;
             this->send_request(
                 actions, id,
-                member.requested_at ? change_action_kind::request_state
-                                    : change_action_kind::resume,
+                is_known_held ? change_action_kind::resume
+                              : change_action_kind::request_state,
                 now);
         }
     }
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -150,7 +150,13 @@
     void poll_candidate(std::vector<change_action>& actions, instant now);
     /// True if the primary that leads now is not to be replaced: another host made it
     /// lead, or it is the only one known to have all commits.
-    bool aim_is_void(instant now);
+    bool aim_is_void(instant now) const;
+    /// True if another host made the database that leads now lead.
+    bool is_overtaken() const;
+    /// True if a call that may still be carried out rules out any other candidate: no
+    /// newer token was granted, or the candidate has all that others have.
+    bool is_pinned() const;
+    bool is_behind() const;
     /// If the aim is void, calls the change off, and returns true; or lets it go on to
     /// confirm the leader, if replicas have been held.
     bool leader_stays(instant now);
@@ -217,8 +223,10 @@
     std::optional<instant> stopped_at;
     /// A promotion of the candidate may still be carried out.
     bool promotion_unsettled = false;
+    std::uint64_t unsettled_token = 0; ///< Of that call.
     bool promoted = false;
     leadership_state entered_state = leadership_state::securing;
+    instant begun_at;
     instant state_entered_at;
     std::optional<instant> last_promotion_call;
     bool request_in_flight = false;
