--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -291,10 +291,18 @@
 
 bool leadership_change::is_pinned() const {
     bool const is_outdated = this->token > this->unsettled_token;
-    return this->promotion_unsettled &&
+    change_member const* const primary = this->members.primary_member();
+    bool const candidate_leads = primary != nullptr && primary->leads() &&
+                                 this->members.primary() == this->chosen_id;
+    return this->promotion_unsettled && !candidate_leads &&
            !(is_outdated && (this->is_behind() || this->is_overtaken()));
 }
 
+bool leadership_change::needs_newer_token() const {
+    return this->promotion_unsettled && this->token <= this->unsettled_token &&
+           (this->is_behind() || this->is_overtaken());
+}
+
 bool leadership_change::is_behind() const {
     auto const candidate = this->members.all().find(this->chosen_id);
     return candidate != this->members.all().end() && candidate->second.report &&
@@ -376,6 +384,7 @@
     // A promotion that may still be carried out rules out any other candidate.
     change_member const* const candidate = this->members.find(this->chosen_id);
     if (this->is_pinned() && candidate != nullptr) {
+        this->confirms_leader = false;
         this->hold_candidate = this->hold_candidate || candidate->held_by_other;
         this->machine.fire(leadership_event::candidate_chosen);
         return;
@@ -640,6 +649,11 @@
         return;
     }
     this->watch_primary(actions, now);
+    if (this->needs_newer_token()) {
+        this->request_in_flight = false;
+        this->machine.fire(leadership_event::token_outdated);
+        return;
+    }
     if (this->hold_candidate && this->positions_are_recent(now) &&
         this->members.find(this->chosen_id)->fresh && !this->candidate_is_caught_up()) {
         // Another one that was held too is ahead.
@@ -691,11 +705,8 @@
         this->promotion_unsettled || this->request_in_flight || this->holds_intact(now);
     bool const primary_is_back = !this->promotion_unsettled && !this->request_in_flight &&
                                  this->has_to_stop_primary(now);
-    bool const needs_newer_token = this->promotion_unsettled &&
-                                   !this->request_in_flight &&
-                                   (this->is_behind() || this->is_overtaken());
-    if (!this->has_candidate() || !premises_hold || primary_is_back ||
-        needs_newer_token) {
+    bool const calls_in_vain = !this->request_in_flight && this->needs_newer_token();
+    if (!this->has_candidate() || !premises_hold || primary_is_back || calls_in_vain) {
         this->request_in_flight = false;
         this->machine.fire(leadership_event::candidate_lost);
         return;
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -157,6 +157,8 @@
     /// newer token was granted, or the candidate has all that others have.
     bool is_pinned() const;
     bool is_behind() const;
+    /// True if only a newer token can outdate a call that promotes the wrong candidate.
+    bool needs_newer_token() const;
     /// If the aim is void, calls the change off, and returns true; or lets it go on to
     /// confirm the leader, if replicas have been held.
     bool leader_stays(instant now);
--- a/tests/support/leadership_hosts_model.cpp
+++ b/tests/support/leadership_hosts_model.cpp
@@ -107,7 +107,35 @@
 }
 
 void modelled_host::read_directory() {
-    this->routing.set_databases(this->fleet.group.directory());
+    auto const present = this->fleet.group.directory();
+    auto const& known = this->routing.databases();
+    bool const any_left =
+        std::any_of(known.begin(), known.end(), [&present](auto const& each) {
+            return std::none_of(present.begin(), present.end(), [&each](auto const& one) {
+                return one.id == each.id;
+            });
+        });
+    if (any_left) {
+        this->commits_at_departure = this->fleet.group.acknowledged_count();
+        if (this->change) {
+            this->change->note_replica_left();
+        }
+    }
+    this->routing.set_databases(present);
+}
+
+/// Only a host that reaches the primary sees its commits acknowledged.
+void modelled_host::note_commits() {
+    bool const any_acknowledged =
+        this->commits_at_departure &&
+        this->fleet.group.acknowledged_count() > *this->commits_at_departure;
+    if (!any_acknowledged || !this->reaches(this->primary)) {
+        return;
+    }
+    this->commits_at_departure.reset();
+    if (this->change) {
+        this->change->note_commit_acknowledged();
+    }
 }
 
 void modelled_host::learn(std::string const& database, std::uint64_t term) {
@@ -117,6 +145,7 @@
 }
 
 void modelled_host::tick() {
+    this->note_commits();
     if (!this->alive || this->frozen) {
         return;
     }
@@ -301,7 +330,8 @@
     }
     ++this->change_number;
     this->change = std::make_unique<leadership_change>(
-        this->primary, present, leader ? leader->term : 0, reason, time);
+        this->primary, present, leader ? leader->term : 0, reason, time,
+        this->commits_at_departure.has_value());
     this->last_state.clear();
     this->note(
         std::string("change begins, ") + to_string(reason) + ", old primary " +
@@ -312,6 +342,9 @@
 
 void modelled_host::step() {
     this->change->set_databases(this->databases());
+    if (auto const& leader = this->routing.leader()) {
+        this->change->leader_learned(leader->database, leader->term);
+    }
     for (change_action const& each : this->change->step(this->fleet.group.now())) {
         this->carry_out(each);
         if (!this->change) {
@@ -510,6 +543,7 @@
     this->managed_since = instant();
     this->primary.clear();
     this->cached_token.reset();
+    this->commits_at_departure.reset();
     this->note("is killed");
     this->fleet.group.after(down_for, [this] {
         this->alive = true;
--- a/tests/support/leadership_hosts_model.hpp
+++ b/tests/support/leadership_hosts_model.hpp
@@ -82,6 +82,7 @@
     /// Runs `action` on this host: at once, or when it wakes up; never if it was killed.
     void deliver(std::function<void()> action);
     void read_directory();
+    void note_commits();
 
     bool manages = false; ///< It takes itself for the owner of the primary.
 
@@ -124,6 +125,8 @@
     instant last_answer{};
     instant last_probe{};
     instant last_hold_check{};
+    /// Acknowledged commits when a database was last found to have left.
+    std::optional<std::size_t> commits_at_departure;
     unsigned change_number = 0; ///< Of the present change, or the last.
     instant next_change{};
     instant leave_alone_until{};
