--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -32,7 +32,7 @@
 constexpr auto token_retry = std::chrono::milliseconds(200);
 
 /// One database in the log line of a promotion, for example
-/// "db-2 7.3337 held 35 ms" or "db-1 no report, left out: old primary".
+/// "db-2 7.3337 held 35 ms" or "db-1 no report, left out: old primary, silent".
 std::string describe(promotion_evidence const& each, instant now) {
     std::string text = each.id;
     if (each.report) {
