A change that ends as overtaken tells its host who leads

A host that starts takes the registered primary, which is leaving, for the leader and begins to replace it. Since that change finds another database leading, ends, and told nobody, so that the host began it again without end. The end of a change now names the leader that it found. Case: A change that another host has overtaken ends at once if no replica is held.

--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -781,10 +781,14 @@
         return;
     }
     this->machine.fire(leadership_event::all_resumed);
-    actions.push_back(
-        this->promoted
-            ? change_action{change_action_kind::finished, this->chosen_id, this->new_term}
-            : change_action{change_action_kind::abandoned, {}});
+    change_action end{change_action_kind::abandoned, {}};
+    if (this->promoted) {
+        end = {change_action_kind::finished, this->chosen_id, this->new_term};
+    } else if (this->is_overtaken()) {
+        end.database = this->members.primary();
+        end.term = this->members.primary_member()->report->term;
+    }
+    actions.push_back(end);
 }
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -34,7 +34,7 @@
     finished, ///< `database` is the primary in `term`. Replicas that did not resume in
               ///< time may still be held.
     abandoned ///< Nothing was promoted. Replicas that are held stay held: the holder of
-              ///< a newer token resumes them.
+              ///< a newer token resumes them. `database`, if set, leads in `term`.
 };
 
 struct change_action {
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -596,12 +596,14 @@
         group.next_change = time + between_changes;
         group.suspicion.reset();
         group.managed_since = instant();
+        if (!action.database.empty()) {
+            this->context.view.group(name).confirm_leader(action.database, action.term);
+        }
         if (!promoted) {
             return;
         }
         group.lease_until = time + std::chrono::milliseconds(lease_duration_ms);
         ++this->finished;
-        this->context.view.group(name).confirm_leader(action.database, action.term);
         this->mesh->broadcast(leader_message{name, action.database, action.term});
     }
 
--- a/tests/introspective/leadership_premises.tests.cpp
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -276,6 +276,10 @@
     CHECK(change.is_over());
     CHECK(group.count(change_action_kind::promote) == 0);
     CHECK(group.count(change_action_kind::hold) == 0);
+    // The host that began it learns who leads.
+    CHECK(group.actions.back().kind == change_action_kind::abandoned);
+    CHECK(group.actions.back().database == "r1");
+    CHECK(group.actions.back().term == first_term + 1);
 }
 
 TEST_CASE(
