A connection to a database no longer deregisters sockets that aren't its own

Cause: libpq closes its socket itself, inside PQconsumeInput and PQconnectPoll. The event loop went on to hold that number; what it deregistered afterwards could be a socket that another thread had been given meanwhile. The same cause by another way: where an attempt at TLS fails (sslmode prefer), PQconnectPoll opens a second socket, and the loop waited on the first: such a connection never ended.

Why it works: what is waited on is a copy of the socket, made anew with each step of a connect. libpq can't close it, so its number is nobody else's until we close it; it is deregistered before, as the copy's end alone would not do that. It costs one more descriptor a connection (three system calls at each step of a connect).

--- a/src/persimmonpoint/postgres/libpq_connection.cpp
+++ b/src/persimmonpoint/postgres/libpq_connection.cpp
@@ -1,10 +1,14 @@
 #include <array>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/post.hpp>
+#include <cerrno>
+#include <fcntl.h>
 #include <libpq-fe.h>
 #include <optional>
 #include <persimmonpoint/postgres/canceller.hpp>
 #include <persimmonpoint/postgres/libpq_connection.hpp>
+#include <system_error>
+#include <unistd.h>
 #include <utility>
 
 namespace persimmonpoint::postgres {
@@ -106,10 +110,9 @@
         this->connection.reset(PQconnectStartParams(names.data(), values.data(), 0));
         this->connected = std::move(handler);
         if (!this->connection || PQstatus(this->connection.get()) == CONNECTION_BAD) {
-            this->connect_failed();
+            this->connect_failed(this->last_error());
             return;
         }
-        this->descriptor.assign(PQsocket(this->connection.get()));
         this->wait_connect(PGRES_POLLING_WRITING);
     }
 
@@ -162,18 +165,39 @@
 
 private:
     void release() {
+        this->unwatch_socket();
+        this->connection.reset();
+    }
+
+    void unwatch_socket() {
         if (this->descriptor.is_open()) {
-            this->descriptor.release(); // libpq closes the socket itself.
+            // Not by the descriptor's close(): that leaves a copy in the event queue.
+            ::close(this->descriptor.release());
         }
-        this->connection.reset();
     }
 
-    void connect_failed() {
+    /// libpq may close its socket, and open another, in any call: what is waited on is a
+    /// copy, whose number nobody else is given meanwhile.
+    bool watch_socket() {
+        this->unwatch_socket();
+        int const copy = fcntl(PQsocket(this->connection.get()), F_DUPFD_CLOEXEC, 0);
+        if (copy < 0) {
+            return false;
+        }
+        this->descriptor.assign(copy);
+        return true;
+    }
+
+    std::string last_error() const {
         std::string message =
             this->connection ? PQerrorMessage(this->connection.get()) : "";
         while (!message.empty() && message.back() == '\n') {
             message.pop_back();
         }
+        return message;
+    }
+
+    void connect_failed(std::string const& message) {
         this->release();
         asio::post(this->loop, [self = this->shared_from_this(), message] {
             if (auto const handler = std::exchange(self->connected, nullptr)) {
@@ -183,6 +207,10 @@
     }
 
     void wait_connect(PostgresPollingStatusType next) {
+        if (!this->watch_socket()) {
+            this->connect_failed(std::generic_category().message(errno));
+            return;
+        }
         auto const direction = next == PGRES_POLLING_READING
                                    ? asio::posix::stream_descriptor::wait_read
                                    : asio::posix::stream_descriptor::wait_write;
@@ -199,7 +227,7 @@
     void poll_connect() {
         PostgresPollingStatusType const next = PQconnectPoll(this->connection.get());
         if (next == PGRES_POLLING_FAILED) {
-            this->connect_failed();
+            this->connect_failed(this->last_error());
             return;
         }
         if (next != PGRES_POLLING_OK) {
@@ -438,11 +466,7 @@
     }
 
     void lose() {
-        std::string reason =
-            this->connection ? PQerrorMessage(this->connection.get()) : "";
-        while (!reason.empty() && reason.back() == '\n') {
-            reason.pop_back();
-        }
+        std::string const reason = this->last_error();
         this->release();
         this->in_batch = false;
         auto const done = std::exchange(this->observer, nullptr);
