A planned replacement ends though its candidate is held by another host

Cause: a candidate that was found held was itself counted as held (hold_candidate) only in changes that aren't planned. In a planned one the comparison wants a candidate that no other host holds, finds it held, goes back to the survey, and chooses it again.

The test was red on the code as found: not over, p still leads, replicas held.

Why it works: a held replica can't catch up with a primary that serves on. It's now held under this change's own term like the others, the primary is stopped, and the most advanced of them is promoted, as in every other change.

--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -405,8 +405,9 @@
         this->choose_candidate();
         bool const is_held = this->members.find(this->chosen_id)->report->held_term > 0;
         bool const is_planned = this->cause == change_reason::primary_leaving;
-        this->hold_candidate = this->hold_candidate ||
-                               (!is_planned && (this->primary_answers(now) || is_held));
+        // One that is held can't catch up with a primary that serves on.
+        this->hold_candidate = this->hold_candidate || is_held ||
+                               (!is_planned && this->primary_answers(now));
     }
     this->machine.fire(leadership_event::candidate_chosen);
 }
--- a/tests/introspective/leadership_premises.tests.cpp
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -407,6 +407,22 @@
     CHECK_FALSE(group.lost_commit);
 }
 
+TEST_CASE(
+    "The replacement of a primary that leaves ends though another host held the replicas",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.leaving = "p";
+    group.copies["r0"].held = 5;
+    group.copies["r1"].held = 5;
+    leadership_change change = change_in(group, change_reason::primary_leaving);
+    instant now = start;
+    group.run(change, now, seconds(8));
+    CHECK(change.is_over());
+    CHECK(group.leader != "p");
+    CHECK_FALSE(group.any_held());
+    CHECK_FALSE(group.lost_commit);
+}
+
 TEST_CASE(
     "A primary that leaves is not replaced by a replica that lags behind it",
     "[leadership][premises]") {
