A change with an unsettled promotion asks for a newer token when it is superseded

Cause: a change whose promotion is unsettled must not yield to the host that has held the replicas under a newer token, and went on to wait for it instead. It asked nobody meanwhile, so that it never saw that host end; and if that host was gone, nobody else could act, as this host owned the primary.

The test was red on the code as found.

Why it works: after the time in which the other host's promotion would show, the change asks for a token that is newer than all (state chart: surveying, token_outdated). The store grants it once the other host has no lease. With it the change is superseded no longer, and looks at who leads and what is held as after any other token.

--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -467,6 +467,10 @@
     this->note_foreign_holds(now);
     if (this->is_superseded()) {
         this->yield_to_newer_holder();
+        // With an unsettled promotion it can't yield, but the other host may be gone.
+        if (now - this->state_entered_at >= foreign_promotion_timeout) {
+            this->machine.fire(leadership_event::token_outdated);
+        }
         return true;
     }
     if (!this->foreign_hold_seen_at) {
@@ -565,6 +569,7 @@
 void leadership_change::hold_others(std::vector<change_action>& actions, instant now) {
     if (this->is_superseded()) {
         this->yield_to_newer_holder();
+        this->machine.fire(leadership_event::candidate_lost);
         return;
     }
     if (this->leader_stays(now)) {
--- a/tests/introspective/leadership_premises.tests.cpp
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -73,9 +73,13 @@
         this->actions.push_back(action);
         switch (action.kind) {
         case change_action_kind::request_token:
-            change.token_granted(change_token);
+            change.token_granted(this->token);
             return;
         case change_action_kind::promote:
+            if (this->promotion_fails_with) {
+                change.promotion_answered(*this->promotion_fails_with, now);
+                return;
+            }
             this->promoting = action.database;
             this->promoted_at = now + promotion_time;
             change.promotion_answered(promotion_result::accepted, now);
@@ -121,6 +125,8 @@
     std::string leads_when_held; ///< Another host's promotion of it takes effect then.
     std::uint64_t term = first_term;
     std::uint64_t acknowledged = 0;
+    std::uint64_t token = change_token; ///< The next one to be granted.
+    std::optional<promotion_result> promotion_fails_with;
     std::vector<change_action> actions;
     bool lost_commit = false;
 
@@ -423,6 +429,34 @@
     CHECK_FALSE(group.lost_commit);
 }
 
+TEST_CASE(
+    "A change whose promotion is unsettled ends though a host with a newer token is gone",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["p"].alive = false;
+    group.promotion_fails_with = promotion_result::unanswered;
+    leadership_change change = change_in(group, change_reason::primary_lost);
+    instant now = start;
+    while (group.count(change_action_kind::promote) == 0 && now < start + seconds(5)) {
+        group.run(change, now, milliseconds(10));
+    }
+    group.promotion_fails_with = promotion_result::conflict;
+    ++group.token;
+    while (group.count(change_action_kind::request_token) == 1 &&
+           now < start + seconds(5)) {
+        group.run(change, now, milliseconds(10));
+    }
+    REQUIRE(group.count(change_action_kind::request_token) == 2);
+    group.copies["r0"].held = (group.token + 1) << 20U;
+    group.copies["r1"].held = (group.token + 1) << 20U;
+    group.token += 2;
+    group.promotion_fails_with.reset();
+    group.run(change, now, seconds(8));
+    CHECK(change.is_over());
+    CHECK(group.leader != "p");
+    CHECK_FALSE(group.any_held());
+}
+
 TEST_CASE(
     "A primary that leaves is not replaced by a replica that lags behind it",
     "[leadership][premises]") {
