A host that was just started counts a living primary's commits

A replica that had them was gone, the one left lagged, and the host that began the change was started in between: it knew of no departure, so the position of the primary, alive, stopped and asked, didn't count.

Cause: what a host remembers of departures began as 'none left' at its start.

Why it works: core/recovery/departure_memory, used by the keeper and by the model. For 30 s after a host first reads a group a departure counts as possible, until a commit is acknowledged that was sent since. A possible one lets a primary that answers count, so that it stays, or is promoted again, if it is ahead. A silent primary is not waited for: that would cost the registration's 6 s at each death of a primary beside a restart. The price: a host of less than 30 s that saw no commit yet does not replace a primary that is cut from its replicas and ahead of them.

--- a/src/persimmonpoint/core/recovery/change_members.cpp
+++ b/src/persimmonpoint/core/recovery/change_members.cpp
@@ -4,8 +4,9 @@
 
 namespace persimmonpoint {
 
-change_members::change_members(std::string primary, std::uint64_t term, bool replica_left)
-    : primary_id(std::move(primary)), highest_term(term), replica_left(replica_left) {}
+change_members::change_members(
+    std::string primary, std::uint64_t term, departure departed)
+    : primary_id(std::move(primary)), highest_term(term), departed(departed) {}
 
 void change_members::set_databases(std::span<group_replica const> present) {
     for (group_replica const& each : present) {
@@ -24,7 +25,9 @@
             });
         if (is_gone) {
             this->removed.insert(each);
-            this->replica_left = this->replica_left || each.first != this->primary_id;
+            if (each.first != this->primary_id) {
+                this->note_replica_left();
+            }
         }
         return is_gone;
     });
@@ -95,7 +98,7 @@
 }
 
 bool change_members::counts(std::string_view id) const {
-    return id != this->primary_id || (this->stopped && this->has_lost_replica());
+    return id != this->primary_id || (this->stopped && this->may_have_lost_replica());
 }
 
 bool change_members::may_receive(std::string_view id) const {
--- a/src/persimmonpoint/core/recovery/change_members.hpp
+++ b/src/persimmonpoint/core/recovery/change_members.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <persimmonpoint/core/recovery/departure_memory.hpp>
 #include <persimmonpoint/core/statement/upstream_request.hpp>
 #include <persimmonpoint/core/time.hpp>
 #include <set>
@@ -62,9 +63,7 @@
 
     /// @param primary The primary as the host knows it; empty if none is known.
     /// @param term The highest term that the host knows.
-    /// @param replica_left A replica left the group, and no commit was acknowledged
-    /// since.
-    change_members(std::string primary, std::uint64_t term, bool replica_left);
+    change_members(std::string primary, std::uint64_t term, departure departed);
 
     /// Updates the group's registered databases, which may come and go during a change.
     void set_databases(std::span<group_replica const> present);
@@ -96,11 +95,13 @@
     bool may_receive(std::string_view id) const;
     /// True if a replica left the group and may have been the only one to have a commit.
     /// Only the primary is known to have all that such a replica had.
-    bool has_lost_replica() const { return this->replica_left; }
-    void note_replica_left() { this->replica_left = true; }
+    bool has_lost_replica() const { return this->departed == departure::seen; }
+    /// True if that can't be ruled out.
+    bool may_have_lost_replica() const { return this->departed != departure::none; }
+    void note_replica_left() { this->departed = departure::seen; }
     /// The primary acknowledged a commit that was sent after any replica had left, so
     /// that a replica which is still there has all that the others had.
-    void note_commit_acknowledged() { this->replica_left = false; }
+    void note_commit_acknowledged() { this->departed = departure::none; }
     /// Position of the most advanced replica that reported.
     log_position furthest_replica() const;
 
@@ -115,7 +116,7 @@
     std::uint64_t highest_term;
     std::optional<instant> stop_asked_at;
     bool stopped = false;
-    bool replica_left;
+    departure departed;
     map members;
     map removed; ///< Left the group during this change.
 };
--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -69,8 +69,8 @@
     std::uint64_t term,
     change_reason reason,
     instant now,
-    bool replica_left)
-    : members(old_primary, term, replica_left),
+    departure departed)
+    : members(old_primary, term, departed),
       begun_on(std::move(old_primary)),
       cause(reason),
       machine(loaded_chart()),
@@ -320,7 +320,7 @@
     if (this->is_pinned() || primary == nullptr || !primary->leads()) {
         return false;
     }
-    bool const is_ahead = this->members.has_lost_replica() && !this->serves_on() &&
+    bool const is_ahead = this->members.may_have_lost_replica() && !this->serves_on() &&
                           this->primary_answers(now) &&
                           primary->report->received > this->members.furthest_replica();
     return this->is_overtaken() || is_ahead || this->cause == change_reason::replica_held;
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -92,15 +92,13 @@
 class leadership_change {
 public:
     /// @param databases All that are registered, the old primary included.
-    /// @param replica_left A replica left the group, and no commit was acknowledged
-    /// since.
     leadership_change(
         std::string old_primary,
         std::vector<group_replica> const& databases,
         std::uint64_t term,
         change_reason reason,
         instant now,
-        bool replica_left = false);
+        departure departed = departure::none);
 
     /// Updates the group's databases, which may be added and removed during the change.
     void set_databases(std::span<group_replica const> databases);
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -66,9 +66,8 @@
     std::string primary; ///< Empty if none is known.
     /// Registered databases, with the time of their start.
     std::map<std::string, std::uint64_t> databases;
-    /// When a database was last found to have left or lost its log. Unset once a commit
-    /// that was sent later is acknowledged.
-    std::optional<instant> database_left_at;
+    /// Of databases that left or lost their logs; set with `databases`.
+    std::optional<departure_memory> departures;
     std::unique_ptr<primary_failure_detector> suspicion;
     instant managed_since{};
     instant last_answer{};
@@ -160,11 +159,14 @@
                 auto const found = present.find(each.first);
                 return found == present.end() || found->second != each.second;
             });
+        if (!group.departures) {
+            group.departures.emplace(this->now());
+        }
         group.databases = std::move(present);
         if (!any_left) {
             return;
         }
-        group.database_left_at = this->now();
+        group.departures->replica_left(this->now());
         if (group.change) {
             group.change->note_replica_left();
         }
@@ -416,7 +418,7 @@
         ++group.change_number;
         group.change = std::make_unique<leadership_change>(
             group.primary, databases, leader ? leader->term : 0, reason, time,
-            group.database_left_at.has_value());
+            group.departures ? group.departures->judge(time) : departure::possible);
         observe::log_event(
             observe::log_level::warning, "leadership_change_begins",
             {{"group", name},
@@ -721,11 +723,9 @@
         return;
     }
     watched_group& group = found->second;
-    if (!group.database_left_at || sent_at < *group.database_left_at) {
-        return;
-    }
-    group.database_left_at.reset();
-    if (group.change) {
+    bool const settles =
+        group.departures && group.departures->commit_acknowledged(sent_at);
+    if (settles && group.change) {
         group.change->note_commit_acknowledged();
     }
 }
--- a/tests/introspective/leadership_model.tests.cpp
+++ b/tests/introspective/leadership_model.tests.cpp
@@ -210,6 +210,23 @@
     CHECK(it.group.losses().empty());
 }
 
+TEST_CASE(
+    "Commits that the living primary has are not left behind by a host that was started "
+    "after the replica that had them had lapsed",
+    "[leadership][leadership-model]") {
+    scene it;
+    it.group.at("d1").deaf = true;
+    it.play(milliseconds(500));
+    it.group.crash("d2", seconds(30));
+    it.host(1).kill(seconds(7));
+    it.play(seconds(8));
+    REQUIRE(it.host(1).begin(change_reason::commits_stalled));
+    it.play(seconds(10));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+    CHECK_FALSE(it.host(1).is_changing());
+}
+
 TEST_CASE(
     "A former primary that has become a replica is compared by a host that takes it for "
     "the primary",
--- a/tests/introspective/leadership_premises.tests.cpp
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -179,10 +179,12 @@
     return group;
 }
 
-leadership_change
-change_in(acting_group const& group, change_reason reason, bool replica_left = false) {
+leadership_change change_in(
+    acting_group const& group,
+    change_reason reason,
+    departure departed = departure::none) {
     return leadership_change(
-        "p", group.registered(), first_term, reason, start, replica_left);
+        "p", group.registered(), first_term, reason, start, departed);
 }
 
 } // namespace
@@ -370,7 +372,8 @@
     group.copies["r1"].receives = false;
     group.write();
     group.copies.erase("r0");
-    leadership_change change = change_in(group, change_reason::commits_stalled, true);
+    leadership_change change =
+        change_in(group, change_reason::commits_stalled, departure::seen);
     instant now = start;
     group.run(change, now, seconds(3));
     CHECK(change.is_over());
@@ -379,6 +382,36 @@
     CHECK_FALSE(group.any_held());
 }
 
+TEST_CASE(
+    "A host that can't rule out a departure leaves a primary that is ahead in place",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["r1"].receives = false;
+    group.write();
+    group.copies.erase("r0");
+    leadership_change change =
+        change_in(group, change_reason::commits_stalled, departure::possible);
+    instant now = start;
+    group.run(change, now, seconds(3));
+    CHECK(change.is_over());
+    CHECK(group.leader == "p");
+    CHECK_FALSE(group.lost_commit);
+    CHECK_FALSE(group.any_held());
+}
+
+TEST_CASE(
+    "A host that can't rule out a departure doesn't wait for a silent primary",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["p"].alive = false;
+    leadership_change change =
+        change_in(group, change_reason::primary_lost, departure::possible);
+    instant now = start;
+    group.run(change, now, seconds(2));
+    CHECK(change.is_over());
+    CHECK(group.leader != "p");
+}
+
 TEST_CASE(
     "A leaving replica that alone has the commits is promoted before it is gone",
     "[leadership][premises]") {
@@ -465,7 +498,8 @@
     group.copies["r1"].receives = false;
     group.write();
     group.copies.erase("r0");
-    leadership_change change = change_in(group, change_reason::primary_leaving, true);
+    leadership_change change =
+        change_in(group, change_reason::primary_leaving, departure::seen);
     instant now = start;
     group.run(change, now, seconds(3));
     CHECK_FALSE(group.lost_commit);
--- a/tests/support/leadership_hosts_model.cpp
+++ b/tests/support/leadership_hosts_model.cpp
@@ -70,7 +70,7 @@
 }
 
 modelled_host::modelled_host(modelled_fleet& fleet, std::string name)
-    : fleet(fleet), own_name(std::move(name)) {
+    : fleet(fleet), own_name(std::move(name)), departures(fleet.group.now()) {
     this->read_directory();
     this->routing.confirm_leader(fleet.group.primary(), fleet.group.term());
 }
@@ -116,7 +116,7 @@
             });
         });
     if (any_left) {
-        this->commits_at_departure = this->fleet.group.acknowledged_count();
+        this->departures.replica_left(this->fleet.group.now());
         if (this->change) {
             this->change->note_replica_left();
         }
@@ -126,14 +126,10 @@
 
 /// Only a host that reaches the primary sees its commits acknowledged.
 void modelled_host::note_commits() {
-    bool const any_acknowledged =
-        this->commits_at_departure &&
-        this->fleet.group.acknowledged_count() > *this->commits_at_departure;
-    if (!any_acknowledged || !this->reaches(this->primary)) {
-        return;
-    }
-    this->commits_at_departure.reset();
-    if (this->change) {
+    bool const settles =
+        this->reaches(this->primary) &&
+        this->departures.commit_acknowledged(this->fleet.group.newest_acknowledged());
+    if (settles && this->change) {
         this->change->note_commit_acknowledged();
     }
 }
@@ -331,7 +327,7 @@
     ++this->change_number;
     this->change = std::make_unique<leadership_change>(
         this->primary, present, leader ? leader->term : 0, reason, time,
-        this->commits_at_departure.has_value());
+        this->departures.judge(time));
     this->last_state.clear();
     this->note(
         std::string("change begins, ") + to_string(reason) + ", old primary " +
@@ -543,11 +539,11 @@
     this->managed_since = instant();
     this->primary.clear();
     this->cached_token.reset();
-    this->commits_at_departure.reset();
     this->note("is killed");
     this->fleet.group.after(down_for, [this] {
         this->alive = true;
         this->routing = group_routing();
+        this->departures = departure_memory(this->fleet.group.now());
         this->read_directory();
         this->note("is back");
     });
--- a/tests/support/leadership_hosts_model.hpp
+++ b/tests/support/leadership_hosts_model.hpp
@@ -125,8 +125,7 @@
     instant last_answer{};
     instant last_probe{};
     instant last_hold_check{};
-    /// Acknowledged commits when a database was last found to have left.
-    std::optional<std::size_t> commits_at_departure;
+    departure_memory departures;
     unsigned change_number = 0; ///< Of the present change, or the last.
     instant next_change{};
     instant leave_alone_until{};
--- a/tests/support/replicated_group_model.cpp
+++ b/tests/support/replicated_group_model.cpp
@@ -134,6 +134,7 @@
     replica.log_term = this->current_term;
     for (waiting_commit const& each : this->waiting) {
         this->acknowledged.emplace(each.number, acknowledgement{id, this->time});
+        this->last_acknowledged = each.since;
     }
     this->waiting.clear();
     return true;
--- a/tests/support/replicated_group_model.hpp
+++ b/tests/support/replicated_group_model.hpp
@@ -76,6 +76,8 @@
     /// How long the oldest commit has waited for its first replica.
     duration commit_stalled_for() const;
     std::size_t acknowledged_count() const { return this->acknowledged.size(); }
+    /// When the newest commit that is acknowledged was written.
+    instant newest_acknowledged() const { return this->last_acknowledged; }
 
     // Orders
 
@@ -150,6 +152,7 @@
     std::uint64_t current_term = 1;
     std::uint64_t written = 0;
     std::vector<waiting_commit> waiting;
+    instant last_acknowledged{};
     std::map<std::uint64_t, acknowledgement> acknowledged;
     bool primary_cut = false;
     std::uint64_t highest_token = 0; ///< Seen by the platform's fence.
