--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -87,7 +87,7 @@
         line_place const place{
             is_control(order.kind), order.priority, now + std::min(wait, budget)};
         pending_order pending{std::move(order), source, std::move(handler), now + budget};
-        if (this->closed) {
+        if (this->closed || this->is_past_work_end(pending.order)) {
             this->reply(pending, not_run(upstream_refusal::unreachable));
             return;
         }
@@ -102,6 +102,11 @@
         this->watch_deadlines();
     }
 
+    bool is_past_work_end(upstream_request const& order) const {
+        return this->work_end && this->time.now() >= *this->work_end &&
+               !is_control(order.kind) && !order.transaction.is_set();
+    }
+
     void run_in_transaction(pending_order pending) {
         auto const found = std::find_if(
             this->lanes.begin(), this->lanes.end(), [&pending](auto const& each) {
@@ -286,9 +291,16 @@
             }));
     }
 
+    void refuse_past_work_end() {
+        this->refuse(this->waiting.take_if([this](pending_order const& each) {
+            return this->is_past_work_end(each.order);
+        }));
+    }
+
     /// Those that wait are better off elsewhere.
-    void refuse_waiting() {
-        std::vector<pending_order> refused = this->waiting.take_all();
+    void refuse_waiting() { this->refuse(this->waiting.take_all()); }
+
+    void refuse(std::vector<pending_order> refused) {
         for (pending_order& each : refused) {
             this->reply(each, not_run(upstream_refusal::unreachable));
         }
@@ -554,6 +566,7 @@
         for (pending_order& each : expired) {
             this->reply(each, not_run(upstream_refusal::expired));
         }
+        this->refuse_past_work_end();
         this->pump();
         if (!this->waiting.empty() || this->running > 0 || transactions) {
             this->watch_deadlines();
@@ -617,6 +630,7 @@
     asio::steady_timer sweeper;
     asio::io_context& loop;
     connection_limits limits;
+    std::optional<instant> work_end;
     waiting_line<pending_order> waiting{most_waiting};
     commit_share commits;
     std::map<std::uint64_t, lane> lanes;
@@ -657,6 +671,10 @@
     this->impl->database = database;
 }
 
+void database_owner::set_work_end(std::optional<instant> end) {
+    this->impl->work_end = end;
+}
+
 void database_owner::set_limits(connection_limits limits) {
     this->impl->limits = limits;
     this->impl->trim();
--- a/src/persimmonpoint/engine/database_owner.hpp
+++ b/src/persimmonpoint/engine/database_owner.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
 #include <persimmonpoint/core/routing/connection_choice.hpp>
 #include <persimmonpoint/core/statement/transaction_id.hpp>
@@ -52,6 +53,9 @@
     /// Rolls back the transactions of a source that is gone and drops its orders.
     void forget(order_source source);
     void set_database(registered_database const& database);
+    /// From `end` on no new work is started, only what belongs to an open transaction and
+    /// orders of the system's own; what waits is answered as not run.
+    void set_work_end(std::optional<instant> end);
     void set_limits(connection_limits limits);
     /// Closes connections that are over the limits or idle for too long.
     void trim();
--- a/src/persimmonpoint/engine/dispatcher.cpp
+++ b/src/persimmonpoint/engine/dispatcher.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <limits>
 #include <map>
+#include <persimmonpoint/core/membership/drain_times.hpp>
 #include <persimmonpoint/core/routing/connection_budget.hpp>
 #include <persimmonpoint/core/routing/owner_ranking.hpp>
 #include <persimmonpoint/engine/dispatcher.hpp>
@@ -32,13 +33,15 @@
         clock const& time,
         owner_observer& observer,
         fleet_view const& view,
-        std::string self)
+        std::string self,
+        duration drain)
         : loop(loop),
           connector(connector),
           time(time),
           observer(observer),
           view(view),
           self(std::move(self)),
+          drains(drain),
           transactions(time.now(), draw_nonce()),
           trimmer(loop) {}
 
@@ -55,6 +58,7 @@
             this->loop, this->connector, this->time, this->observer, this->transactions,
             *entry);
         made->set_limits(this->limits_for(*entry));
+        made->set_work_end(this->drains.work_ends_at(id));
         if (this->ends_transactions) {
             made->end_transactions();
         }
@@ -154,6 +158,7 @@
 
     void refresh() {
         this->rankings.clear();
+        this->drains.update(this->view.directory.current().databases, this->time.now());
         for (auto each = this->owners.begin(); each != this->owners.end();) {
             registered_database const* const entry =
                 this->view.find_database(each->first);
@@ -164,6 +169,7 @@
                 continue;
             }
             each->second->set_database(*entry);
+            each->second->set_work_end(this->drains.work_ends_at(each->first));
             each->second->set_limits(this->limits_for(*entry));
             ++each;
         }
@@ -175,6 +181,7 @@
     owner_observer& observer;
     fleet_view const& view;
     std::string self;
+    drain_times drains;
     transaction_numbering transactions;
     boost::asio::steady_timer trimmer;
     bool ends_transactions = false;
@@ -189,9 +196,10 @@
     clock const& clock,
     owner_observer& observer,
     fleet_view const& view,
-    std::string self)
+    std::string self,
+    duration drain)
     : impl(std::make_shared<implementation>(
-          loop, connector, clock, observer, view, std::move(self))) {
+          loop, connector, clock, observer, view, std::move(self), drain)) {
     this->impl->trim_later();
 }
 
--- a/src/persimmonpoint/engine/dispatcher.hpp
+++ b/src/persimmonpoint/engine/dispatcher.hpp
@@ -19,13 +19,15 @@
     using handler =
         std::function<void(upstream_response answer, std::string const& owner)>;
 
+    /// @param drain How long a database serves from when it tells that it leaves.
     dispatcher(
         boost::asio::io_context& loop,
         upstream_connector& connector,
         clock const& clock,
         owner_observer& observer,
         fleet_view const& view,
-        std::string self);
+        std::string self,
+        duration drain);
     ~dispatcher();
     void use(peer_mesh& mesh);
 
--- a/src/persimmonpoint/settings/front_settings.cpp
+++ b/src/persimmonpoint/settings/front_settings.cpp
@@ -16,6 +16,8 @@
 /// A lower quota holds everywhere by then.
 constexpr duration in_force_margin = std::chrono::milliseconds(500);
 constexpr duration least_window = std::chrono::milliseconds(500);
+constexpr duration least_drain = std::chrono::seconds(1);
+constexpr duration most_drain = std::chrono::minutes(10);
 constexpr double most_overrun = 1;
 constexpr double most_slack = 1000000; ///< Operations.
 
@@ -123,6 +125,8 @@
     limits.length_of_time("quota_window", values.quotas.window, least_window, most_grace);
     limits.number("quota_overrun", values.quotas.overrun, 0, most_overrun);
     limits.number("quota_slack", values.quotas.slack, 0, most_slack);
+    section databases(root, "databases", file, out.findings);
+    databases.length_of_time("drain", values.drain, least_drain, most_drain);
     section stop(root, "stop", file, out.findings);
     duration grace = values.grace;
     stop.reader.length_of_time("grace", grace, least_grace, most_grace);
--- a/src/persimmonpoint/settings/front_settings.hpp
+++ b/src/persimmonpoint/settings/front_settings.hpp
@@ -36,6 +36,10 @@
     // [limits]
     quota_rules quotas;
 
+    // [databases]
+    /// How long a database serves from when it tells that it leaves.
+    duration drain = std::chrono::seconds(7);
+
     // [stop]
     std::chrono::milliseconds grace{6000}; ///< From the signal to the end.
     /// Until the platform sends no more callers to a host that is not ready.
--- a/tests/introspective/caller_session.tests.cpp
+++ b/tests/introspective/caller_session.tests.cpp
@@ -43,7 +43,13 @@
 public:
     session_stage()
         : orders(
-              this->loop, this->connector, this->time, this->observer, this->view, "a"),
+              this->loop,
+              this->connector,
+              this->time,
+              this->observer,
+              this->view,
+              "a",
+              std::chrono::seconds(7)),
           runs{this->loop, this->time, this->view, this->orders, "zone"},
           quotas(this->loop, this->time, this->view, "a", {}),
           context{this->runs, this->quotas, this->counts},
--- a/tests/introspective/database_owner.tests.cpp
+++ b/tests/introspective/database_owner.tests.cpp
@@ -245,6 +245,32 @@
     CHECK(stage.owner->open_transactions() == 0);
 }
 
+// Guards against statements to a database that has been leaving for so long that it may
+// end in the middle of them.
+TEST_CASE(
+    "A database that has been leaving for too long is given no new work",
+    "[owner][drain]") {
+    owner_stage stage;
+    auto const opened = stage.open("WRITE a 1", first_link);
+    stage.owner->set_work_end(stage.time.now());
+
+    auto const single = stage.run(upstream_request(), first_link);
+    CHECK(single.outcome == upstream_outcome::not_run);
+    CHECK(single.refusal == upstream_refusal::unreachable);
+    CHECK(stage.open("WRITE b 2", second_link).outcome == upstream_outcome::not_run);
+    SECTION("but goes on with its transactions") {
+        auto const end = stage.run(
+            inside(upstream_request_kind::commit, "COMMIT", opened), first_link);
+        CHECK(end.succeeded());
+    }
+    SECTION("and orders of the system's own") {
+        upstream_request status;
+        status.kind = upstream_request_kind::report_state;
+        stage.run(inside(upstream_request_kind::rollback, "", opened), first_link);
+        CHECK(stage.run(status, first_link).outcome == upstream_outcome::answered);
+    }
+}
+
 TEST_CASE("An acknowledged write is told to the observer, a read is not", "[owner]") {
     owner_stage stage;
     upstream_request read;
--- a/tests/introspective/settings.tests.cpp
+++ b/tests/introspective/settings.tests.cpp
@@ -86,6 +86,11 @@
     REQUIRE(absent.findings.empty());
     CHECK(absent.values.quotas.window == std::chrono::seconds(5));
     CHECK(absent.values.quotas.overrun == 0.1);
+    CHECK(absent.values.drain == std::chrono::seconds(7));
+    auto const drained =
+        settings::load_front("f.toml", rest + "[databases]\ndrain = \"9000ms\"\n");
+    REQUIRE(drained.findings.empty());
+    CHECK(drained.values.drain == std::chrono::seconds(9));
     auto const wrong =
         settings::load_front("f.toml", rest + "quota_overrun = \"much\"\n");
     CHECK(wrong.findings.size() == 1);
