A departure is settled only when the replica that acknowledged is known

Cause: a departure counted as settled with the first commit acknowledged after it, since then 'a replica that is still there has everything'. The one that acknowledged may have come back or joined so lately that the host doesn't know of it: then none of those that it knows has everything.

The new test of core/recovery/departure_memory (a commit of an unknown replica) names the case.

Why it works: a commit settles departures 2 s after it was acknowledged, by when all hosts know of every database that receives (a database registers each 1.2 s), unless another replica has left by then. The change is told at each step what is remembered, the registrations that it uses included, instead of by two notes.

--- a/src/persimmonpoint/core/recovery/change_members.cpp
+++ b/src/persimmonpoint/core/recovery/change_members.cpp
@@ -26,7 +26,7 @@
         if (is_gone) {
             this->removed.insert(each);
             if (each.first != this->primary_id) {
-                this->note_replica_left();
+                this->departed = departure::seen;
             }
         }
         return is_gone;
--- a/src/persimmonpoint/core/recovery/change_members.hpp
+++ b/src/persimmonpoint/core/recovery/change_members.hpp
@@ -98,10 +98,7 @@
     bool has_lost_replica() const { return this->departed == departure::seen; }
     /// True if that can't be ruled out.
     bool may_have_lost_replica() const { return this->departed != departure::none; }
-    void note_replica_left() { this->departed = departure::seen; }
-    /// The primary acknowledged a commit that was sent after any replica had left, so
-    /// that a replica which is still there has all that the others had.
-    void note_commit_acknowledged() { this->departed = departure::none; }
+    void set_departure(departure now_known) { this->departed = now_known; }
     /// Position of the most advanced replica that reported.
     log_position furthest_replica() const;
 
--- a/src/persimmonpoint/core/recovery/departure_memory.cpp
+++ b/src/persimmonpoint/core/recovery/departure_memory.cpp
@@ -8,24 +8,34 @@
 /// A primary that is cut from its replicas is not replaced meanwhile.
 constexpr duration unknown_departure_time = std::chrono::seconds(30);
 
+/// A database that receives is known to all hosts within this time of its start.
+constexpr duration registration_delay = std::chrono::seconds(2);
+
 } // namespace
 
-bool departure_memory::commit_acknowledged(instant sent_at) {
-    if (sent_at < this->left_at.value_or(this->known_since)) {
-        return false;
+void departure_memory::replica_left(instant now) {
+    this->left_at = now;
+    this->received_at.reset();
+}
+
+void departure_memory::commit_acknowledged(instant sent_at, instant now) {
+    bool const counts = sent_at >= this->left_at.value_or(this->known_since);
+    if (counts && !this->received_at) {
+        this->received_at = now;
     }
-    bool const settles = this->left_at || !this->commit_seen;
-    this->left_at.reset();
-    this->commit_seen = true;
-    return settles;
 }
 
 departure departure_memory::judge(instant now) const {
+    bool const is_settled =
+        this->received_at && now - *this->received_at >= registration_delay;
+    if (is_settled) {
+        return departure::none;
+    }
     if (this->left_at) {
         return departure::seen;
     }
     bool const is_new = now - this->known_since < unknown_departure_time;
-    return is_new && !this->commit_seen ? departure::possible : departure::none;
+    return is_new ? departure::possible : departure::none;
 }
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/core/recovery/departure_memory.hpp
+++ b/src/persimmonpoint/core/recovery/departure_memory.hpp
@@ -6,8 +6,7 @@
 
 namespace persimmonpoint {
 
-/// Whether a replica may have left its group with commits that no other replica has. One
-/// has them all again once a commit is acknowledged that was sent later.
+/// Whether a replica may have left its group with commits that no other replica has.
 enum class departure {
     none,
     possible, ///< The host was started lately and saw no commit acknowledged yet.
@@ -15,20 +14,25 @@
 };
 
 /// What one host remembers of the replicas that left one group.
+///
+/// A replica that receives has all commits, those of the departed too. One does if a
+/// commit is acknowledged that was sent after the departure; it may have joined so lately
+/// that the host doesn't know of it yet. Only when that can't be any more is the
+/// departure settled, unless another replica has left by then.
 class departure_memory {
 public:
     /// @param known_since When the host first read which databases the group has.
     explicit departure_memory(instant known_since) : known_since(known_since) {}
 
-    void replica_left(instant now) { this->left_at = now; }
-    /// Returns true if this settles an earlier departure, or a possible one.
-    bool commit_acknowledged(instant sent_at);
+    void replica_left(instant now);
+    void commit_acknowledged(instant sent_at, instant now);
     departure judge(instant now) const;
 
 private:
     instant known_since;
-    std::optional<instant> left_at; ///< Unset once a later commit is acknowledged.
-    bool commit_seen = false;       ///< One that was sent since `known_since`.
+    std::optional<instant> left_at;
+    /// When a commit was first acknowledged that was sent since the last departure.
+    std::optional<instant> received_at;
 };
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -102,10 +102,8 @@
 
     /// Updates the group's databases, which may be added and removed during the change.
     void set_databases(std::span<group_replica const> databases);
-    /// A replica left, for example by a restart that lost its log.
-    void note_replica_left() { this->members.note_replica_left(); }
-    /// A commit was acknowledged that was sent after any replica had left.
-    void note_commit_acknowledged() { this->members.note_commit_acknowledged(); }
+    /// What the host remembers now of departures, those of `databases` included.
+    void set_departure(departure now_known) { this->members.set_departure(now_known); }
     /// The old primary responded. Cancels a change that was started because the primary
     /// was lost, unless this or another host has held a replica already.
     void primary_seen();
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -85,6 +85,11 @@
     std::set<std::string> stepping; ///< Databases with an order of the change under way.
 };
 
+/// Nothing is known before the first reading.
+departure departure_from(watched_group const& group, instant now) {
+    return group.departures ? group.departures->judge(now) : departure::possible;
+}
+
 } // namespace
 
 struct leadership_keeper::implementation
@@ -167,9 +172,6 @@
             return;
         }
         group.departures->replica_left(this->now());
-        if (group.change) {
-            group.change->note_replica_left();
-        }
     }
 
     /// The host that owns the primary's connections has the evidence; without a primary
@@ -418,7 +420,7 @@
         ++group.change_number;
         group.change = std::make_unique<leadership_change>(
             group.primary, databases, leader ? leader->term : 0, reason, time,
-            group.departures ? group.departures->judge(time) : departure::possible);
+            departure_from(group, time));
         observe::log_event(
             observe::log_level::warning, "leadership_change_begins",
             {{"group", name},
@@ -430,6 +432,7 @@
 
     void step(std::string const& name, watched_group& group) {
         group.change->set_databases(this->databases_of(name));
+        group.change->set_departure(departure_from(group, this->now()));
         if (auto const& leader = this->context.view.group(name).leader()) {
             group.change->leader_learned(leader->database, leader->term);
         }
@@ -723,10 +726,8 @@
         return;
     }
     watched_group& group = found->second;
-    bool const settles =
-        group.departures && group.departures->commit_acknowledged(sent_at);
-    if (settles && group.change) {
-        group.change->note_commit_acknowledged();
+    if (group.departures) {
+        group.departures->commit_acknowledged(sent_at, this->impl->now());
     }
 }
 
--- a/tests/introspective/departure_memory.tests.cpp
+++ b/tests/introspective/departure_memory.tests.cpp
@@ -18,12 +18,12 @@
     departure_memory memory(start);
     CHECK(memory.judge(start + seconds(1)) == departure::possible);
     SECTION("until a commit is acknowledged that was sent since") {
-        CHECK(memory.commit_acknowledged(start + seconds(1)));
-        CHECK(memory.judge(start + seconds(2)) == departure::none);
+        memory.commit_acknowledged(start + seconds(1), start + seconds(1));
+        CHECK(memory.judge(start + seconds(4)) == departure::none);
     }
     SECTION("and one that was sent before settles nothing") {
-        CHECK_FALSE(memory.commit_acknowledged(start - milliseconds(1)));
-        CHECK(memory.judge(start + seconds(2)) == departure::possible);
+        memory.commit_acknowledged(start - milliseconds(1), start);
+        CHECK(memory.judge(start + seconds(4)) == departure::possible);
     }
     SECTION("but not for long") {
         CHECK(memory.judge(start + minutes(2)) == departure::none);
@@ -34,12 +34,25 @@
     "A departure is remembered until a later commit is acknowledged",
     "[leadership][departure]") {
     departure_memory memory(start);
-    memory.commit_acknowledged(start);
+    memory.commit_acknowledged(start, start);
     instant const left = start + seconds(5);
     memory.replica_left(left);
-    CHECK_FALSE(memory.commit_acknowledged(left - milliseconds(1)));
+    memory.commit_acknowledged(left - milliseconds(1), left);
     CHECK(memory.judge(left + minutes(2)) == departure::seen);
-    CHECK(memory.commit_acknowledged(left));
-    CHECK(memory.judge(left + milliseconds(1)) == departure::none);
-    CHECK_FALSE(memory.commit_acknowledged(left + seconds(1)));
+    memory.commit_acknowledged(left, left + milliseconds(5));
+    CHECK(memory.judge(left + seconds(4)) == departure::none);
+}
+
+TEST_CASE(
+    "A commit that a replica acknowledged which nobody knew yet settles no departure",
+    "[leadership][departure]") {
+    departure_memory memory(start);
+    instant const left = start + seconds(5);
+    memory.replica_left(left);
+    memory.commit_acknowledged(left + seconds(1), left + seconds(1));
+    CHECK(memory.judge(left + seconds(1)) == departure::seen);
+    SECTION("and none if a replica leaves meanwhile") {
+        memory.replica_left(left + seconds(2));
+        CHECK(memory.judge(left + minutes(2)) == departure::seen);
+    }
 }
--- a/tests/support/leadership_hosts_model.cpp
+++ b/tests/support/leadership_hosts_model.cpp
@@ -117,20 +117,15 @@
         });
     if (any_left) {
         this->departures.replica_left(this->fleet.group.now());
-        if (this->change) {
-            this->change->note_replica_left();
-        }
     }
     this->routing.set_databases(present);
 }
 
 /// Only a host that reaches the primary sees its commits acknowledged.
 void modelled_host::note_commits() {
-    bool const settles =
-        this->reaches(this->primary) &&
-        this->departures.commit_acknowledged(this->fleet.group.newest_acknowledged());
-    if (settles && this->change) {
-        this->change->note_commit_acknowledged();
+    if (this->reaches(this->primary)) {
+        this->departures.commit_acknowledged(
+            this->fleet.group.newest_acknowledged(), this->fleet.group.now());
     }
 }
 
@@ -338,6 +333,7 @@
 
 void modelled_host::step() {
     this->change->set_databases(this->databases());
+    this->change->set_departure(this->departures.judge(this->fleet.group.now()));
     if (auto const& leader = this->routing.leader()) {
         this->change->leader_learned(leader->database, leader->term);
     }
