A replica that a newer token's holder holds is not held again

Cause: hold_again sent PAUSE to every replica that wasn't held under this change's own term, also to those that were reported as held under a newer one. Where a PAUSE overwrites, that hid the newer holder from is_superseded, and the replicas were resumed.

Why it works: a hold that is newer stays as it is. It keeps the replica from receiving as well as one's own, and the change sees at its end that it has been superseded.

--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -447,11 +447,14 @@
 bool leadership_change::is_superseded() const {
     return std::any_of(
         this->members.all().begin(), this->members.all().end(), [this](auto const& each) {
-            return each.second.held_by_other &&
-                   each.second.report->held_term > hold_term(this->token);
+            return each.second.held_by_other && this->is_newer_hold(each.second);
         });
 }
 
+bool leadership_change::is_newer_hold(change_member const& member) const {
+    return member.report->held_term > hold_term(this->token);
+}
+
 void leadership_change::note_foreign_holds(instant now) {
     for (auto const& each : this->members.all()) {
         change_member const& member = each.second;
@@ -546,7 +549,9 @@
 
 void leadership_change::hold_again(std::vector<change_action>& actions, instant now) {
     for (auto const& [id, member] : this->members.all()) {
-        if (id != this->chosen_id && this->must_be_held(id, now) && !member.held) {
+        bool const is_taken_over = member.held_by_other && this->is_newer_hold(member);
+        if (id != this->chosen_id && this->must_be_held(id, now) && !member.held &&
+            !is_taken_over) {
             this->send_request(actions, id, change_action_kind::hold, now);
         }
     }
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -188,6 +188,8 @@
     bool holds_intact(instant now) const;
     /// True if another host holds a replica under a newer fencing token.
     bool is_superseded() const;
+    /// True if a member that is held was held under a newer fencing token.
+    bool is_newer_hold(change_member const& member) const;
     void refresh_stale_reports(std::vector<change_action>& actions, instant now);
     /// True while a promotion by another host may still become visible.
     bool awaits_foreign_promotion(std::vector<change_action>& actions, instant now);
--- a/tests/introspective/leadership_premises.tests.cpp
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -412,6 +412,25 @@
     CHECK(group.leader != "p");
 }
 
+TEST_CASE(
+    "A replica that a host with a newer token holds is not held again",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["p"].alive = false;
+    leadership_change change = change_in(group, change_reason::primary_lost);
+    instant now = start;
+    while (group.count(change_action_kind::promote) == 0 && now < start + seconds(5)) {
+        group.run(change, now, milliseconds(10));
+    }
+    REQUIRE(group.count(change_action_kind::promote) == 1);
+    std::string const other = change.candidate() == "r0" ? "r1" : "r0";
+    std::uint64_t const newer = (change_token + 1) << 20U;
+    group.copies[other].held = newer;
+    group.run(change, now, seconds(2));
+    CHECK(change.is_over());
+    CHECK(group.copies[other].held == newer);
+}
+
 TEST_CASE(
     "A leaving replica that alone has the commits is promoted before it is gone",
     "[leadership][premises]") {
