A primary that may alone have commits must still answer as a promotion is called

Cause: after a departure the survey waits until the primary answers, for only it is known to have everything. The comparison, which may end much later, no longer looked.

Evidence: the test was red before: one promotion, 700 ms after the last answer.

Why it works: the comparison goes back to the survey when the primary has been silent for 0.5 s, unless it was stopped before, when its position is final.

--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -376,6 +376,12 @@
     return false;
 }
 
+bool leadership_change::has_lost_sight_of_primary(instant now) const {
+    change_member const* const primary = this->members.primary_member();
+    return this->members.has_lost_replica() && primary != nullptr &&
+           !this->members.is_primary_stopped() && !primary->answers(now, primary_silence);
+}
+
 void leadership_change::survey(std::vector<change_action>& actions, instant now) {
     bool const primary_known = this->is_primary_known(actions, now);
     if (this->awaits_foreign_promotion(actions, now)) {
@@ -665,6 +671,10 @@
         this->machine.fire(leadership_event::token_outdated);
         return;
     }
+    if (this->has_lost_sight_of_primary(now)) {
+        this->machine.fire(leadership_event::candidate_lost);
+        return;
+    }
     if (this->hold_candidate && this->positions_are_recent(now) &&
         this->members.find(this->chosen_id)->fresh && !this->candidate_is_caught_up()) {
         // Another one that was held too is ahead.
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -163,6 +163,8 @@
     bool all_reported(std::vector<change_action>& actions, instant now);
     /// True once nothing more is to be known of the primary before it is replaced.
     bool is_primary_known(std::vector<change_action>& actions, instant now);
+    /// True if only the primary may have all commits, and it has fallen silent.
+    bool has_lost_sight_of_primary(instant now) const;
     /// True while the primary leads, answers and is to be stopped before the comparison.
     bool has_to_stop_primary(instant now) const;
     /// Asks the primary for its state and stops it if it leads again.
--- a/tests/introspective/leadership_premises.tests.cpp
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -412,6 +412,27 @@
     CHECK(group.leader != "p");
 }
 
+TEST_CASE(
+    "Nothing is promoted once a primary that may alone have commits has fallen silent",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies.erase("r0");
+    leadership_change change(
+        "p", group.registered(), first_term, change_reason::primary_lost, start,
+        departure::seen);
+    change.step(start);
+    change.token_granted(change_token);
+    change.reported("p", group.state_of("p"), start);
+    change.reported("r1", group.state_of("r1"), start);
+    group.copies["p"].alive = false;
+    group.copies["r1"].alive = false;
+    instant now = start;
+    group.run(change, now, milliseconds(700));
+    group.copies["r1"].alive = true;
+    group.run(change, now, seconds(2));
+    CHECK(group.count(change_action_kind::promote) == 0);
+}
+
 TEST_CASE(
     "A replica that a host with a newer token holds is not held again",
     "[leadership][premises]") {
