A token that follows others' tokens waits for promotions that they may have called

Cause: a change waits for other hosts' promotions from when it sees a hold of theirs. Between two tokens of its own it looks at nothing, and its own PAUSE may overwrite the trace.

Why it works: tokens of a group count up. If the one granted isn't the next, another host was granted one meanwhile and may have used it: the wait starts then, hold or no hold.

--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <persimmonpoint/core/recovery/leadership_change.hpp>
+#include <utility>
 
 namespace persimmonpoint {
 
@@ -102,6 +103,7 @@
 }
 
 void leadership_change::token_granted(std::uint64_t granted) {
+    this->others_had_tokens = this->token > 0 && granted > this->token + 1;
     this->token = granted;
     this->token_rejected = false;
     this->own_hold_terms.insert(hold_term(granted));
@@ -223,6 +225,9 @@
     std::vector<change_action> actions;
     leadership_state before{};
     unsigned transitions = 0;
+    if (std::exchange(this->others_had_tokens, false)) {
+        this->foreign_hold_seen_at = now;
+    }
     do {
         this->note_time(now);
         before = this->machine.state();
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -216,6 +216,8 @@
     /// or another host's newer token was noticed.
     std::optional<instant> foreign_hold_seen_at;
     std::set<std::uint64_t> foreign_hold_terms;
+    /// The last token follows some that other hosts were granted.
+    bool others_had_tokens = false;
     bool token_rejected = false; ///< Promotion with the last token conflicted.
     bool skip_resume = false;    ///< The holder of a newer token resumes the replicas.
     std::string chosen_id;
--- a/tests/introspective/leadership_premises.tests.cpp
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -452,6 +452,33 @@
     CHECK(group.copies[other].held == newer);
 }
 
+TEST_CASE(
+    "A token that follows others' tokens waits for promotions that these may have called",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["p"].alive = false;
+    group.promotion_fails_with = promotion_result::not_applied;
+    leadership_change change = change_in(group, change_reason::primary_lost);
+    instant now = start;
+    while (group.count(change_action_kind::promote) == 0 && now < start + seconds(5)) {
+        group.run(change, now, milliseconds(10));
+    }
+    // A restart ends the hold of the other replica.
+    group.copies[change.candidate() == "r0" ? "r1" : "r0"].held = 0;
+    group.token += 2;
+    while (group.count(change_action_kind::request_token) == 1 &&
+           now < start + seconds(5)) {
+        group.run(change, now, milliseconds(10));
+    }
+    std::size_t const called = group.count(change_action_kind::promote);
+    group.run(change, now, seconds(1));
+    CHECK(group.count(change_action_kind::promote) == called);
+    group.promotion_fails_with.reset();
+    group.run(change, now, seconds(3));
+    CHECK(change.is_over());
+    CHECK(group.leader != "p");
+}
+
 TEST_CASE(
     "A leaving replica that alone has the commits is promoted before it is gone",
     "[leadership][premises]") {
