A change after an unanswered promotion takes a newer token

Cause: a call whose answer is lost may be carried out late, as long as no newer token has been used. Within its change it rules out any other candidate. The next change forgot it: with the store away it was given the same token from memory, called for another database, and so outdated nothing.

Why it works: token_demand remembers unanswered calls beyond their change, answers that come after its end included. The next change asks for a new token only, and waits for the store if need be. Within a change nothing differs: its store may stay away.

promotion_answered is logged also when its change is over, with the token.

--- /dev/null
+++ b/src/persimmonpoint/core/recovery/token_demand.cpp
@@ -0,0 +1,25 @@
+#include <persimmonpoint/core/recovery/token_demand.hpp>
+#include <utility>
+
+namespace persimmonpoint {
+
+void token_demand::promotion_answered(std::uint64_t token, promotion_result result) {
+    this->rejected = result == promotion_result::conflict;
+    if (result == promotion_result::unanswered) {
+        this->unanswered = token;
+    }
+}
+
+void token_demand::granted(std::uint64_t token) {
+    this->renews = false;
+    if (this->unanswered && token > *this->unanswered) {
+        this->unanswered.reset();
+    }
+}
+
+token_freshness token_demand::next() {
+    bool const needs_new = std::exchange(this->rejected, false) || this->renews;
+    return needs_new ? token_freshness::require_new : token_freshness::prefer_new;
+}
+
+} // namespace persimmonpoint
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <map>
 #include <persimmonpoint/core/recovery/primary_failure_detector.hpp>
+#include <persimmonpoint/core/recovery/token_demand.hpp>
 #include <persimmonpoint/core/routing/owner_ranking.hpp>
 #include <persimmonpoint/engine/leadership_keeper.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
@@ -81,7 +82,7 @@
     instant leave_alone_until{};
     bool asking = false;
     bool token_prepared = false;
-    bool token_outdated = false;
+    token_demand tokens;
     std::set<std::string> stepping; ///< Databases with an order of the change under way.
 };
 
@@ -418,6 +419,7 @@
         auto const& leader = this->context.view.group(name).leader();
         group.change_started = time;
         ++group.change_number;
+        group.tokens.change_began();
         group.change = std::make_unique<leadership_change>(
             group.primary, databases, leader ? leader->term : 0, reason, time,
             departure_from(group, time));
@@ -431,6 +433,7 @@
     }
 
     void step(std::string const& name, watched_group& group) {
+        this->note_departures();
         group.change->set_databases(this->databases_of(name));
         group.change->set_departure(departure_from(group, this->now()));
         if (auto const& leader = this->context.view.group(name).leader()) {
@@ -448,10 +451,7 @@
         std::string const& name, watched_group& group, change_action const& action) {
         switch (action.kind) {
         case change_action_kind::request_token:
-            this->fetch_token(
-                name, std::exchange(group.token_outdated, false)
-                          ? token_freshness::require_new
-                          : token_freshness::prefer_new);
+            this->fetch_token(name, group.tokens.next());
             return;
         case change_action_kind::request_state:
             this->ask_copy(name, action, upstream_request_kind::report_state);
@@ -495,6 +495,7 @@
                     return;
                 }
                 if (token) {
+                    keeper->groups[name].tokens.granted(*token);
                     change->token_granted(*token);
                     keeper->step(name, keeper->groups[name]);
                 } else {
@@ -568,19 +569,22 @@
              {"directory", this->context.view.directory.current().version.number}});
         this->authority.promote(
             name, action.database, action.token,
-            [weak = this->weak_from_this(), name,
+            [weak = this->weak_from_this(), name, token = action.token,
              number = this->change_number(name)](promotion_result result) {
                 auto const keeper = weak.lock();
-                leadership_change* const change =
-                    keeper ? keeper->change_of(name, number) : nullptr;
-                if (change == nullptr) {
+                if (!keeper) {
                     return;
                 }
                 observe::log_event(
                     observe::log_level::warning, "promotion_answered",
-                    {{"group", name}, {"result", static_cast<int>(result)}});
-                keeper->groups[name].token_outdated =
-                    result == promotion_result::conflict;
+                    {{"group", name},
+                     {"token", token},
+                     {"result", static_cast<int>(result)}});
+                keeper->groups[name].tokens.promotion_answered(token, result);
+                leadership_change* const change = keeper->change_of(name, number);
+                if (change == nullptr) {
+                    return;
+                }
                 change->promotion_answered(result, keeper->now());
                 keeper->step(name, keeper->groups[name]);
             });
--- a/tests/support/leadership_hosts_model.cpp
+++ b/tests/support/leadership_hosts_model.cpp
@@ -320,6 +320,7 @@
         return false;
     }
     ++this->change_number;
+    this->tokens.change_began();
     this->change = std::make_unique<leadership_change>(
         this->primary, present, leader ? leader->term : 0, reason, time,
         this->departures.judge(time));
@@ -369,7 +370,7 @@
 }
 
 void modelled_host::request_token() {
-    bool const need_new = std::exchange(this->token_outdated, false);
+    bool const need_new = this->tokens.next() == token_freshness::require_new;
     this->deliver_after(token_delay, [this, need_new, guard = this->while_changing()] {
         std::optional<std::uint64_t> token;
         if (this->fleet.faults.store_answers(this->own_name)) {
@@ -387,6 +388,7 @@
         }
         guard([this, token] {
             this->note("has token " + std::to_string(*token));
+            this->tokens.granted(*token);
             this->change->token_granted(*token);
             this->step();
         });
@@ -451,9 +453,10 @@
     this->note(
         "calls for the promotion of " + action.database + ", token " +
         std::to_string(action.token));
-    auto const answer = [this, guard = this->while_changing()](promotion_result result) {
+    auto const answer = [this, guard = this->while_changing(),
+                         token = action.token](promotion_result result) {
+        this->tokens.promotion_answered(token, result);
         guard([this, result] {
-            this->token_outdated = result == promotion_result::conflict;
             this->change->promotion_answered(result, this->fleet.group.now());
             this->step();
         });
@@ -535,6 +538,7 @@
     this->managed_since = instant();
     this->primary.clear();
     this->cached_token.reset();
+    this->tokens = token_demand();
     this->note("is killed");
     this->fleet.group.after(down_for, [this] {
         this->alive = true;
--- a/tests/support/leadership_hosts_model.hpp
+++ b/tests/support/leadership_hosts_model.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <persimmonpoint/core/recovery/leadership_change.hpp>
 #include <persimmonpoint/core/recovery/primary_failure_detector.hpp>
+#include <persimmonpoint/core/recovery/token_demand.hpp>
 #include <persimmonpoint/core/routing/group_routing.hpp>
 #include <string>
 #include <support/replicated_group_model.hpp>
@@ -132,7 +133,7 @@
     std::string last_state;
     std::string last_candidate;
     std::optional<std::uint64_t> cached_token;
-    bool token_outdated = false;
+    token_demand tokens;
     bool alive = true;
     bool frozen = false;
     unsigned life = 1;
