--- a/tests/introspective/leadership_model.tests.cpp
+++ b/tests/introspective/leadership_model.tests.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <support/leadership_hosts_model.hpp>
@@ -156,6 +157,9 @@
 constexpr std::uint64_t seeds_in_ci = 150;
 #endif
 constexpr std::uint64_t seeds_in_long_run = 5000;
+constexpr std::array<std::uint64_t, 24> seeds_that_failed_once = {
+    287,  370,  521,  610,  617,  889,  1637, 1765, 1771, 1835, 1946,  2173,
+    3983, 4072, 5019, 5699, 6357, 6468, 6492, 6691, 7141, 8834, 10778, 12110};
 
 bool has_lost(random_run_result const& run) {
     return !run.losses.empty();
@@ -184,6 +188,25 @@
     play_seeds(seeds_in_ci, is_stuck);
 }
 
+TEST_CASE(
+    "Seeds of the fleet's model that failed once lose nothing and end",
+    "[leadership][leadership-model]") {
+    std::vector<std::uint64_t> wrong;
+    std::string first;
+    for (std::uint64_t const seed : seeds_that_failed_once) {
+        bool const is_endless =
+            !ends([seed] { run_with_random_faults(seed, all_faults()); });
+        random_run_result const run =
+            is_endless ? random_run_result() : run_with_random_faults(seed, all_faults());
+        if (is_endless || has_lost(run) || is_stuck(run)) {
+            wrong.push_back(seed);
+            first = first.empty() ? told(seed, run) : first;
+        }
+    }
+    INFO(first);
+    CHECK(wrong == std::vector<std::uint64_t>());
+}
+
 TEST_CASE(
     "No acknowledged commit is lost in many random runs of the fleet's model",
     "[.][leadership-model-long]") {
