A socket's copy that can't be watched is closed, and its connection fails

Found by the reviewer: descriptor.assign throws where the event queue takes no more. By reading only; no test makes epoll_ctl fail.

--- a/src/persimmonpoint/postgres/libpq_connection.cpp
+++ b/src/persimmonpoint/postgres/libpq_connection.cpp
@@ -171,21 +171,24 @@
 
     void unwatch_socket() {
         if (this->descriptor.is_open()) {
-            // Not by the descriptor's close(): that leaves a copy in the event queue.
             ::close(this->descriptor.release());
         }
     }
 
     /// libpq may close its socket, and open another, in any call: what is waited on is a
     /// copy, whose number nobody else is given meanwhile.
-    bool watch_socket() {
+    std::error_code watch_socket() {
         this->unwatch_socket();
         int const copy = fcntl(PQsocket(this->connection.get()), F_DUPFD_CLOEXEC, 0);
         if (copy < 0) {
-            return false;
+            return {errno, std::generic_category()};
         }
-        this->descriptor.assign(copy);
-        return true;
+        boost::system::error_code failure;
+        this->descriptor.assign(copy, failure);
+        if (failure) {
+            ::close(copy);
+        }
+        return failure;
     }
 
     std::string last_error() const {
@@ -207,8 +210,8 @@
     }
 
     void wait_connect(PostgresPollingStatusType next) {
-        if (!this->watch_socket()) {
-            this->connect_failed(std::generic_category().message(errno));
+        if (std::error_code const failure = this->watch_socket()) {
+            this->connect_failed(failure.message());
             return;
         }
         auto const direction = next == PGRES_POLLING_READING
