A superseded change that can't yield goes on asking; repeated questions keep a pace

Found by the reviewer: with the store away such a change was granted the same token again and again and asked no replica, so it never saw the other host end.

--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -490,6 +490,9 @@
     if (this->is_superseded()) {
         this->yield_to_newer_holder();
         // With an unsettled promotion it can't yield, but the other host may be gone.
+        for (auto const& each : this->members.all()) {
+            this->ask_again(actions, each.first, now);
+        }
         if (now - this->state_entered_at >= foreign_promotion_timeout) {
             this->machine.fire(leadership_event::token_outdated);
         }
@@ -507,12 +510,20 @@
         if (!settled ||
             member.asked_at < *this->foreign_hold_seen_at + foreign_promotion_timeout) {
             all_fresh = false;
-            this->send_request(actions, id, change_action_kind::request_state, now);
+            this->ask_again(actions, id, now);
         }
     }
     return !all_fresh;
 }
 
+void leadership_change::ask_again(
+    std::vector<change_action>& actions, std::string const& id, instant now) {
+    change_member const* const member = this->members.find(id);
+    if (!member->report || now - member->asked_at >= poll_interval) {
+        this->send_request(actions, id, change_action_kind::request_state, now);
+    }
+}
+
 bool leadership_change::is_recent(change_member const& member, instant now) const {
     return now - member.asked_at <= hold_report_max_age &&
            (!this->stopped_at || member.asked_at >= *this->stopped_at);
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -195,6 +195,9 @@
     /// True if a member that is held was held under a newer fencing token.
     bool is_newer_hold(change_member const& member) const;
     void refresh_stale_reports(std::vector<change_action>& actions, instant now);
+    /// Asks for a state that was asked for a while ago.
+    void
+    ask_again(std::vector<change_action>& actions, std::string const& id, instant now);
     /// True while a promotion by another host may still become visible.
     bool awaits_foreign_promotion(std::vector<change_action>& actions, instant now);
     /// Ends the change without resuming replicas, unless `promotion_unsettled`.
