--- a/src/persimmonpoint/core/recovery/departure_memory.hpp
+++ b/src/persimmonpoint/core/recovery/departure_memory.hpp
@@ -26,7 +26,8 @@
 
     void replica_left(instant now);
     void commit_acknowledged(instant sent_at, instant now);
-    departure judge(instant now) const;
+    /// What to reckon with at `now` in a change that began at `change_began`.
+    departure judge(instant now, instant change_began) const;
 
 private:
     instant known_since;
--- a/tests/support/leadership_hosts_model.hpp
+++ b/tests/support/leadership_hosts_model.hpp
@@ -127,6 +127,7 @@
     instant last_probe{};
     instant last_hold_check{};
     departure_memory departures;
+    instant change_began{};
     unsigned change_number = 0; ///< Of the present change, or the last.
     instant next_change{};
     instant leave_alone_until{};
