A token for the next change is prepared anew after an unanswered promotion

Found by the reviewer: with the store away the next change had to wait for its return, though a newer token could have been had before. And a late answer to an older call set or cleared the rejection of the present token.

--- a/src/persimmonpoint/core/recovery/token_demand.hpp
+++ b/src/persimmonpoint/core/recovery/token_demand.hpp
@@ -21,11 +21,14 @@
     void granted(std::uint64_t token);
     /// What to ask for now. A rejection counts once.
     token_freshness next();
+    /// What to ask for between changes, for the next one.
+    token_freshness prepared() const;
 
 private:
     std::optional<std::uint64_t> unanswered; ///< Newest token of such a promotion.
-    bool renews = false;   ///< The present change needs a newer one than `unanswered`.
-    bool rejected = false; ///< The last promotion's token was outdated.
+    bool renews = false;      ///< The present change needs a newer one than `unanswered`.
+    std::uint64_t newest = 0; ///< Of those granted.
+    bool rejected = false;    ///< `newest` was outdated when it was used.
 };
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -316,7 +316,13 @@
         }
         group.token_prepared = true;
         this->authority.request_token(
-            name, token_freshness::any, [](std::optional<std::uint64_t>) {});
+            name, group.tokens.prepared(),
+            [weak = this->weak_from_this(), name](std::optional<std::uint64_t> token) {
+                auto const keeper = weak.lock();
+                if (keeper && token) {
+                    keeper->groups[name].tokens.granted(*token);
+                }
+            });
     }
 
     void ask_leader(std::string const& name, std::string const& primary) {
