A commit that a host has sent settles what it can't know of the time before

So a host without a further commit left a primary in place that was cut from its replicas, for 30 s.

A possible departure is ruled out at once, as in; one that was seen still takes 4 s, as the replica that acknowledged may be unknown.

--- a/src/persimmonpoint/core/recovery/departure_memory.cpp
+++ b/src/persimmonpoint/core/recovery/departure_memory.cpp
@@ -27,13 +27,13 @@
 }
 
 departure departure_memory::judge(instant now, instant change_began) const {
-    bool const is_settled =
-        this->received_at && now - *this->received_at >= registration_delay;
-    if (is_settled) {
-        return departure::none;
-    }
     if (this->left_at) {
-        return departure::seen;
+        bool const is_settled =
+            this->received_at && now - *this->received_at >= registration_delay;
+        return is_settled ? departure::none : departure::seen;
+    }
+    if (this->received_at) {
+        return departure::none;
     }
     // What a change went by doesn't end in its midst by time alone.
     bool const is_new = change_began - this->known_since < unknown_departure_time;
