--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -369,7 +369,7 @@
     std::vector<change_action>& actions, instant now) {
     this->watch_primary(actions, now);
     bool const is_needed =
-        this->members.has_lost_replica() || this->cause == change_reason::replica_held;
+        this->needs_primary() || this->cause == change_reason::replica_held;
     change_member const* const primary = this->members.primary_member();
     if (!is_needed || primary == nullptr || primary->answers(now, primary_silence)) {
         return true;
@@ -381,9 +381,17 @@
     return false;
 }
 
+bool leadership_change::needs_primary() const {
+    change_member const* const primary = this->members.primary_member();
+    bool const was_ahead = primary != nullptr && primary->report &&
+                           primary->report->received > this->members.furthest_replica();
+    return this->members.has_lost_replica() ||
+           (this->members.may_have_lost_replica() && was_ahead);
+}
+
 bool leadership_change::has_lost_sight_of_primary(instant now) const {
     change_member const* const primary = this->members.primary_member();
-    return this->members.has_lost_replica() && primary != nullptr &&
+    return this->needs_primary() && primary != nullptr &&
            !this->members.is_primary_stopped() && !primary->answers(now, primary_silence);
 }
 
@@ -482,6 +490,9 @@
     if (this->is_superseded()) {
         this->yield_to_newer_holder();
         // With an unsettled promotion it can't yield, but the other host may be gone.
+        for (auto const& each : this->members.all()) {
+            this->ask_again(actions, each.first, now);
+        }
         if (now - this->state_entered_at >= foreign_promotion_timeout) {
             this->machine.fire(leadership_event::token_outdated);
         }
@@ -499,12 +510,20 @@
         if (!settled ||
             member.asked_at < *this->foreign_hold_seen_at + foreign_promotion_timeout) {
             all_fresh = false;
-            this->send_request(actions, id, change_action_kind::request_state, now);
+            this->ask_again(actions, id, now);
         }
     }
     return !all_fresh;
 }
 
+void leadership_change::ask_again(
+    std::vector<change_action>& actions, std::string const& id, instant now) {
+    change_member const* const member = this->members.find(id);
+    if (!member->report || now - member->asked_at >= poll_interval) {
+        this->send_request(actions, id, change_action_kind::request_state, now);
+    }
+}
+
 bool leadership_change::is_recent(change_member const& member, instant now) const {
     return now - member.asked_at <= hold_report_max_age &&
            (!this->stopped_at || member.asked_at >= *this->stopped_at);
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -163,7 +163,9 @@
     bool all_reported(std::vector<change_action>& actions, instant now);
     /// True once nothing more is to be known of the primary before it is replaced.
     bool is_primary_known(std::vector<change_action>& actions, instant now);
-    /// True if only the primary may have all commits, and it has fallen silent.
+    /// True if only the primary may have all commits.
+    bool needs_primary() const;
+    /// True if it is needed and has fallen silent.
     bool has_lost_sight_of_primary(instant now) const;
     /// True while the primary leads, answers and is to be stopped before the comparison.
     bool has_to_stop_primary(instant now) const;
@@ -193,6 +195,9 @@
     /// True if a member that is held was held under a newer fencing token.
     bool is_newer_hold(change_member const& member) const;
     void refresh_stale_reports(std::vector<change_action>& actions, instant now);
+    /// Asks for a state that was asked for a while ago.
+    void
+    ask_again(std::vector<change_action>& actions, std::string const& id, instant now);
     /// True while a promotion by another host may still become visible.
     bool awaits_foreign_promotion(std::vector<change_action>& actions, instant now);
     /// Ends the change without resuming replicas, unless `promotion_unsettled`.
