--- a/tests/introspective/leadership_premises.tests.cpp
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -500,6 +500,20 @@
     CHECK(group.leader != "p");
 }
 
+TEST_CASE(
+    "The wait for another host's promotion asks no replica with each answer",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["p"].alive = false;
+    group.copies["r0"].held = 5;
+    leadership_change change = change_in(group, change_reason::primary_lost);
+    instant now = start;
+    group.run(change, now, seconds(1));
+    REQUIRE(group.count(change_action_kind::hold) == 0);
+    // Two replicas, each 30 ms, and the primary that doesn't answer, each 250 ms.
+    CHECK(group.count(change_action_kind::request_state) <= 2 * 34 + 5);
+}
+
 TEST_CASE(
     "A leaving replica that alone has the commits is promoted before it is gone",
     "[leadership][premises]") {
