Logs tell which commits a promotion is known to leave out, and how old the directory is

The log of the promotion named the positions compared, but not what could contradict them. promotion_called now has the furthest position that this host knows to be acknowledged, how many of its own writes at the old primary are unacknowledged, the age of the last reading of the directory and for how long the store has been in reach; databases_changed names the databases. Nothing decides by it yet. Evidence for the three hypotheses: with these, H1 shows as 'acknowledged' above every position compared, H2 as 'gone' of a database that comes back, H3 as 'started again'.

--- /dev/null
+++ b/src/persimmonpoint/core/recovery/acknowledged_commits.hpp
@@ -0,0 +1,38 @@
+#ifndef PERSIMMONPOINT_CORE_RECOVERY_ACKNOWLEDGED_COMMITS_HPP_INCLUDED
+#define PERSIMMONPOINT_CORE_RECOVERY_ACKNOWLEDGED_COMMITS_HPP_INCLUDED
+
+#include <optional>
+#include <persimmonpoint/core/routing/log_position.hpp>
+#include <string>
+#include <string_view>
+
+namespace persimmonpoint {
+
+/// The log of `database` reached at least `position` when it acknowledged a commit.
+struct acknowledged_commit {
+    log_position position;
+    std::string database; ///< Empty once its log is gone.
+};
+
+/// What one host knows of the commits that were acknowledged in one group: a database
+/// that lacks the newest must not be promoted, whichever databases are known.
+class acknowledged_commits {
+public:
+    void note(std::string_view database, log_position position);
+    /// The database left its group, or started again with an empty log.
+    void log_lost(std::string_view database);
+    std::optional<acknowledged_commit> const& newest() const { return this->last; }
+
+private:
+    std::optional<acknowledged_commit> last;
+};
+
+/// A position that a commit's own reaches, known from its acknowledgement.
+/// @param end_when_sent Log end that the database had told before the commit was sent.
+/// @param end_after Log end told with the acknowledgement; it may lie beyond the commit.
+std::optional<log_position> least_commit_position(
+    std::optional<log_position> end_when_sent, std::optional<log_position> end_after);
+
+} // namespace persimmonpoint
+
+#endif // PERSIMMONPOINT_CORE_RECOVERY_ACKNOWLEDGED_COMMITS_HPP_INCLUDED
--- a/src/persimmonpoint/core/recovery/departure_memory.cpp
+++ b/src/persimmonpoint/core/recovery/departure_memory.cpp
@@ -1,3 +1,4 @@
+#include <persimmonpoint/core/membership/directory_readings.hpp>
 #include <persimmonpoint/core/recovery/departure_memory.hpp>
 
 namespace persimmonpoint {
@@ -8,10 +9,6 @@
 /// A primary that is cut from its replicas is not replaced meanwhile.
 constexpr duration unknown_departure_time = std::chrono::seconds(30);
 
-/// A database that receives is known to all hosts within this time of its start: it
-/// registers each 1.2 s, the store is read each 0.8 s, and hosts tell one another.
-constexpr duration registration_delay = std::chrono::seconds(4);
-
 } // namespace
 
 void departure_memory::replica_left(instant now) {
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -127,6 +127,8 @@
     std::string_view state_name() const { return this->machine.state_name(); }
     change_reason reason() const { return this->cause; }
     std::string const& candidate() const { return this->chosen_id; }
+    /// The primary that is replaced; empty if none is known.
+    std::string const& old_primary() const { return this->members.primary(); }
     /// What the choice of the candidate rests on, for logs.
     std::vector<promotion_evidence> evidence() const {
         return this->members.evidence(this->chosen_id);
--- a/src/persimmonpoint/core/routing/group_routing.hpp
+++ b/src/persimmonpoint/core/routing/group_routing.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
+#include <persimmonpoint/core/recovery/acknowledged_commits.hpp>
 #include <persimmonpoint/core/routing/log_position.hpp>
 #include <persimmonpoint/core/routing/position_history.hpp>
 #include <persimmonpoint/core/time.hpp>
@@ -69,6 +70,7 @@
     void unreachable(std::string_view id, instant now);
 
     position_history floors;
+    acknowledged_commits acknowledged;
 
 private:
     struct database_stats {
--- a/src/persimmonpoint/core/statement/upstream_request.hpp
+++ b/src/persimmonpoint/core/statement/upstream_request.hpp
@@ -91,6 +91,8 @@
     transaction_state state = transaction_state::idle;
     /// The database's log position after the statement.
     std::optional<log_position> position;
+    /// Of a commit that was acknowledged: its own position reaches this one.
+    std::optional<log_position> acknowledged;
     transaction_id transaction; ///< Set while the request's transaction is open.
     std::uint32_t load = 0; ///< Requests queued or running for the database at the owner.
     bool leader_confirmed = false; ///< The response proves that the database was primary.
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <persimmonpoint/core/limits/commit_share.hpp>
 #include <persimmonpoint/core/limits/waiting_line.hpp>
+#include <persimmonpoint/core/recovery/acknowledged_commits.hpp>
 #include <persimmonpoint/engine/database_owner.hpp>
 #include <persimmonpoint/engine/order_commands.hpp>
 #include <utility>
@@ -35,6 +36,16 @@
     return answer;
 }
 
+commit_end end_of_commit(statement_error answer) {
+    if (answer == statement_error::none) {
+        return commit_end::acknowledged;
+    }
+    // A primary that loses its lead refuses commits that its log has already.
+    bool const is_not_run =
+        proves_not_run(answer) && answer != statement_error::read_only;
+    return is_not_run ? commit_end::not_run : commit_end::unknown;
+}
+
 /// An order and who waits for its answer.
 struct pending_order {
     upstream_request order;
@@ -54,6 +65,7 @@
     bool main_sent = false;
     bool counts_as_commit = false;
     instant commit_sent_at{};
+    std::optional<log_position> log_end_when_sent; ///< As far as it was known.
 };
 
 } // namespace
@@ -337,8 +349,9 @@
             on.main_sent = true;
             if (on.counts_as_commit) {
                 on.commit_sent_at = this->time.now();
+                on.log_end_when_sent = this->log_end;
                 this->commits.started(on.commit_sent_at);
-                this->observer.on_commit_sent(this->database.id);
+                this->observer.on_commit_sent(this->database.id, on.commit_sent_at);
             }
         }
         on.connection->execute(
@@ -361,6 +374,7 @@
             return;
         }
         this->observer.on_answer(this->database.id);
+        this->log_end = std::max(this->log_end, answer.position);
         if (!on.current) {
             this->idle_again(on, answer);
             return;
@@ -425,11 +439,14 @@
 
     void main_answered(lane& on, upstream_answer answer) {
         upstream_request const& order = on.current->order;
+        upstream_response out;
         if (on.counts_as_commit && answer.error == statement_error::none) {
-            this->observer.on_commit_acknowledged(this->database.id, on.commit_sent_at);
+            out.acknowledged =
+                least_commit_position(on.log_end_when_sent, answer.position);
+            this->observer.on_commit_acknowledged(
+                this->database.id, on.commit_sent_at, out.acknowledged);
         }
-        this->commit_ended(on);
-        upstream_response out;
+        this->commit_ended(on, end_of_commit(answer.error));
         out.outcome = upstream_outcome::answered;
         out.error = answer.error;
         out.error_text = std::move(answer.error_text);
@@ -463,10 +480,10 @@
         this->pump();
     }
 
-    void commit_ended(lane& on) {
+    void commit_ended(lane& on, commit_end how) {
         if (std::exchange(on.counts_as_commit, false) && on.main_sent) {
             this->commits.ended(this->time.now());
-            this->observer.on_commit_answered(this->database.id);
+            this->observer.on_commit_ended(this->database.id, on.commit_sent_at, how);
         }
     }
 
@@ -515,7 +532,7 @@
             pending = this->take_current(on);
         }
         bool const sent = on.main_sent;
-        this->commit_ended(on);
+        this->commit_ended(on, commit_end::unknown);
         this->drop(id);
         if (pending) {
             upstream_response out = not_run(upstream_refusal::unreachable);
@@ -607,7 +624,7 @@
         }
         std::vector<pending_order> lost;
         for (auto& each : this->lanes) {
-            this->commit_ended(each.second);
+            this->commit_ended(each.second, commit_end::unknown);
             if (each.second.current) {
                 lost.push_back(std::move(*each.second.current));
             }
@@ -633,6 +650,7 @@
     std::optional<instant> work_end;
     waiting_line<pending_order> waiting{most_waiting};
     commit_share commits;
+    std::optional<log_position> log_end; ///< The furthest that the database told.
     std::map<std::uint64_t, lane> lanes;
     std::uint64_t last_lane = 0;
     std::uint64_t opened_count = 0;
--- a/src/persimmonpoint/engine/database_owner.hpp
+++ b/src/persimmonpoint/engine/database_owner.hpp
@@ -7,7 +7,9 @@
 #include <memory>
 #include <optional>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
+#include <persimmonpoint/core/recovery/unacknowledged_commits.hpp>
 #include <persimmonpoint/core/routing/connection_choice.hpp>
+#include <persimmonpoint/core/routing/log_position.hpp>
 #include <persimmonpoint/core/statement/transaction_id.hpp>
 #include <persimmonpoint/interfaces/clock.hpp>
 #include <persimmonpoint/interfaces/upstream_connection.hpp>
@@ -22,10 +24,17 @@
     virtual void on_answer(std::string const& database) = 0;
     virtual void on_refused(std::string const& database) = 0;
     virtual void on_silent(std::string const& database) = 0;
-    virtual void on_commit_sent(std::string const& database) = 0;
-    virtual void on_commit_answered(std::string const& database) = 0;
-    /// A write or COMMIT succeeded that was sent at `sent_at`.
-    virtual void on_commit_acknowledged(std::string const& database, instant sent_at) = 0;
+    virtual void on_commit_sent(std::string const& database, instant sent_at) = 0;
+    /// A write or COMMIT that was sent at `sent_at` was answered, or its connection
+    /// broke.
+    virtual void
+    on_commit_ended(std::string const& database, instant sent_at, commit_end how) = 0;
+    /// A write or COMMIT succeeded that was sent at `sent_at`. `reached` is a position
+    /// that the commit's own reaches, if one is known.
+    virtual void on_commit_acknowledged(
+        std::string const& database,
+        instant sent_at,
+        std::optional<log_position> reached) = 0;
 };
 
 /// Identifies who has given an order, so that its transactions end with it.
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -2,8 +2,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cmath>
 #include <map>
+#include <persimmonpoint/core/membership/directory_readings.hpp>
 #include <persimmonpoint/core/recovery/primary_failure_detector.hpp>
 #include <persimmonpoint/core/recovery/token_demand.hpp>
+#include <persimmonpoint/core/recovery/unacknowledged_commits.hpp>
 #include <persimmonpoint/core/routing/owner_ranking.hpp>
 #include <persimmonpoint/engine/leadership_keeper.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
@@ -55,6 +57,16 @@
     return text;
 }
 
+/// For example "db-1 7.3337", or "none".
+std::string describe(std::optional<acknowledged_commit> const& commit) {
+    if (!commit) {
+        return "none";
+    }
+    std::string const holder = commit->database.empty() ? "gone" : commit->database;
+    return holder + " " + std::to_string(commit->position.term) + "." +
+           std::to_string(commit->position.offset);
+}
+
 std::string describe(std::vector<promotion_evidence> const& all, instant now) {
     std::string text;
     for (promotion_evidence const& each : all) {
@@ -161,24 +173,23 @@
         }
     }
 
-    void note_departures_from(watched_group& group, group_routing const& routing) {
+    void note_departures_from(watched_group& group, group_routing& routing) {
         std::map<std::string, std::uint64_t> present;
         for (registered_database const& each : routing.databases()) {
             present[each.id] = each.started_ms;
         }
-        bool const any_left = std::any_of(
-            group.databases.begin(), group.databases.end(), [&present](auto const& each) {
-                auto const found = present.find(each.first);
-                return found == present.end() || found->second != each.second;
-            });
         if (!group.departures) {
             group.departures.emplace(this->started);
         }
-        group.databases = std::move(present);
-        if (!any_left) {
-            return;
+        for (auto const& [id, started] : group.databases) {
+            auto const found = present.find(id);
+            if (found == present.end() || found->second != started) {
+                group.departures->replica_left(this->now());
+                routing.acknowledged.log_lost(id);
+                this->unacknowledged.erase(id);
+            }
         }
-        group.departures->replica_left(this->now());
+        group.databases = std::move(present);
     }
 
     /// The host that owns the primary's connections has the evidence; without a primary
@@ -568,6 +579,19 @@
             });
     }
 
+    /// -1 if it has not been.
+    double milliseconds_since(std::optional<instant> time) const {
+        return time ? to_seconds(this->now() - *time) * 1000 : -1;
+    }
+
+    /// How many commits of this host the old primary may have unacknowledged.
+    std::size_t unacknowledged_by(leadership_change const& change) const {
+        auto const found = this->unacknowledged.find(change.old_primary());
+        return found == this->unacknowledged.end()
+                   ? 0
+                   : found->second.sent_before(this->now());
+    }
+
     void call_promotion(
         std::string const& name,
         leadership_change const& change,
@@ -579,7 +603,13 @@
              {"token", action.token},
              {"reason", to_string(change.reason())},
              {"compared", describe(change.evidence(), this->now())},
-             {"directory", this->context.view.directory.current().version.number}});
+             {"acknowledged",
+              describe(this->context.view.group(name).acknowledged.newest())},
+             {"unacknowledged", this->unacknowledged_by(change)},
+             {"directory", this->context.view.directory.current().version.number},
+             {"directory_read_ms", this->milliseconds_since(this->readings.last())},
+             {"store_reached_ms",
+              this->milliseconds_since(this->readings.in_reach_since())}});
         this->authority.promote(
             name, action.database, action.token,
             [weak = this->weak_from_this(), name, token = action.token,
@@ -657,6 +687,9 @@
     std::map<std::string, watched_group, std::less<>> groups;
     std::map<std::string, instant, std::less<>> answered_at;
     std::map<std::string, commit_progress, std::less<>> commits; ///< By database.
+    std::map<std::string, unacknowledged_commits, std::less<>>
+        unacknowledged; ///< By database.
+    directory_readings readings;
     /// A change is kept until it is no longer on the stack.
     std::unique_ptr<leadership_change> retired;
     std::uint64_t finished = 0;
@@ -720,11 +753,14 @@
     this->impl->tell_suspicion(database, &primary_failure_detector::unanswered);
 }
 
-void leadership_keeper::on_commit_sent(std::string const& database) {
-    this->impl->commits[database].sent(this->impl->now());
+void leadership_keeper::on_commit_sent(std::string const& database, instant sent_at) {
+    this->impl->commits[database].sent(sent_at);
+    this->impl->unacknowledged[database].sent(sent_at);
 }
 
-void leadership_keeper::on_commit_answered(std::string const& database) {
+void leadership_keeper::on_commit_ended(
+    std::string const& database, instant sent_at, commit_end how) {
+    this->impl->unacknowledged[database].ended(sent_at, how);
     auto const found = this->impl->commits.find(database);
     if (found == this->impl->commits.end()) {
         return;
@@ -735,13 +771,26 @@
     }
 }
 
+void leadership_keeper::on_directory_read(bool succeeded, instant began_at) {
+    if (succeeded) {
+        this->impl->readings.succeeded(
+            began_at, this->impl->context.view.directory.current().version.era);
+    } else {
+        this->impl->readings.failed();
+    }
+}
+
 void leadership_keeper::on_commit_acknowledged(
-    std::string const& database, instant sent_at) {
+    std::string const& database, instant sent_at, std::optional<log_position> reached) {
     registered_database const* const entry =
         this->impl->context.view.find_database(database);
     if (entry == nullptr) {
         return;
     }
+    if (reached) {
+        this->impl->context.view.group(entry->group)
+            .acknowledged.note(database, *reached);
+    }
     watched_group& group = this->impl->groups[entry->group];
     if (!group.departures) {
         group.departures.emplace(this->impl->started);
--- a/src/persimmonpoint/engine/leadership_keeper.hpp
+++ b/src/persimmonpoint/engine/leadership_keeper.hpp
@@ -27,6 +27,9 @@
         std::string const& database,
         std::uint64_t token,
         std::function<void(promotion_result)> done) = 0;
+    /// Has the directory read from the store; leadership_keeper::on_directory_read()
+    /// tells how that ended.
+    virtual void read_directory() = 0;
 };
 
 /// Watches the primaries whose connections this host owns, and replaces those that died
@@ -43,9 +46,17 @@
     void on_answer(std::string const& database) override;
     void on_refused(std::string const& database) override;
     void on_silent(std::string const& database) override;
-    void on_commit_sent(std::string const& database) override;
-    void on_commit_answered(std::string const& database) override;
-    void on_commit_acknowledged(std::string const& database, instant sent_at) override;
+    void on_commit_sent(std::string const& database, instant sent_at) override;
+    void on_commit_ended(
+        std::string const& database, instant sent_at, commit_end how) override;
+    void on_commit_acknowledged(
+        std::string const& database,
+        instant sent_at,
+        std::optional<log_position> reached) override;
+
+    /// A reading of the directory ended that began at `began_at`. What it brought is in
+    /// the view.
+    void on_directory_read(bool succeeded, instant began_at);
 
     std::uint64_t changes_finished() const;
 
--- a/src/persimmonpoint/engine/peer_messages.cpp
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -56,7 +56,7 @@
     archive(value.error_text, value.rows, value.signature);
     engine::archive_enum(archive, value.state, transaction_state::failed);
     archive(value.position, value.transaction, value.load);
-    archive(value.leader_confirmed, value.report);
+    archive(value.leader_confirmed, value.report, value.acknowledged);
 }
 
 template <class Archive>
--- a/src/persimmonpoint/engine/statement_run.cpp
+++ b/src/persimmonpoint/engine/statement_run.cpp
@@ -57,6 +57,9 @@
     if (answer.refusal == upstream_refusal::unreachable) {
         group.unreachable(database, now);
     }
+    if (answer.acknowledged) {
+        group.acknowledged.note(database, *answer.acknowledged);
+    }
     if (answer.leader_confirmed && answer.position) {
         group.floors.observe(sent, *answer.position);
         if (group.confirm_leader(database, answer.position->term)) {
--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -175,27 +175,39 @@
 
     // Databases
 
+    /// Calls `done` with whether the reading succeeded.
+    void read_databases_once(std::function<void(implementation&, bool)> done) {
+        this->store.read_databases(
+            [weak = this->weak_from_this(), began_at = this->time.now(),
+             done = std::move(done)](result<database_directory> read) {
+                auto const watch = weak.lock();
+                if (!watch || watch->stopped) {
+                    return;
+                }
+                bool const succeeded = static_cast<bool>(read);
+                watch->note_store(
+                    succeeded, succeeded ? "databases read" : read.error().message);
+                if (succeeded) {
+                    watch->note_era(read.value().version.era);
+                    watch->observer.on_stored_databases(std::move(read.value()));
+                }
+                watch->observer.on_databases_read(succeeded, began_at);
+                done(*watch, succeeded);
+            });
+    }
+
     void read_databases() {
-        this->store.read_databases([weak = this->weak_from_this()](
-                                       result<database_directory> read) {
-            auto const watch = weak.lock();
-            if (!watch || watch->stopped) {
-                return;
-            }
+        this->read_databases_once([](implementation& watch, bool succeeded) {
             auto const read_again = [](implementation& self) { self.read_databases(); };
-            if (!read) {
-                watch->note_store(false, read.error().message);
-                watch->again(watch->databases_timer, watch->databases_retry, read_again);
+            if (!succeeded) {
+                watch.again(watch.databases_timer, watch.databases_retry, read_again);
                 return;
             }
-            watch->databases_retry.succeeded();
-            watch->note_store(true, "databases read");
-            watch->note_era(read.value().version.era);
-            watch->observer.on_stored_databases(std::move(read.value()));
+            watch.databases_retry.succeeded();
             milliseconds const pause =
-                watch->leading ? leading_read_interval
-                               : to_milliseconds(watch->pace().directory_interval);
-            watch->after(watch->databases_timer, pause, read_again);
+                watch.leading ? leading_read_interval
+                              : to_milliseconds(watch.pace().directory_interval);
+            watch.after(watch.databases_timer, pause, read_again);
         });
     }
 
@@ -422,6 +434,10 @@
     this->impl->store.remove_host(this->impl->self.name, [](result<void> const&) {});
 }
 
+void store_watch::read_databases_now() {
+    this->impl->read_databases_once([](implementation const&, bool) {});
+}
+
 void store_watch::remove_host(std::string const& name) {
     observe::log_event(observe::log_level::warning, "host_removed", {{"removed", name}});
     this->impl->store.remove_host(name, [](result<void> const&) {});
--- a/src/persimmonpoint/engine/store_watch.hpp
+++ b/src/persimmonpoint/engine/store_watch.hpp
@@ -19,6 +19,9 @@
     virtual ~store_observer() = default;
     virtual void on_stored_configuration(stored_configuration configuration) = 0;
     virtual void on_stored_databases(database_directory directory) = 0;
+    /// A reading of the databases ended that began at `began_at`. What it brought has
+    /// been told before.
+    virtual void on_databases_read(bool succeeded, instant began_at) = 0;
     virtual void on_stored_hosts(stored_hosts hosts) = 0;
 };
 
@@ -38,6 +41,8 @@
     /// Stops to watch and removes this host from the store.
     void leave();
 
+    /// Reads the databases once, beside the regular readings.
+    void read_databases_now();
     /// Removes a host that is gone for good. One that is not registers itself again.
     void remove_host(std::string const& name);
     /// A few hosts read the databases often and tell the others. Any thread.
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <persimmonpoint/core/catalog/directory_changes.hpp>
 #include <persimmonpoint/core/membership/fleet_pace.hpp>
 #include <persimmonpoint/core/membership/leader_news.hpp>
 #include <persimmonpoint/core/recovery/graceful_shutdown.hpp>
@@ -135,15 +136,18 @@
         void on_silent(std::string const& database) override {
             this->host.keeper.on_silent(database);
         }
-        void on_commit_sent(std::string const& database) override {
-            this->host.keeper.on_commit_sent(database);
+        void on_commit_sent(std::string const& database, instant sent_at) override {
+            this->host.keeper.on_commit_sent(database, sent_at);
         }
-        void on_commit_answered(std::string const& database) override {
-            this->host.keeper.on_commit_answered(database);
+        void on_commit_ended(
+            std::string const& database, instant sent_at, commit_end how) override {
+            this->host.keeper.on_commit_ended(database, sent_at, how);
         }
-        void
-        on_commit_acknowledged(std::string const& database, instant sent_at) override {
-            this->host.keeper.on_commit_acknowledged(database, sent_at);
+        void on_commit_acknowledged(
+            std::string const& database,
+            instant sent_at,
+            std::optional<log_position> reached) override {
+            this->host.keeper.on_commit_acknowledged(database, sent_at, reached);
         }
         implementation& host;
     };
@@ -411,10 +415,13 @@
 
     void directory_changed() {
         this->view.share_out_databases();
+        database_directory const& now = this->view.directory.current();
         observe::log_event(
             observe::log_level::info, "databases_changed",
-            {{"directory", this->view.directory.current().version.number},
-             {"databases", this->view.directory.current().databases.size()}});
+            {{"directory", now.version.number},
+             {"databases", now.databases.size()},
+             {"changes", describe_changes(this->logged_databases, now.databases)}});
+        this->logged_databases = now.databases;
         this->orders.refresh();
         this->mesh.tell_news();
         this->open_for_callers();
@@ -541,6 +548,10 @@
             });
     }
 
+    void read_directory() override {
+        asio::post(this->control_loop, [this] { this->watch.read_databases_now(); });
+    }
+
     void promote(
         std::string const& group,
         std::string const& database,
@@ -569,6 +580,11 @@
             }
         });
     }
+    void on_databases_read(bool succeeded, instant began_at) override {
+        asio::post(this->traffic_loop, [this, succeeded, began_at] {
+            this->keeper.on_directory_read(succeeded, began_at);
+        });
+    }
     void on_stored_hosts(stored_hosts read) override {
         asio::post(this->traffic_loop, [this, read = std::move(read)]() mutable {
             this->use_hosts(read.version, std::move(read.hosts));
@@ -636,7 +652,8 @@
     settings_watch file_watch;
     asio::signal_set signals;
     instant drain_began{};
-    std::string unreadable_body; ///< The configuration that was refused last.
+    listed_databases logged_databases; ///< As they were logged last.
+    std::string unreadable_body;       ///< The configuration that was refused last.
     bool waited_for_hosts = false;
     bool draining = false;
     std::atomic<bool> ready{false};
--- a/tests/introspective/caller_session.tests.cpp
+++ b/tests/introspective/caller_session.tests.cpp
@@ -33,9 +33,12 @@
     MAKE_MOCK1(on_answer, void(std::string const&), override);
     MAKE_MOCK1(on_refused, void(std::string const&), override);
     MAKE_MOCK1(on_silent, void(std::string const&), override);
-    MAKE_MOCK1(on_commit_sent, void(std::string const&), override);
-    MAKE_MOCK1(on_commit_answered, void(std::string const&), override);
-    MAKE_MOCK2(on_commit_acknowledged, void(std::string const&, instant), override);
+    MAKE_MOCK2(on_commit_sent, void(std::string const&, instant), override);
+    MAKE_MOCK3(on_commit_ended, void(std::string const&, instant, commit_end), override);
+    MAKE_MOCK3(
+        on_commit_acknowledged,
+        void(std::string const&, instant, std::optional<log_position>),
+        override);
 };
 
 /// A session on a route that is open to all, which no database serves.
--- a/tests/introspective/database_owner.tests.cpp
+++ b/tests/introspective/database_owner.tests.cpp
@@ -26,22 +26,36 @@
     void on_answer(std::string const&) override {}
     void on_refused(std::string const&) override {}
     void on_silent(std::string const&) override {}
-    void on_commit_sent(std::string const&) override {}
-    void on_commit_answered(std::string const&) override {}
-    void on_commit_acknowledged(std::string const&, instant) override {
+    void on_commit_sent(std::string const&, instant) override {}
+    void on_commit_ended(std::string const&, instant, commit_end how) override {
+        this->ends.push_back(how);
+    }
+    void on_commit_acknowledged(
+        std::string const&, instant, std::optional<log_position> reached) override {
         ++this->acknowledged;
+        this->reached = reached;
     }
     unsigned acknowledged = 0;
+    std::optional<log_position> reached; ///< Of the last one that was acknowledged.
+    std::vector<commit_end> ends;
 };
 
 /// What one connection was sent, in order.
 using sent_texts = std::vector<std::string>;
 
-/// Answers each command with success, and keeps the state of its transaction.
+/// How the database answers.
+struct fake_database {
+    std::optional<log_position> log_end;
+    statement_error error = statement_error::none;
+    bool loses_answers = false;
+};
+
+/// Answers each command as its database does, and keeps the state of its transaction.
 class fake_connection final : public upstream_connection {
 public:
-    fake_connection(boost::asio::io_context& loop, sent_texts& sent)
-        : loop(loop), sent(sent) {}
+    fake_connection(
+        boost::asio::io_context& loop, sent_texts& sent, fake_database const& world)
+        : loop(loop), sent(sent), world(world) {}
 
     void open(upstream_target const&, open_handler handler) override {
         boost::asio::post(
@@ -59,6 +73,9 @@
         }
         upstream_answer answer;
         answer.state = this->state;
+        answer.position = this->world.log_end;
+        answer.error = this->world.error;
+        answer.lost = this->world.loses_answers;
         boost::asio::post(this->loop, [handler, answer] { handler(answer); });
     }
 
@@ -79,6 +96,7 @@
 
     boost::asio::io_context& loop;
     sent_texts& sent;
+    fake_database const& world;
     transaction_state state = transaction_state::idle;
 };
 
@@ -88,10 +106,12 @@
 
     std::shared_ptr<upstream_connection> make() override {
         std::size_t const index = this->sent.size();
-        return std::make_shared<fake_connection>(this->loop, this->sent[index]);
+        return std::make_shared<fake_connection>(
+            this->loop, this->sent[index], this->database);
     }
 
     std::map<std::size_t, sent_texts> sent; ///< By connection.
+    fake_database database;
 
 private:
     boost::asio::io_context& loop;
@@ -281,3 +301,52 @@
     stage.run(write, first_link);
     CHECK(stage.observer.acknowledged == 1);
 }
+
+TEST_CASE(
+    "An acknowledged commit lies behind the log's end that was told before it was sent",
+    "[owner]") {
+    owner_stage stage;
+    stage.connector.database.log_end = log_position{3, 40};
+    upstream_request write;
+    write.writes = true;
+    SECTION("nothing is known of it before the database told its position") {
+        CHECK_FALSE(stage.run(write, first_link).acknowledged);
+        CHECK_FALSE(stage.observer.reached);
+    }
+    SECTION("its position is one further at least") {
+        stage.run(upstream_request(), first_link);
+        stage.connector.database.log_end = log_position{3, 45};
+        CHECK(stage.run(write, first_link).acknowledged == log_position{3, 41});
+        CHECK(stage.observer.reached == log_position{3, 41});
+    }
+    SECTION("a position of another term tells nothing") {
+        stage.run(upstream_request(), first_link);
+        stage.connector.database.log_end = log_position{4, 45};
+        CHECK_FALSE(stage.run(write, first_link).acknowledged);
+    }
+}
+
+TEST_CASE("A commit that may be in the log though it failed is told as such", "[owner]") {
+    owner_stage stage;
+    upstream_request write;
+    write.writes = true;
+    SECTION("acknowledged") {
+        stage.run(write, first_link);
+        CHECK(stage.observer.ends == std::vector{commit_end::acknowledged});
+    }
+    SECTION("not run") {
+        stage.connector.database.error = statement_error::busy;
+        stage.run(write, first_link);
+        CHECK(stage.observer.ends == std::vector{commit_end::not_run});
+    }
+    SECTION("refused by a primary that lost its lead meanwhile") {
+        stage.connector.database.error = statement_error::read_only;
+        stage.run(write, first_link);
+        CHECK(stage.observer.ends == std::vector{commit_end::unknown});
+    }
+    SECTION("without an answer") {
+        stage.connector.database.loses_answers = true;
+        stage.run(write, first_link);
+        CHECK(stage.observer.ends == std::vector{commit_end::unknown});
+    }
+}
--- /dev/null
+++ b/tests/introspective/directory_readings.tests.cpp
@@ -0,0 +1,96 @@
+#include <catch2/catch.hpp>
+#include <persimmonpoint/core/catalog/directory_changes.hpp>
+#include <persimmonpoint/core/membership/directory_readings.hpp>
+
+using namespace persimmonpoint;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+instant const start{seconds(1000)};
+
+/// Readings each second from the start to `end`.
+directory_readings read_until(instant end) {
+    directory_readings readings;
+    for (instant time = start; time <= end; time += seconds(1)) {
+        readings.succeeded(time, 1);
+    }
+    return readings;
+}
+
+registered_database listed(std::uint64_t started_ms, bool leaving = false) {
+    registered_database database;
+    database.group = "g";
+    database.started_ms = started_ms;
+    database.leaving = leaving;
+    return database;
+}
+
+} // namespace
+
+TEST_CASE(
+    "A directory is complete once it was read behind a time of steady readings",
+    "[directory][readings]") {
+    directory_readings readings = read_until(start + seconds(6));
+    instant const now = start + milliseconds(6010);
+    CHECK(readings.judge(start + seconds(6), now) == directory_listing::complete);
+    SECTION("a reading that began before doesn't count") {
+        instant const since = start + milliseconds(6001);
+        CHECK(readings.judge(since, now) == directory_listing::pending);
+        CHECK(readings.needs_reading(since, now));
+        readings.began(now);
+        CHECK_FALSE(readings.needs_reading(since, now + milliseconds(10)));
+        readings.succeeded(now, 1);
+        CHECK(readings.judge(since, now) == directory_listing::complete);
+    }
+    SECTION("one that doesn't come tells nothing") {
+        instant const since = start + milliseconds(6001);
+        instant const later = since + milliseconds(250);
+        CHECK(readings.judge(since, later) == directory_listing::incomplete);
+    }
+}
+
+TEST_CASE(
+    "A directory that was read shortly after the store's return may be incomplete",
+    "[directory][readings]") {
+    directory_readings readings = read_until(start + seconds(6));
+    instant const back = start + seconds(8);
+    std::uint64_t era = 1;
+    SECTION("behind a failed reading") {
+        readings.failed();
+        CHECK(readings.judge(start, back) == directory_listing::incomplete);
+        readings.succeeded(back, 1);
+    }
+    SECTION("behind a time without readings") {
+        readings.succeeded(back + seconds(2), 1);
+    }
+    SECTION("behind the return of an older copy of the store") {
+        era = 2;
+        readings.succeeded(back, era);
+    }
+    CHECK(readings.judge(back, back + seconds(2)) == directory_listing::incomplete);
+    readings.succeeded(back + seconds(3), era);
+    readings.succeeded(back + seconds(6), era);
+    CHECK(readings.judge(back, back + seconds(6)) == directory_listing::complete);
+}
+
+TEST_CASE(
+    "A host that never read the directory doesn't take it for complete",
+    "[directory][readings]") {
+    directory_readings const readings;
+    CHECK(readings.judge(start, start + seconds(60)) == directory_listing::incomplete);
+    CHECK(readings.needs_reading(start, start));
+}
+
+TEST_CASE("The changes of a directory are told by name", "[directory]") {
+    listed_databases const before = {
+        {"a", listed(1)}, {"b", listed(1)}, {"c", listed(1)}, {"d", listed(1)}};
+    listed_databases after = {
+        {"b", listed(1, true)}, {"c", listed(2)}, {"d", listed(1)}, {"e", listed(1)}};
+    CHECK(describe_changes(before, after) == "a gone, b leaving, c started again, e new");
+    after = before;
+    after["a"].group = "h";
+    CHECK(describe_changes(before, after) == "a in another group");
+    CHECK(describe_changes(before, before).empty());
+}
--- a/tests/usage/store_lists.tests.cpp
+++ b/tests/usage/store_lists.tests.cpp
@@ -44,6 +44,7 @@
     void on_stored_databases(database_directory directory) override {
         this->databases = std::move(directory.databases);
     }
+    void on_databases_read(bool, instant) override {}
     void on_stored_hosts(stored_hosts read) override {
         this->hosts.clear();
         for (registered_host const& each : read.hosts) {
