Known red: a replica that joined while the store was away, and a stopped primary that is left out

The model's databases can join while the store is away, unlisted. In the scene the primary acknowledges with such a replica alone, leaves once the store is back, is stopped, answers with 1.279, and is left out for a replica at 1.10: 269 acknowledged commits lost.

--- a/tests/introspective/leadership_model.tests.cpp
+++ b/tests/introspective/leadership_model.tests.cpp
@@ -250,6 +250,27 @@
     CHECK_FALSE(it.host(1).is_changing());
 }
 
+TEST_CASE(
+    "A stopped primary is not left out when a replica that joined while the store was "
+    "away "
+    "acknowledged commits with it",
+    "[leadership][leadership-model][!mayfail]") {
+    scene it;
+    it.group.registration_time = seconds(2);
+    it.group.set_store_away(true);
+    it.group.at("d1").deaf = true;
+    it.group.at("d2").deaf = true;
+    it.group.add_empty_replica(milliseconds(300));
+    it.play(seconds(2));
+    it.group.at("d0").leaving = true;
+    it.group.set_store_away(false);
+    it.play(milliseconds(500));
+    REQUIRE(it.host(0).begin(change_reason::primary_leaving));
+    it.play(seconds(10));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
 TEST_CASE(
     "A former primary that has become a replica is compared by a host that takes it for "
     "the primary",
--- a/tests/support/leadership_hosts_model.cpp
+++ b/tests/support/leadership_hosts_model.cpp
@@ -107,6 +107,9 @@
 }
 
 void modelled_host::read_directory() {
+    if (this->fleet.group.is_store_away()) {
+        return;
+    }
     auto const present = this->fleet.group.directory();
     auto const& known = this->routing.databases();
     bool const any_left =
--- a/tests/support/replicated_group_model.cpp
+++ b/tests/support/replicated_group_model.cpp
@@ -80,8 +80,22 @@
     this->events.push_back(stamp + " ms  " + std::move(event));
 }
 
+void replicated_group::set_store_away(bool away) {
+    this->store_away = away;
+    this->store_back = this->time;
+    this->note(away ? "store is away" : "store is back");
+}
+
+/// True if a database that isn't listed can register now.
+bool replicated_group::takes_registrations() const {
+    return !this->store_away && this->time - this->store_back >= this->registration_time;
+}
+
 void replicated_group::update_registrations() {
     for (auto& [id, each] : this->members) {
+        if (each.alive && !each.registered && !this->takes_registrations()) {
+            continue;
+        }
         if (each.alive) {
             each.last_alive = this->time;
             each.claims_primary = this->leads(id);
@@ -344,6 +358,7 @@
     made.started = this->time + joining;
     made.joins = made.started;
     made.last_alive = this->time;
+    made.registered = !this->store_away;
     this->note("new empty replica " + id);
 }
 
--- a/tests/support/replicated_group_model.hpp
+++ b/tests/support/replicated_group_model.hpp
@@ -65,6 +65,10 @@
     bool is_primary_stopped() const { return this->stopped; }
     std::uint64_t term() const { return this->current_term; }
     std::vector<registered_database> directory() const;
+    /// While the store is away no database registers, and hosts read no directory. A
+    /// database that is missing then registers `registration_time` after its return.
+    void set_store_away(bool away);
+    bool is_store_away() const { return this->store_away; }
 
     // Commits
 
@@ -120,6 +124,7 @@
     std::size_t exempted_joined() const { return this->exempt_joined; }
     std::size_t promotions() const { return this->promoted; }
     std::vector<std::string> const& trace() const { return this->events; }
+    duration registration_time{}; ///< From the store's return to a new registration.
     bool pause_overwrites = true; ///< PAUSE with a lower term replaces a higher one.
     bool stop_survives = true;    ///< A stopped primary that restarts is a replica.
 
@@ -143,6 +148,7 @@
     check_promotion(std::string const& id, std::string const& caller, bool primary_told);
     bool joined_lately(acknowledgement const& of) const;
     void update_registrations();
+    bool takes_registrations() const;
 
     instant time;
     std::multimap<instant, std::function<void()>> agenda;
@@ -155,6 +161,8 @@
     instant last_acknowledged{};
     std::map<std::uint64_t, acknowledgement> acknowledged;
     bool primary_cut = false;
+    bool store_away = false;
+    instant store_back{};            ///< When it last came back.
     std::uint64_t highest_token = 0; ///< Seen by the platform's fence.
     std::uint64_t last_token = 0;    ///< Given out.
     std::string holder;
