--- a/tests/introspective/leadership_premises.tests.cpp
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -1,191 +1,15 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <map>
-#include <persimmonpoint/core/recovery/leadership_change.hpp>
+#include <support/acting_group.hpp>
 
 using namespace persimmonpoint;
+using namespace persimmonpoint::tests;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
 
 instant const start{seconds(1000)};
-constexpr std::uint64_t first_term = 3;
-constexpr std::uint64_t change_token = 7;
-/// From the call of a promotion until it takes effect.
-constexpr duration promotion_time = milliseconds(600);
-
-/// A group whose primary acknowledges what any replica has received, and which carries
-/// out what a change asks for. Promotions take effect late.
-class acting_group {
-public:
-    struct copy {
-        std::uint64_t received = 0;
-        std::uint64_t held = 0;
-        bool alive = true;
-        bool receives = true;
-    };
-
-    acting_group() { this->copies["p"]; }
-
-    /// The primary writes, unless it was stopped; its replicas receive what it has.
-    void write() {
-        if (this->leader.empty() || !this->copies[this->leader].alive) {
-            return;
-        }
-        ++this->copies[this->leader].received;
-        this->replicate();
-    }
-
-    void replicate() {
-        if (this->leader.empty() || !this->copies[this->leader].alive) {
-            return;
-        }
-        std::uint64_t const newest = this->copies[this->leader].received;
-        for (auto& [id, one] : this->copies) {
-            if (id != this->leader && one.alive && one.receives && one.held == 0) {
-                one.received = newest;
-                this->acknowledged = newest;
-            }
-        }
-    }
-
-    std::vector<group_replica> registered() const {
-        std::vector<group_replica> all;
-        for (auto const& each : this->copies) {
-            if (this->lapsed != each.first) {
-                all.push_back({each.first, this->leaving == each.first});
-            }
-        }
-        return all;
-    }
-
-    std::optional<database_state> state_of(std::string const& id) const {
-        copy const& one = this->copies.at(id);
-        if (!one.alive) {
-            return std::nullopt;
-        }
-        return database_state{
-            id == this->leader, this->term, {first_term, one.received}, one.held};
-    }
-
-    void carry_out(change_action const& action, instant now, leadership_change& change) {
-        this->actions.push_back(action);
-        switch (action.kind) {
-        case change_action_kind::request_token:
-            change.token_granted(this->token);
-            return;
-        case change_action_kind::promote:
-            if (this->promotion_fails_with) {
-                change.promotion_answered(*this->promotion_fails_with, now);
-                return;
-            }
-            this->promoting = action.database;
-            this->promoted_at = now + promotion_time;
-            change.promotion_answered(promotion_result::accepted, now);
-            return;
-        case change_action_kind::finished:
-        case change_action_kind::abandoned:
-            return;
-        default:
-            this->obey(action);
-            change.reported(action.database, this->state_of(action.database), now);
-        }
-    }
-
-    /// Lets time pass in steps of 10 ms.
-    void run(leadership_change& change, instant& now, duration length) {
-        for (instant const end = now + length; now < end && !change.is_over();) {
-            now += milliseconds(10);
-            this->take_effect(now);
-            change.set_databases(this->registered());
-            for (change_action const& each : change.step(now)) {
-                this->carry_out(each, now, change);
-            }
-        }
-    }
-
-    std::size_t count(change_action_kind kind) const {
-        return static_cast<std::size_t>(
-            std::count_if(this->actions.begin(), this->actions.end(), [kind](auto& each) {
-                return each.kind == kind;
-            }));
-    }
-
-    bool any_held() const {
-        return std::any_of(
-            this->copies.begin(), this->copies.end(),
-            [](auto const& each) { return each.second.held > 0; });
-    }
-
-    std::map<std::string, copy> copies;
-    std::string leader = "p";
-    std::string lapsed; ///< Its registration is gone.
-    std::string leaving;
-    std::string leads_when_held; ///< Another host's promotion of it takes effect then.
-    std::uint64_t term = first_term;
-    std::uint64_t acknowledged = 0;
-    std::uint64_t token = change_token; ///< The next one to be granted.
-    std::optional<promotion_result> promotion_fails_with;
-    std::vector<change_action> actions;
-    bool lost_commit = false;
-
-private:
-    void obey(change_action const& action) {
-        copy& one = this->copies[action.database];
-        bool const leads = action.database == this->leader;
-        if (!one.alive) {
-            return;
-        }
-        if (action.kind == change_action_kind::hold &&
-            action.database == this->leads_when_held) {
-            this->leads_when_held.clear();
-            this->leader = action.database;
-            ++this->term;
-        } else if (action.kind == change_action_kind::hold && !leads) {
-            one.held = action.term;
-        } else if (action.kind == change_action_kind::resume) {
-            one.held = 0;
-        } else if (
-            action.kind == change_action_kind::stop_primary && leads &&
-            action.term > this->term) {
-            this->leader.clear();
-        }
-    }
-
-    void take_effect(instant now) {
-        if (this->promoting.empty() || now < this->promoted_at) {
-            return;
-        }
-        if (this->promoting != this->leader) {
-            this->leader = this->promoting;
-            ++this->term;
-            this->copies[this->leader].held = 0;
-            this->lost_commit = this->lost_commit ||
-                                this->copies[this->leader].received < this->acknowledged;
-        }
-        this->promoting.clear();
-    }
-
-    std::string promoting;
-    instant promoted_at{};
-};
-
-acting_group group_of_three() {
-    acting_group group;
-    group.copies["r0"];
-    group.copies["r1"];
-    group.write();
-    return group;
-}
-
-leadership_change change_in(
-    acting_group const& group,
-    change_reason reason,
-    departure departed = departure::none) {
-    return leadership_change(
-        "p", group.registered(), first_term, reason, start, departed);
-}
 
 } // namespace
 
@@ -195,7 +19,7 @@
     acting_group group = group_of_three();
     group.copies["r0"].receives = false;
     group.copies["r1"].receives = false;
-    leadership_change change = change_in(group, change_reason::commits_stalled);
+    leadership_change change = group.begin_change(start, change_reason::commits_stalled);
     instant now = start;
     group.run(change, now, milliseconds(300));
     REQUIRE(group.count(change_action_kind::promote) > 0);
@@ -215,7 +39,7 @@
     group.copies["r1"].receives = false;
     group.write();
     group.copies["r0"].alive = false;
-    leadership_change change = change_in(group, change_reason::commits_stalled);
+    leadership_change change = group.begin_change(start, change_reason::commits_stalled);
     instant now = start;
     group.run(change, now, milliseconds(500));
     CHECK(group.count(change_action_kind::promote) == 0);
@@ -235,7 +59,7 @@
     group.write();
     group.copies["r0"].alive = false;
     group.copies["p"].alive = false;
-    leadership_change change = change_in(group, change_reason::primary_lost);
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
     instant now = start;
     group.run(change, now, milliseconds(500));
     group.copies.erase("r0");
@@ -263,7 +87,7 @@
     group.leader = "r1";
     ++group.term;
     group.copies["r0"].held = 1;
-    leadership_change change = change_in(group, change_reason::primary_lost);
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
     instant now = start;
     group.run(change, now, seconds(5));
     CHECK(change.is_over());
@@ -278,7 +102,7 @@
     acting_group group = group_of_three();
     group.leader = "r1";
     ++group.term;
-    leadership_change change = change_in(group, change_reason::primary_lost);
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
     instant now = start;
     group.run(change, now, seconds(1));
     CHECK(change.is_over());
@@ -287,7 +111,7 @@
     // The host that began it learns who leads.
     CHECK(group.actions.back().kind == change_action_kind::abandoned);
     CHECK(group.actions.back().database == "r1");
-    CHECK(group.actions.back().term == first_term + 1);
+    CHECK(group.actions.back().term == acting_group::first_term + 1);
 }
 
 TEST_CASE(
@@ -300,7 +124,7 @@
     group.write();
     // Nobody leads any more: the second primary crashed too.
     group.copies["r1"].alive = false;
-    leadership_change change = change_in(group, change_reason::primary_lost);
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
     instant now = start;
     group.run(change, now, milliseconds(500));
     group.copies.erase("r1");
@@ -316,7 +140,7 @@
     "[leadership][premises]") {
     acting_group group = group_of_three();
     group.copies["r0"].held = 5;
-    leadership_change change = change_in(group, change_reason::replica_held);
+    leadership_change change = group.begin_change(start, change_reason::replica_held);
     instant now = start;
     group.run(change, now, seconds(5));
     CHECK(change.is_over());
@@ -329,12 +153,16 @@
     "A position counts from when it was asked for, not from when it arrives",
     "[leadership][premises]") {
     leadership_change change(
-        "p", std::vector<group_replica>{{"r0", false}, {"r1", false}}, first_term,
-        change_reason::primary_lost, start);
+        "p", std::vector<group_replica>{{"r0", false}, {"r1", false}},
+        acting_group::first_term, change_reason::primary_lost, start);
     change.reported(
-        "r0", database_state{false, first_term, {first_term, 9}, 0},
+        "r0",
+        database_state{false, acting_group::first_term, {acting_group::first_term, 9}, 0},
         start + milliseconds(50));
-    change.reported("r0", database_state{false, first_term, {first_term, 4}, 0}, start);
+    change.reported(
+        "r0",
+        database_state{false, acting_group::first_term, {acting_group::first_term, 4}, 0},
+        start);
     auto const all = change.evidence();
     auto const r0 = std::find_if(
         all.begin(), all.end(), [](auto const& each) { return each.id == "r0"; });
@@ -348,7 +176,7 @@
     "[leadership][premises]") {
     acting_group group = group_of_three();
     group.copies["p"].alive = false;
-    leadership_change change = change_in(group, change_reason::primary_lost);
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
     instant now = start;
     while (group.count(change_action_kind::resume) == 0 && now < start + seconds(5)) {
         group.run(change, now, milliseconds(10));
@@ -373,7 +201,7 @@
     group.write();
     group.copies.erase("r0");
     leadership_change change =
-        change_in(group, change_reason::commits_stalled, departure::seen);
+        group.begin_change(start, change_reason::commits_stalled, departure::seen);
     instant now = start;
     group.run(change, now, seconds(3));
     CHECK(change.is_over());
@@ -390,7 +218,7 @@
     group.write();
     group.copies.erase("r0");
     leadership_change change =
-        change_in(group, change_reason::commits_stalled, departure::possible);
+        group.begin_change(start, change_reason::commits_stalled, departure::possible);
     instant now = start;
     group.run(change, now, seconds(3));
     CHECK(change.is_over());
@@ -405,7 +233,7 @@
     acting_group group = group_of_three();
     group.copies["p"].alive = false;
     leadership_change change =
-        change_in(group, change_reason::primary_lost, departure::possible);
+        group.begin_change(start, change_reason::primary_lost, departure::possible);
     instant now = start;
     group.run(change, now, seconds(2));
     CHECK(change.is_over());
@@ -418,10 +246,10 @@
     acting_group group = group_of_three();
     group.copies.erase("r0");
     leadership_change change(
-        "p", group.registered(), first_term, change_reason::primary_lost, start,
-        departure::seen);
+        "p", group.registered(), acting_group::first_term, change_reason::primary_lost,
+        start, departure::seen);
     change.step(start);
-    change.token_granted(change_token);
+    change.token_granted(acting_group::first_token);
     change.reported("p", group.state_of("p"), start);
     change.reported("r1", group.state_of("r1"), start);
     group.copies["p"].alive = false;
@@ -441,9 +269,9 @@
     group.write();
     group.copies.erase("r0");
     leadership_change change =
-        change_in(group, change_reason::commits_stalled, departure::possible);
+        group.begin_change(start, change_reason::commits_stalled, departure::possible);
     change.step(start);
-    change.token_granted(change_token);
+    change.token_granted(acting_group::first_token);
     change.reported("p", group.state_of("p"), start);
     group.copies["p"].alive = false;
     group.copies["r1"].alive = false;
@@ -459,14 +287,14 @@
     "[leadership][premises]") {
     acting_group group = group_of_three();
     group.copies["p"].alive = false;
-    leadership_change change = change_in(group, change_reason::primary_lost);
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
     instant now = start;
     while (group.count(change_action_kind::promote) == 0 && now < start + seconds(5)) {
         group.run(change, now, milliseconds(10));
     }
     REQUIRE(group.count(change_action_kind::promote) == 1);
     std::string const other = change.candidate() == "r0" ? "r1" : "r0";
-    std::uint64_t const newer = (change_token + 1) << 20U;
+    std::uint64_t const newer = (acting_group::first_token + 1) << 20U;
     group.copies[other].held = newer;
     group.run(change, now, seconds(2));
     CHECK(change.is_over());
@@ -479,7 +307,7 @@
     acting_group group = group_of_three();
     group.copies["p"].alive = false;
     group.promotion_fails_with = promotion_result::not_applied;
-    leadership_change change = change_in(group, change_reason::primary_lost);
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
     instant now = start;
     while (group.count(change_action_kind::promote) == 0 && now < start + seconds(5)) {
         group.run(change, now, milliseconds(10));
@@ -506,7 +334,7 @@
     acting_group group = group_of_three();
     group.copies["p"].alive = false;
     group.copies["r0"].held = 5;
-    leadership_change change = change_in(group, change_reason::primary_lost);
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
     instant now = start;
     group.run(change, now, seconds(1));
     REQUIRE(group.count(change_action_kind::hold) == 0);
@@ -522,7 +350,7 @@
     group.write();
     group.leaving = "r0";
     group.copies["p"].alive = false;
-    leadership_change change = change_in(group, change_reason::primary_lost);
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
     instant now = start;
     group.run(change, now, seconds(3));
     CHECK(change.is_over());
@@ -536,7 +364,7 @@
     acting_group group = group_of_three();
     group.leaving = "p";
     group.copies["r1"].alive = false;
-    leadership_change change = change_in(group, change_reason::primary_leaving);
+    leadership_change change = group.begin_change(start, change_reason::primary_leaving);
     instant now = start;
     for (int i = 0; i < 500 && !change.is_over(); ++i) {
         group.write();
@@ -555,7 +383,7 @@
     group.leaving = "p";
     group.copies["r0"].held = 5;
     group.copies["r1"].held = 5;
-    leadership_change change = change_in(group, change_reason::primary_leaving);
+    leadership_change change = group.begin_change(start, change_reason::primary_leaving);
     instant now = start;
     group.run(change, now, seconds(8));
     CHECK(change.is_over());
@@ -570,7 +398,7 @@
     acting_group group = group_of_three();
     group.copies["p"].alive = false;
     group.promotion_fails_with = promotion_result::unanswered;
-    leadership_change change = change_in(group, change_reason::primary_lost);
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
     instant now = start;
     while (group.count(change_action_kind::promote) == 0 && now < start + seconds(5)) {
         group.run(change, now, milliseconds(10));
@@ -601,7 +429,7 @@
     group.write();
     group.copies.erase("r0");
     leadership_change change =
-        change_in(group, change_reason::primary_leaving, departure::seen);
+        group.begin_change(start, change_reason::primary_leaving, departure::seen);
     instant now = start;
     group.run(change, now, seconds(3));
     CHECK_FALSE(group.lost_commit);
@@ -614,7 +442,7 @@
     acting_group group = group_of_three();
     group.copies["p"].alive = false;
     group.leads_when_held = "r1";
-    leadership_change change = change_in(group, change_reason::primary_lost);
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
     instant now = start;
     group.run(change, now, seconds(5));
     CHECK(change.is_over());
@@ -630,7 +458,7 @@
     group.leader = "r1";
     ++group.term;
     group.copies["r0"].held = 1;
-    leadership_change change = change_in(group, change_reason::primary_lost);
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
     instant now = start;
     group.run(change, now, milliseconds(1250));
     group.leader.clear();
@@ -644,16 +472,16 @@
     "A change that waits for its token ends once another host's leader is known",
     "[leadership][premises]") {
     acting_group group = group_of_three();
-    leadership_change change = change_in(group, change_reason::primary_leaving);
+    leadership_change change = group.begin_change(start, change_reason::primary_leaving);
     change.step(start);
     SECTION("that leads a later term") {
-        change.leader_learned("r0", first_term + 1);
+        change.leader_learned("r0", acting_group::first_term + 1);
         change.step(start + milliseconds(10));
         CHECK(change.is_over());
     }
     SECTION("but not for what it knew before") {
-        change.leader_learned("p", first_term);
-        change.leader_learned("r0", first_term);
+        change.leader_learned("p", acting_group::first_term);
+        change.leader_learned("r0", acting_group::first_term);
         change.step(start + milliseconds(10));
         CHECK_FALSE(change.is_over());
     }
@@ -665,7 +493,7 @@
     acting_group group = group_of_three();
     group.copies["r0"].receives = false;
     group.copies["r1"].receives = false;
-    leadership_change change = change_in(group, change_reason::commits_stalled);
+    leadership_change change = group.begin_change(start, change_reason::commits_stalled);
     instant now = start;
     while (group.count(change_action_kind::promote) == 0 && now < start + seconds(5)) {
         group.run(change, now, milliseconds(10));
