A promotion that is called for again looks at what it rests on again

What callers would see: acknowledged commits lost. Cause: a call that the platform did not carry out (it throttles, or is away) is repeated each 100 ms, and the positions were compared before the first call only. Meanwhile the candidate may have lost its log (it starts again under its id), or a primary that serves until it is replaced may be cut from it and acknowledge with a replica that nobody knows.

Now each call needs a candidate that isn't behind, and one that covers a serving primary by a report that was asked for later. Likewise a stopped primary that was chosen for the tail of its log and crashes before it is held is given up once that tail needs no keeping: the change waited in 'holding' for its row to lapse.

Tests: 'A candidate that lost its log ...' failed before (lost, the emptied candidate led); the planned case and the crash were written with the change.

--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -400,9 +400,12 @@
 
 void leadership_change::look_for_commits(
     std::vector<change_action>& actions, instant now) {
-    if (this->members.lack_acknowledged()) {
-        for (auto const& each : this->members.all()) {
-            this->ask_again(actions, each.first, now);
+    if (!this->members.lack_acknowledged()) {
+        return;
+    }
+    for (auto const& [id, member] : this->members.all()) {
+        if (!member.report || now - member.asked_at >= primary_poll_interval) {
+            this->send_request(actions, id, change_action_kind::request_state, now);
         }
     }
 }
@@ -641,7 +644,7 @@
     if (this->leader_stays(now)) {
         return;
     }
-    if (!this->has_candidate()) {
+    if (!this->has_candidate() || this->is_candidate_needless()) {
         this->machine.fire(leadership_event::candidate_lost);
         return;
     }
@@ -666,16 +669,23 @@
     this->machine.fire(leadership_event::others_held);
 }
 
+bool leadership_change::is_candidate_needless() const {
+    return this->members.is_primary_stopped() && !this->promotion_unsettled &&
+           this->chosen_id == this->members.primary() &&
+           !this->members.counts(this->chosen_id);
+}
+
 bool leadership_change::serves_on() const {
     return this->cause == change_reason::primary_leaving && !this->hold_candidate;
 }
 
-bool leadership_change::covers_serving_primary(change_member const& candidate) const {
+bool leadership_change::covers_serving_primary() const {
+    change_member const& candidate = this->members.all().find(this->chosen_id)->second;
     change_member const* const primary = this->members.primary_member();
     if (!this->serves_on() || primary == nullptr || !primary->leads()) {
         return true;
     }
-    return candidate.asked_at >= primary->asked_at &&
+    return candidate.report && candidate.asked_at >= primary->asked_at &&
            candidate.report->received >= primary->report->received;
 }
 
@@ -686,7 +696,7 @@
         return false;
     }
     log_position const reached = candidate->second.report->received;
-    return this->covers_serving_primary(candidate->second) &&
+    return this->covers_serving_primary() &&
            !this->lacks_acknowledged(candidate->second) &&
            std::all_of(
                this->members.all().begin(), this->members.all().end(),
@@ -732,10 +742,7 @@
         this->poll_candidate(actions, now);
         return;
     }
-    bool const is_needless = this->members.is_primary_stopped() &&
-                             this->chosen_id == this->members.primary() &&
-                             !this->members.counts(this->chosen_id);
-    if (this->has_lost_sight_of_primary(now) || is_needless) {
+    if (this->has_lost_sight_of_primary(now) || this->is_candidate_needless()) {
         this->machine.fire(leadership_event::candidate_lost);
         return;
     }
@@ -790,10 +797,16 @@
     // A call that is under way rules out any other candidate, as an unanswered one does.
     bool const premises_hold =
         this->promotion_unsettled || this->request_in_flight || this->holds_intact(now);
-    bool const primary_is_back = !this->promotion_unsettled && !this->request_in_flight &&
-                                 this->has_to_stop_primary(now);
+    bool const may_still_choose = !this->promotion_unsettled && !this->request_in_flight;
+    bool const primary_is_back = may_still_choose && this->has_to_stop_primary(now);
+    bool const has_fallen_behind =
+        may_still_choose && !this->confirms_leader && this->is_behind();
+    bool const may_lack_commits = may_still_choose && !this->confirms_leader &&
+                                  this->has_candidate() &&
+                                  !this->covers_serving_primary();
     bool const calls_in_vain = !this->request_in_flight && this->needs_newer_token();
-    if (!this->has_candidate() || !premises_hold || primary_is_back || calls_in_vain) {
+    if (!this->has_candidate() || !premises_hold || primary_is_back ||
+        has_fallen_behind || calls_in_vain) {
         this->request_in_flight = false;
         this->machine.fire(leadership_event::candidate_lost);
         return;
@@ -801,7 +814,7 @@
     this->watch_primary(actions, now);
     this->hold_again(actions, now);
     this->refresh_stale_reports(actions, now);
-    if (!this->request_in_flight &&
+    if (!this->request_in_flight && !may_lack_commits &&
         (!this->last_promotion_call ||
          now - *this->last_promotion_call >= promotion_retry_interval)) {
         this->last_promotion_call = now;
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -198,7 +198,8 @@
     /// True if replicas that don't answer need not be waited for: the old primary serves
     /// on, and its own position is compared.
     bool leaves_silent_out(instant now) const;
-    bool covers_serving_primary(change_member const& candidate) const;
+    /// True if the candidate has all that a primary which serves on has told of.
+    bool covers_serving_primary() const;
     bool must_be_held(std::string_view id, instant now) const;
     bool hold_all(std::vector<change_action>& actions, instant now);
     /// Holds replicas that joined or were released since all were held.
@@ -210,6 +211,8 @@
     void choose_most_advanced();
     void choose_candidate();
     bool candidate_is_caught_up() const;
+    /// True if the candidate is the stopped primary and need not lead again.
+    bool is_candidate_needless() const;
     bool holds_intact(instant now) const;
     /// True if another host holds a replica under a newer fencing token.
     bool is_superseded() const;
--- a/tests/introspective/leadership_commits.tests.cpp
+++ b/tests/introspective/leadership_commits.tests.cpp
@@ -216,6 +216,71 @@
     group.promotion_fails_with.reset();
     group.run(change, now, seconds(5));
     CHECK(change.is_over());
-    CHECK_FALSE(group.leader.empty());
+    CHECK(group.leader == "x");
     CHECK_FALSE(group.lost_commit);
 }
+
+TEST_CASE(
+    "A candidate that lost its log before the platform took the call isn't called for "
+    "again",
+    "[leadership][leadership-commits]") {
+    acting_group group = group_of_three();
+    group.copies["p"].alive = false;
+    group.promotion_fails_with = promotion_result::not_applied;
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
+    instant now = start;
+    group.run(change, now, milliseconds(500));
+    std::string const first = change.candidate();
+    REQUIRE(group.count(change_action_kind::promote) > 0);
+    group.copies[first].received = 0;
+    group.run(change, now, milliseconds(100));
+    group.promotion_fails_with.reset();
+    group.run(change, now, seconds(5));
+    CHECK(change.is_over());
+    CHECK(group.leader != first);
+    CHECK_FALSE(group.lost_commit);
+}
+
+TEST_CASE(
+    "A planned promotion isn't called for again once the candidate is cut from the "
+    "primary "
+    "that serves",
+    "[leadership][leadership-commits]") {
+    acting_group group = group_of_three();
+    group.leaving = group.leader;
+    group.promotion_fails_with = promotion_result::not_applied;
+    leadership_change change = group.begin_change(start, change_reason::primary_leaving);
+    instant now = start;
+    group.run(change, now, milliseconds(500));
+    REQUIRE(group.count(change_action_kind::promote) > 0);
+    group.copies[change.candidate()].receives = false;
+    group.copies["x"];
+    group.unlisted.insert("x");
+    group.write();
+    group.run(change, now, milliseconds(300));
+    group.promotion_fails_with.reset();
+    group.run(change, now, seconds(1));
+    CHECK_FALSE(group.lost_commit);
+    CHECK(group.leader == "p");
+}
+
+TEST_CASE(
+    "A stopped primary that crashed before it was held is given up once its tail need "
+    "not "
+    "be kept",
+    "[leadership][leadership-commits]") {
+    acting_group group = group_with_cut_primary();
+    group.known.listing = directory_listing::incomplete;
+    leadership_change change = group.begin_change(start, change_reason::commits_stalled);
+    instant now = start;
+    while (!group.leader.empty()) {
+        group.run(change, now, milliseconds(10));
+    }
+    group.copies["p"].alive = false;
+    group.run(change, now, seconds(2));
+    REQUIRE(group.count(change_action_kind::promote) == 0);
+    group.known.listing = directory_listing::complete;
+    group.run(change, now, seconds(5));
+    CHECK(change.is_over());
+    CHECK(group.leader == "r0");
+}
