A change of leadership knows a database by its start, not by its id alone

What callers would see: acknowledged commits lost. Cause: a database may start again, empty, under the id that it had. The registered time of the start tells the two apart: its record begins anew, its former log counts as departed, and a former primary is a replica like the others.

Also, the tail of a stopped primary is accounted for by this host's own commits only within one term: across terms the numbers don't count the same commits.

--- a/src/persimmonpoint/core/recovery/change_members.cpp
+++ b/src/persimmonpoint/core/recovery/change_members.cpp
@@ -15,7 +15,12 @@
             this->stopped = false;
             this->stop_asked_at.reset();
         }
-        this->members[each.id].leaving = each.leaving;
+        change_member& member = this->members[each.id];
+        if (!is_new && member.started_ms != each.started_ms) {
+            this->forget(each);
+        }
+        member.leaving = each.leaving;
+        member.started_ms = each.started_ms;
         this->removed.erase(each.id);
     }
     std::erase_if(this->members, [&](auto const& each) {
@@ -33,6 +38,16 @@
     });
 }
 
+void change_members::forget(group_replica const& restarted) {
+    this->members[restarted.id] = change_member();
+    if (restarted.id == this->primary_id) {
+        this->primary_id.clear();
+        this->stopped = false;
+        this->stop_asked_at.reset();
+    }
+    this->departed = departure::seen;
+}
+
 bool change_members::record(
     std::string_view id,
     database_state const& report,
@@ -135,7 +150,7 @@
         return true;
     }
     bool const is_accounted_for =
-        end.offset >= furthest.offset &&
+        end.term == furthest.term &&
         end.offset - furthest.offset <= this->commits.unacknowledged;
     return !is_accounted_for && this->commits.listing != directory_listing::complete;
 }
--- a/src/persimmonpoint/core/recovery/change_members.hpp
+++ b/src/persimmonpoint/core/recovery/change_members.hpp
@@ -21,6 +21,7 @@
 struct group_replica {
     std::string id;
     bool leaving = false;
+    std::uint64_t started_ms = 0; ///< Unix time of its start.
 };
 
 /// What a host knows, beside the reports of the databases, of the commits that the old
@@ -50,8 +51,9 @@
 /// One database of the group as a change of leadership knows it.
 struct change_member {
     bool leaving = false;
-    bool held = false;          ///< By this change.
-    bool held_by_other = false; ///< By another host's change.
+    std::uint64_t started_ms = 0; ///< Another start means another log.
+    bool held = false;            ///< By this change.
+    bool held_by_other = false;   ///< By another host's change.
     std::optional<database_state> report;
     instant asked_at{}; ///< When the request that `report` answers was sent.
     /// The position known to be acknowledged when it was sent.
@@ -138,6 +140,8 @@
     std::vector<promotion_evidence> evidence(std::string_view candidate) const;
 
 private:
+    /// The database started again under its id, with an empty log.
+    void forget(group_replica const& restarted);
     void note_leader(std::string_view id);
     void note_lead_lost(instant asked_at);
     std::string_view reason_left_out(std::string_view id) const;
--- a/tests/introspective/leadership_commits.tests.cpp
+++ b/tests/introspective/leadership_commits.tests.cpp
@@ -284,3 +284,53 @@
     CHECK(change.is_over());
     CHECK(group.leader == "r0");
 }
+
+TEST_CASE(
+    "Commits of an earlier term account for no tail of the present one",
+    "[leadership][leadership-commits]") {
+    change_members members("p", acting_group::first_term, departure::none);
+    members.set_databases(std::vector<group_replica>{{"p", false}, {"r0", false}});
+    members.primary_asked_to_stop(start);
+    constexpr std::uint64_t next_term = acting_group::first_term + 1;
+    members.record("p", {false, next_term, {next_term, 9}, 0}, start, {});
+    commit_knowledge known;
+    known.unacknowledged = 5;
+    known.listing = directory_listing::incomplete;
+    members.set_commits(known);
+    SECTION("the replica has nothing of the present term") {
+        members.record(
+            "r0", {false, next_term, {acting_group::first_term, 8}, 0}, start, {});
+        CHECK(members.counts("p"));
+    }
+    SECTION("the replica has all but one commit of it") {
+        members.record("r0", {false, next_term, {next_term, 8}, 0}, start, {});
+        CHECK_FALSE(members.counts("p"));
+    }
+}
+
+TEST_CASE(
+    "A database that started again under its id is taken for another one",
+    "[leadership][leadership-commits]") {
+    change_members members("p", acting_group::first_term, departure::none);
+    members.set_databases(std::vector<group_replica>{{"p", false, 1}, {"r0", false, 1}});
+    database_state const full{
+        false, acting_group::first_term, {acting_group::first_term, 9}, 0};
+    members.primary_asked_to_stop(start);
+    members.record("p", full, start, {});
+    members.record("r0", full, start, {});
+    REQUIRE(members.is_primary_stopped());
+    SECTION("as a replica its earlier position no longer counts") {
+        members.set_databases(
+            std::vector<group_replica>{{"p", false, 1}, {"r0", false, 2}});
+        CHECK_FALSE(members.find("r0")->report);
+        CHECK(members.has_lost_replica());
+    }
+    SECTION("as a primary that was stopped it is a replica like others") {
+        members.set_databases(
+            std::vector<group_replica>{{"p", false, 2}, {"r0", false, 1}});
+        CHECK_FALSE(members.is_primary_stopped());
+        CHECK(members.primary().empty());
+        CHECK(members.counts("p"));
+        CHECK_FALSE(members.find("p")->report);
+    }
+}
