No time shows that a database is known or gone while the store is out of reach

What callers would see: acknowledged commits lost at a promotion. A missing row of a leaving database was dropped at the first reading after its return, though the platform lets live databases be missing for two seconds; its group was then replaced without asking it. The time that a missing row is kept ran through a second absence. A departure was settled 4 s after an acknowledgement, though the replica that gave it may be unlisted all the while. And a reading right after a stop counted as complete, before a database that had just joined could register.

Now a leaving row is dropped at once only behind a time of steady readings; a failed reading begins the time of missing rows anew and keeps departures open; a directory is complete for a moment once a reading began 1.5 s behind it (a heartbeat is 1.2 s), which a change waits for, up to 2.5 s, if the store is in steady reach. Readings for changes keep a pace of 0.5 s whatever asks for them, and go on for 6 s behind a change, as most hosts read the directory each 5 s only. A holder of acknowledged commits that isn't listed counts as gone whenever it was noted. Unacknowledged commits at a former primary are forgotten with its lead. Groups without synchronous replicas are not bound by acknowledgements. A planned change that left its primary in place is followed by the next after 0.5 s, not at once: its replicas receive meanwhile.

Tests: directory_readings, membership ('An entry that was leaving is kept ...', 'The time that an entry may be missing ...'), departure_memory, rewritten for the stricter rule where they pinned the old one: the reading must now begin 1.5 s behind the moment, which was 0.

--- a/src/persimmonpoint/core/membership/directory_readings.cpp
+++ b/src/persimmonpoint/core/membership/directory_readings.cpp
@@ -7,8 +7,10 @@
 
 /// Between two successful readings the store may have been away for so long unnoticed.
 constexpr duration longest_gap = std::chrono::seconds(3);
-/// A reading that takes longer tells nothing in time.
+/// A reading may take so long.
 constexpr duration reading_patience = std::chrono::milliseconds(250);
+/// A directory that can't be complete within this time isn't waited for.
+constexpr duration longest_wait = std::chrono::milliseconds(2500);
 /// Between two readings that are made for a change of leadership.
 constexpr duration reading_interval = std::chrono::milliseconds(500);
 
@@ -29,27 +31,40 @@
     this->last_era = era;
 }
 
-void directory_readings::failed() {
+void directory_readings::failed(instant now) {
     this->reached_since.reset();
+    this->last_failed = now;
 }
 
 directory_listing directory_readings::judge(instant since, instant now) const {
     if (!this->reached_since) {
         return directory_listing::incomplete;
     }
-    if (*this->last_began < since) {
-        bool const is_awaited = now - since < reading_patience;
-        return is_awaited ? directory_listing::pending : directory_listing::incomplete;
+    instant const due =
+        std::max(since + registration_time, *this->reached_since + registration_delay);
+    if (*this->last_began >= due) {
+        return directory_listing::complete;
     }
-    bool const has_been_there =
-        *this->last_began - *this->reached_since >= registration_delay;
-    return has_been_there ? directory_listing::complete : directory_listing::incomplete;
+    bool const is_awaited =
+        due - since <= longest_wait && now < due + reading_interval + reading_patience;
+    return is_awaited ? directory_listing::pending : directory_listing::incomplete;
 }
 
 bool directory_readings::needs_reading(instant since, instant now) const {
-    bool const is_asked_for =
-        this->begun && *this->begun >= since && now - *this->begun < reading_interval;
-    return !is_asked_for && this->judge(since, now) != directory_listing::complete;
+    bool const was_just_read = this->begun && now - *this->begun < reading_interval;
+    return !was_just_read && this->judge(since, now) != directory_listing::complete;
+}
+
+bool directory_readings::is_steady(instant now) const {
+    return this->reached_since && now - *this->reached_since >= registration_delay &&
+           now - *this->last_began <= longest_gap;
+}
+
+bool directory_readings::is_in_doubt(instant now) const {
+    if (!this->last_failed) {
+        return false;
+    }
+    return !this->reached_since || now - *this->last_failed < registration_delay;
 }
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/core/membership/directory_tracker.cpp
+++ b/src/persimmonpoint/core/membership/directory_tracker.cpp
@@ -9,7 +9,8 @@
 
 } // namespace
 
-bool directory_tracker::read(database_directory const& stored, instant now) {
+bool directory_tracker::read(
+    database_directory const& stored, instant now, bool was_in_reach) {
     if (stored.version < this->directory.version) {
         return false;
     }
@@ -23,7 +24,8 @@
             continue;
         }
         instant const since = this->missing_since.emplace(id, now).first->second;
-        if (entry.leaving || now - since >= missing_limit) {
+        bool const has_left = entry.leaving && was_in_reach;
+        if (has_left || now - since >= missing_limit) {
             this->missing_since.erase(id);
         } else {
             next.databases.emplace(id, entry);
--- a/src/persimmonpoint/core/membership/directory_tracker.hpp
+++ b/src/persimmonpoint/core/membership/directory_tracker.hpp
@@ -12,11 +12,16 @@
 /// Turns what the store says of the databases into what this host goes by.
 ///
 /// Entries of live databases can vanish while the store is away and come back soon after
-/// its return; so one that is missing is kept for a while, unless it was leaving.
+/// its return; so one that is missing is kept for a while. One of a database that was
+/// leaving is dropped at once, if the store was in reach for long enough before.
 class directory_tracker {
 public:
     /// A reading of the store. True if what this host goes by has changed.
-    bool read(database_directory const& stored, instant now);
+    /// @param was_in_reach The store's earlier readings show no absence that entries of
+    /// live databases may be missing for.
+    bool read(database_directory const& stored, instant now, bool was_in_reach);
+    /// The store could not be read: what is missing after its return may come back.
+    void reading_failed() { this->missing_since.clear(); }
     /// News from another host. True if it is newer and was taken.
     bool received(database_directory const& other);
     database_directory const& current() const { return this->directory; }
--- a/src/persimmonpoint/core/recovery/departure_memory.cpp
+++ b/src/persimmonpoint/core/recovery/departure_memory.cpp
@@ -23,10 +23,11 @@
     }
 }
 
-departure departure_memory::judge(instant now, instant change_began) const {
+departure departure_memory::judge(
+    instant now, instant change_began, bool directory_in_doubt) const {
     if (this->left_at) {
-        bool const is_settled =
-            this->received_at && now - *this->received_at >= registration_delay;
+        bool const is_settled = !directory_in_doubt && this->received_at &&
+                                now - *this->received_at >= registration_delay;
         return is_settled ? departure::none : departure::seen;
     }
     if (this->received_at) {
--- a/src/persimmonpoint/core/recovery/departure_memory.hpp
+++ b/src/persimmonpoint/core/recovery/departure_memory.hpp
@@ -27,7 +27,10 @@
     void replica_left(instant now);
     void commit_acknowledged(instant sent_at, instant now);
     /// What to reckon with at `now` in a change that began at `change_began`.
-    departure judge(instant now, instant change_began) const;
+    /// @param directory_in_doubt The store is out of reach, or was lately, so that no
+    /// time shows that a database is known.
+    departure
+    judge(instant now, instant change_began, bool directory_in_doubt = false) const;
 
 private:
     instant known_since;
--- a/src/persimmonpoint/engine/fleet_view.hpp
+++ b/src/persimmonpoint/engine/fleet_view.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <persimmonpoint/core/catalog/fleet_configuration.hpp>
+#include <persimmonpoint/core/membership/directory_readings.hpp>
 #include <persimmonpoint/core/membership/directory_tracker.hpp>
 #include <persimmonpoint/core/membership/host_tracker.hpp>
 #include <persimmonpoint/core/routing/group_routing.hpp>
@@ -25,6 +26,7 @@
     /// As it lies in the store, for other hosts; empty until one has been read.
     std::string configuration_body;
     directory_tracker directory;
+    directory_readings readings;
     host_tracker hosts;
 
     /// What is known of a group; made when it is asked for first.
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -32,6 +32,10 @@
 constexpr duration settle_time = std::chrono::milliseconds(700);
 /// How often the replicas of a watched primary are asked whether they are held.
 constexpr duration hold_check_interval = std::chrono::seconds(2);
+/// Behind a change that left the primary in place though it leaves.
+constexpr duration planned_pause = std::chrono::milliseconds(500);
+/// How long the directory is read often behind a change that depended on it.
+constexpr duration reading_after_change = std::chrono::seconds(6);
 constexpr auto token_retry = std::chrono::milliseconds(200);
 
 /// One database in the log line of a promotion, for example
@@ -90,6 +94,7 @@
     std::uint64_t change_number = 0; ///< Of the present change, or the last.
     instant change_started{};
     instant next_change{};
+    instant next_planned_change{}; ///< The same for a primary that leaves.
     instant lease_until{}; ///< Until then no other host may change the group's leader.
     instant leave_alone_until{};
     bool asking = false;
@@ -99,9 +104,14 @@
 };
 
 /// Nothing is known before the first reading.
-departure departure_from(watched_group const& group, instant now, instant change_began) {
-    return group.departures ? group.departures->judge(now, change_began)
-                            : departure::possible;
+departure departure_from(
+    watched_group const& group,
+    directory_readings const& readings,
+    instant now,
+    instant change_began) {
+    return group.departures
+               ? group.departures->judge(now, change_began, readings.is_in_doubt(now))
+               : departure::possible;
 }
 
 } // namespace
@@ -130,6 +140,10 @@
 
     void look() {
         this->note_departures();
+        if (this->now() < this->reading_until) {
+            // The next change of the group is to find a time of steady readings.
+            this->read_if_needed(this->now());
+        }
         for (auto& [name, routing] : this->context.view.all_groups()) {
             if (this->context.view.configuration->groups.count(name) == 0 ||
                 routing.databases().empty()) {
@@ -207,6 +221,10 @@
     void watch(std::string const& name, watched_group& group, group_routing& routing) {
         instant const time = this->now();
         std::string const primary = routing.leader() ? routing.leader()->database : "";
+        if (group.primary != primary) {
+            // Its log is cut back to the new primary's.
+            this->unacknowledged.erase(group.primary);
+        }
         if (group.managed_since == instant() || group.primary != primary ||
             !group.suspicion) {
             group.primary = primary;
@@ -423,7 +441,7 @@
         std::vector<group_replica> all;
         for (registered_database const& each :
              this->context.view.group(name).databases()) {
-            all.push_back(group_replica{each.id, each.leaving});
+            all.push_back(group_replica{each.id, each.leaving, each.started_ms});
         }
         return all;
     }
@@ -436,7 +454,8 @@
                 return each.id != group.primary;
             });
         bool const is_planned = reason == change_reason::primary_leaving;
-        if ((time < group.next_change && !is_planned) || !has_replica) {
+        instant const next = is_planned ? group.next_planned_change : group.next_change;
+        if (time < next || !has_replica) {
             return;
         }
         auto const& leader = this->context.view.group(name).leader();
@@ -445,7 +464,7 @@
         group.tokens.change_began();
         group.change = std::make_unique<leadership_change>(
             group.primary, databases, leader ? leader->term : 0, reason, time,
-            departure_from(group, time, time));
+            departure_from(group, this->context.view.readings, time, time));
         observe::log_event(
             observe::log_level::warning, "leadership_change_begins",
             {{"group", name},
@@ -458,8 +477,8 @@
     void step(std::string const& name, watched_group& group) {
         this->note_departures();
         group.change->set_databases(this->databases_of(name));
-        group.change->set_departure(
-            departure_from(group, this->now(), group.change_started));
+        group.change->set_departure(departure_from(
+            group, this->context.view.readings, this->now(), group.change_started));
         group.change->set_commits(this->known_commits(name, group));
         if (auto const& leader = this->context.view.group(name).leader()) {
             group.change->leader_learned(leader->database, leader->term);
@@ -594,8 +613,15 @@
     }
 
     commit_knowledge known_commits(std::string const& name, watched_group const& group) {
-        acknowledged_commits const& known = this->context.view.group(name).acknowledged;
         commit_knowledge commits;
+        if (!this->replicates_commits(name)) {
+            return commits;
+        }
+        group_routing& routing = this->context.view.group(name);
+        acknowledged_commits& known = routing.acknowledged;
+        if (known.newest() && routing.find(known.newest()->database) == nullptr) {
+            known.log_lost(known.newest()->database);
+        }
         // Without these, how complete the directory is makes no difference.
         bool const is_holder_gone = known.newest() && known.newest()->database.empty();
         std::optional<instant> const stopped = group.change->primary_stopped_at();
@@ -603,16 +629,28 @@
         if (stopped || is_holder_gone) {
             this->keep_reading(since);
         }
-        commits.listing = this->readings.judge(since, this->now());
+        commits.listing = this->context.view.readings.judge(since, this->now());
         commits.acknowledged = known.required(commits.listing);
         commits.unacknowledged = this->unacknowledged_by(*group.change);
         return commits;
     }
 
+    /// False if the group's databases acknowledge commits that no replica has.
+    bool replicates_commits(std::string const& name) const {
+        auto const& groups = this->context.view.configuration->groups;
+        auto const found = groups.find(name);
+        return found == groups.end() || found->second.sync_replicas > 0;
+    }
+
     /// Has the directory read until it is known to be complete.
     void keep_reading(instant since) {
-        if (this->readings.needs_reading(since, this->now())) {
-            this->readings.began(this->now());
+        this->reading_until = this->now() + reading_after_change;
+        this->read_if_needed(since);
+    }
+
+    void read_if_needed(instant since) {
+        if (this->context.view.readings.needs_reading(since, this->now())) {
+            this->context.view.readings.began(this->now());
             this->authority.read_directory();
         }
     }
@@ -632,9 +670,10 @@
               describe(this->context.view.group(name).acknowledged.newest())},
              {"unacknowledged", this->unacknowledged_by(change)},
              {"directory", this->context.view.directory.current().version.number},
-             {"directory_read_ms", this->milliseconds_since(this->readings.last())},
+             {"directory_read_ms",
+              this->milliseconds_since(this->context.view.readings.last())},
              {"store_reached_ms",
-              this->milliseconds_since(this->readings.in_reach_since())}});
+              this->milliseconds_since(this->context.view.readings.in_reach_since())}});
         this->authority.promote(
             name, action.database, action.token,
             [weak = this->weak_from_this(), name, token = action.token,
@@ -671,6 +710,8 @@
              {"took_ms", to_seconds(time - group.change_started) * 1000}});
         this->retired = std::move(group.change);
         group.next_change = time + between_changes;
+        bool const stays = action.database == group.primary;
+        group.next_planned_change = stays ? time + planned_pause : time;
         group.suspicion.reset();
         group.managed_since = instant();
         if (!action.database.empty()) {
@@ -714,10 +755,10 @@
     std::map<std::string, commit_progress, std::less<>> commits; ///< By database.
     std::map<std::string, unacknowledged_commits, std::less<>>
         unacknowledged; ///< By database.
-    directory_readings readings;
     /// A change is kept until it is no longer on the stack.
     std::unique_ptr<leadership_change> retired;
     std::uint64_t finished = 0;
+    instant reading_until{}; ///< The directory is read often until then.
     /// Its version and how many databases it had.
     std::pair<store_version, std::size_t> seen_directory;
 };
@@ -796,15 +837,6 @@
     }
 }
 
-void leadership_keeper::on_directory_read(bool succeeded, instant began_at) {
-    if (succeeded) {
-        this->impl->readings.succeeded(
-            began_at, this->impl->context.view.directory.current().version.era);
-    } else {
-        this->impl->readings.failed();
-    }
-}
-
 void leadership_keeper::on_commit_acknowledged(
     std::string const& database, instant sent_at, std::optional<log_position> reached) {
     registered_database const* const entry =
--- a/src/persimmonpoint/engine/leadership_keeper.hpp
+++ b/src/persimmonpoint/engine/leadership_keeper.hpp
@@ -27,8 +27,7 @@
         std::string const& database,
         std::uint64_t token,
         std::function<void(promotion_result)> done) = 0;
-    /// Has the directory read from the store; leadership_keeper::on_directory_read()
-    /// tells how that ended.
+    /// Has the directory read from the store, beside the regular readings.
     virtual void read_directory() = 0;
 };
 
@@ -54,10 +53,6 @@
         instant sent_at,
         std::optional<log_position> reached) override;
 
-    /// A reading of the directory ended that began at `began_at`. What it brought is in
-    /// the view.
-    void on_directory_read(bool succeeded, instant began_at);
-
     std::uint64_t changes_finished() const;
 
 private:
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -427,6 +427,16 @@
         this->open_for_callers();
     }
 
+    void note_reading(bool succeeded, instant began_at) {
+        if (succeeded) {
+            this->view.readings.succeeded(
+                began_at, this->view.directory.current().version.era);
+        } else {
+            this->view.readings.failed(this->time.now());
+            this->view.directory.reading_failed();
+        }
+    }
+
     void use_hosts(store_version const& version, host_directory hosts) {
         auto const is_alive = [this](std::string const& name) {
             return this->mesh.is_usable(name);
@@ -575,14 +585,16 @@
     }
     void on_stored_databases(database_directory read) override {
         asio::post(this->traffic_loop, [this, read = std::move(read)] {
-            if (this->view.directory.read(read, this->time.now())) {
+            instant const now = this->time.now();
+            bool const was_in_reach = this->view.readings.is_steady(now);
+            if (this->view.directory.read(read, now, was_in_reach)) {
                 this->directory_changed();
             }
         });
     }
     void on_databases_read(bool succeeded, instant began_at) override {
         asio::post(this->traffic_loop, [this, succeeded, began_at] {
-            this->keeper.on_directory_read(succeeded, began_at);
+            this->note_reading(succeeded, began_at);
         });
     }
     void on_stored_hosts(stored_hosts read) override {
--- a/tests/introspective/departure_memory.tests.cpp
+++ b/tests/introspective/departure_memory.tests.cpp
@@ -64,3 +64,15 @@
         CHECK(judged(memory, left + minutes(2)) == departure::seen);
     }
 }
+
+TEST_CASE(
+    "No departure is settled by time while the store is out of reach",
+    "[leadership][departure]") {
+    departure_memory memory(start);
+    instant const left = start + seconds(5);
+    memory.replica_left(left);
+    memory.commit_acknowledged(left, left);
+    instant const now = left + seconds(60);
+    CHECK(memory.judge(now, now, true) == departure::seen);
+    CHECK(memory.judge(now, now, false) == departure::none);
+}
--- a/tests/introspective/directory_readings.tests.cpp
+++ b/tests/introspective/directory_readings.tests.cpp
@@ -30,48 +30,72 @@
 } // namespace
 
 TEST_CASE(
-    "A directory is complete once it was read behind a time of steady readings",
+    "A directory is complete once it was read long enough behind the moment in question",
     "[directory][readings]") {
     directory_readings readings = read_until(start + seconds(6));
-    instant const now = start + milliseconds(6010);
-    CHECK(readings.judge(start + seconds(6), now) == directory_listing::complete);
-    SECTION("a reading that began before doesn't count") {
-        instant const since = start + milliseconds(6001);
-        CHECK(readings.judge(since, now) == directory_listing::pending);
-        CHECK(readings.needs_reading(since, now));
-        readings.began(now);
-        CHECK_FALSE(readings.needs_reading(since, now + milliseconds(10)));
-        readings.succeeded(now, 1);
-        CHECK(readings.judge(since, now) == directory_listing::complete);
+    instant const since = start + seconds(6);
+    instant const now = since + milliseconds(10);
+    CHECK(readings.judge(since - milliseconds(1500), now) == directory_listing::complete);
+    CHECK(readings.judge(since - milliseconds(1499), now) == directory_listing::pending);
+    CHECK(readings.judge(since, now) == directory_listing::pending);
+    CHECK(readings.needs_reading(since, now));
+    SECTION("a reading that begins too early for a database that joined just before") {
+        readings.succeeded(since + milliseconds(1499), 1);
+        CHECK(
+            readings.judge(since, since + milliseconds(1510)) ==
+            directory_listing::pending);
     }
-    SECTION("one that doesn't come tells nothing") {
-        instant const since = start + milliseconds(6001);
-        instant const later = since + milliseconds(250);
-        CHECK(readings.judge(since, later) == directory_listing::incomplete);
+    SECTION("a reading by which each of them has registered") {
+        readings.succeeded(since + milliseconds(1500), 1);
+        CHECK(
+            readings.judge(since, since + milliseconds(1510)) ==
+            directory_listing::complete);
     }
+    SECTION("readings that don't come are not waited for without end") {
+        CHECK(readings.judge(since, since + seconds(3)) == directory_listing::incomplete);
+    }
+}
+
+TEST_CASE(
+    "Readings for changes of leadership keep a pace, whichever moment is in question",
+    "[directory][readings]") {
+    directory_readings readings = read_until(start + seconds(6));
+    instant const now = start + seconds(6);
+    readings.began(now);
+    CHECK_FALSE(readings.needs_reading(now, now + milliseconds(100)));
+    CHECK_FALSE(readings.needs_reading(now + milliseconds(99), now + milliseconds(100)));
+    CHECK(readings.needs_reading(now, now + milliseconds(500)));
 }
 
 TEST_CASE(
     "A directory that was read shortly after the store's return may be incomplete",
     "[directory][readings]") {
     directory_readings readings = read_until(start + seconds(6));
+    CHECK(readings.is_steady(start + seconds(7)));
+    CHECK_FALSE(readings.is_in_doubt(start + seconds(7)));
     instant const back = start + seconds(8);
     std::uint64_t era = 1;
     SECTION("behind a failed reading") {
-        readings.failed();
+        readings.failed(start + milliseconds(7500));
         CHECK(readings.judge(start, back) == directory_listing::incomplete);
+        CHECK(readings.is_in_doubt(back));
         readings.succeeded(back, 1);
+        CHECK(readings.is_in_doubt(back + seconds(3)));
+        CHECK_FALSE(readings.is_in_doubt(back + seconds(4)));
     }
     SECTION("behind a time without readings") {
+        CHECK_FALSE(readings.is_steady(back + seconds(2)));
         readings.succeeded(back + seconds(2), 1);
     }
     SECTION("behind the return of an older copy of the store") {
         era = 2;
         readings.succeeded(back, era);
     }
-    CHECK(readings.judge(back, back + seconds(2)) == directory_listing::incomplete);
+    CHECK_FALSE(readings.is_steady(back + seconds(2)));
+    CHECK(readings.judge(start, back + seconds(2)) == directory_listing::incomplete);
     readings.succeeded(back + seconds(3), era);
     readings.succeeded(back + seconds(6), era);
+    CHECK(readings.is_steady(back + seconds(6)));
     CHECK(readings.judge(back, back + seconds(6)) == directory_listing::complete);
 }
 
--- a/tests/introspective/membership.tests.cpp
+++ b/tests/introspective/membership.tests.cpp
@@ -36,12 +36,12 @@
 
 TEST_CASE("An entry that vanishes for a moment is kept", "[directory]") {
     directory_tracker tracker;
-    CHECK(tracker.read(directory(1, {"a", "b"}), start));
-    CHECK_FALSE(tracker.read(directory(2, {"a"}), start + seconds(1)));
+    CHECK(tracker.read(directory(1, {"a", "b"}), start, true));
+    CHECK_FALSE(tracker.read(directory(2, {"a"}), start + seconds(1), true));
     CHECK(tracker.current().databases.count("b") == 1);
-    CHECK_FALSE(tracker.read(directory(3, {"a", "b"}), start + seconds(2)));
-    CHECK_FALSE(tracker.read(directory(4, {"a"}), start + seconds(3)));
-    CHECK(tracker.read(directory(5, {"a"}), start + seconds(6)));
+    CHECK_FALSE(tracker.read(directory(3, {"a", "b"}), start + seconds(2), true));
+    CHECK_FALSE(tracker.read(directory(4, {"a"}), start + seconds(3), true));
+    CHECK(tracker.read(directory(5, {"a"}), start + seconds(6), true));
     CHECK(tracker.current().databases.count("b") == 0);
 }
 
@@ -49,15 +49,45 @@
     directory_tracker tracker;
     database_directory first = directory(1, {"a", "b"});
     first.databases["b"].leaving = true;
-    tracker.read(first, start);
-    CHECK(tracker.read(directory(2, {"a"}), start + milliseconds(10)));
+    tracker.read(first, start, true);
+    CHECK(tracker.read(directory(2, {"a"}), start + milliseconds(10), true));
     CHECK(tracker.current().databases.size() == 1);
 }
 
+TEST_CASE(
+    "An entry that was leaving is kept for a while when it vanishes as the store is back",
+    "[directory]") {
+    directory_tracker tracker;
+    database_directory first = directory(1, {"a", "b"});
+    first.databases["b"].leaving = true;
+    tracker.read(first, start, true);
+    CHECK_FALSE(tracker.read(directory(2, {"a"}), start + seconds(5), false));
+    CHECK(tracker.current().databases.count("b") == 1);
+    SECTION("and is gone if it stays away") {
+        CHECK(tracker.read(directory(3, {"a"}), start + seconds(8), false));
+        CHECK(tracker.current().databases.count("b") == 0);
+    }
+    SECTION("or once the store has been in reach for long enough") {
+        CHECK(tracker.read(directory(3, {"a"}), start + seconds(6), true));
+    }
+}
+
+TEST_CASE(
+    "The time that an entry may be missing begins anew when the store was away",
+    "[directory]") {
+    directory_tracker tracker;
+    tracker.read(directory(1, {"a", "b"}), start, true);
+    CHECK_FALSE(tracker.read(directory(2, {"a"}), start + seconds(1), true));
+    tracker.reading_failed();
+    CHECK_FALSE(tracker.read(directory(3, {"a"}), start + seconds(5), false));
+    CHECK(tracker.current().databases.count("b") == 1);
+    CHECK(tracker.read(directory(4, {"a"}), start + seconds(8), false));
+}
+
 TEST_CASE("An older reading or an older message changes nothing", "[directory]") {
     directory_tracker tracker;
-    tracker.read(directory(9, {"a"}), start);
-    CHECK_FALSE(tracker.read(directory(8, {"b"}), start + seconds(9)));
+    tracker.read(directory(9, {"a"}), start, true);
+    CHECK_FALSE(tracker.read(directory(8, {"b"}), start + seconds(9), true));
     CHECK_FALSE(tracker.received(directory(9, {"b"})));
     CHECK(tracker.received(directory(10, {"b"})));
     CHECK(tracker.current().databases.count("b") == 1);
@@ -280,13 +310,13 @@
 TEST_CASE(
     "A directory of the store's new era is taken, an old one is not", "[directory]") {
     directory_tracker tracker;
-    tracker.read(directory(900, {"a", "b"}), start);
+    tracker.read(directory(900, {"a", "b"}), start, true);
     database_directory restored = directory(3, {"a", "c"});
     restored.version = {2, 3};
-    CHECK(tracker.read(restored, start + seconds(1)));
+    CHECK(tracker.read(restored, start + seconds(1), true));
     CHECK(tracker.current().databases.count("c") == 1);
     CHECK(tracker.current().databases.count("b") == 1);
-    CHECK_FALSE(tracker.read(directory(901, {"a"}), start + seconds(9)));
+    CHECK_FALSE(tracker.read(directory(901, {"a"}), start + seconds(9), true));
     CHECK_FALSE(tracker.received(directory(901, {"a"})));
 }
 
@@ -295,21 +325,21 @@
     database_directory before = directory(9, {"a"});
     before.databases["a"].leaving = true;
     before.databases["a"].started_ms = 100;
-    tracker.read(before, start);
+    tracker.read(before, start, true);
     database_directory restored = directory(3, {"a"});
     restored.version = {2, 3};
     restored.databases["a"].started_ms = 100;
-    tracker.read(restored, start + seconds(1));
+    tracker.read(restored, start + seconds(1), true);
     CHECK(tracker.current().databases.at("a").leaving);
     for (std::string const added : {"b", "c"}) {
         ++restored.version.number;
         restored.databases[added];
-        tracker.read(restored, start + seconds(1));
+        tracker.read(restored, start + seconds(1), true);
         CHECK(tracker.current().databases.at("a").leaving);
     }
     ++restored.version.number;
     restored.databases["a"].started_ms = 200;
-    tracker.read(restored, start + seconds(2));
+    tracker.read(restored, start + seconds(2), true);
     CHECK_FALSE(tracker.current().databases.at("a").leaving);
 }
 
@@ -319,7 +349,7 @@
     directory_tracker tracker;
     database_directory before = directory(9, {"a"});
     before.databases["a"].leaving = true;
-    tracker.read(before, start);
+    tracker.read(before, start, true);
     database_directory restored = directory(3, {"a"});
     restored.version = {2, 3};
     CHECK(tracker.received(restored));
--- a/tests/support/leadership_hosts_model.cpp
+++ b/tests/support/leadership_hosts_model.cpp
@@ -110,7 +110,7 @@
     instant const time = this->fleet.group.now();
     this->readings.began(time);
     if (this->fleet.group.is_store_away()) {
-        this->readings.failed();
+        this->readings.failed(time);
         return;
     }
     this->readings.succeeded(time, 0);
@@ -325,7 +325,7 @@
 std::vector<group_replica> modelled_host::databases() const {
     std::vector<group_replica> out;
     for (registered_database const& each : this->routing.databases()) {
-        out.push_back(group_replica{each.id, each.leaving});
+        out.push_back(group_replica{each.id, each.leaving, each.started_ms});
     }
     return out;
 }
