The directory is read often while a change of leadership lasts

Cause: the change waited for databases that were gone, until their rows were dropped; its host read the directory each 5 s only, so that each row took two readings. A change that lasts over 1 s now has it read each 0.5 s.

No test of its own: the keeper has none of its wiring.

--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -34,6 +34,8 @@
 constexpr duration hold_check_interval = std::chrono::seconds(2);
 /// Behind a change that left the primary in place though it leaves.
 constexpr duration planned_pause = std::chrono::milliseconds(500);
+/// A change that lasts longer may wait for the row of a database that is gone.
+constexpr duration long_change = std::chrono::seconds(1);
 /// How long the directory is read often behind a change that depended on it.
 constexpr duration reading_after_change = std::chrono::seconds(6);
 constexpr auto token_retry = std::chrono::milliseconds(200);
@@ -622,11 +624,12 @@
         if (known.newest() && routing.find(known.newest()->database) == nullptr) {
             known.log_lost(known.newest()->database);
         }
-        // Without these, how complete the directory is makes no difference.
+        // Otherwise how complete the directory is makes no difference.
         bool const is_holder_gone = known.newest() && known.newest()->database.empty();
         std::optional<instant> const stopped = group.change->primary_stopped_at();
         instant const since = stopped.value_or(group.change_started);
-        if (stopped || is_holder_gone) {
+        bool const is_long = this->now() - group.change_started > long_change;
+        if (stopped || is_holder_gone || is_long) {
             this->keep_reading(since);
         }
         commits.listing = this->context.view.readings.judge(since, this->now());
