--- a/tests/introspective/leadership_model.tests.cpp
+++ b/tests/introspective/leadership_model.tests.cpp
@@ -69,6 +69,12 @@
         }
     }
 
+    void lapse_all() {
+        for (auto const& each : this->group.databases()) {
+            this->group.lapse(each.first);
+        }
+    }
+
     bool is_paused() const {
         auto const& all = this->group.databases();
         return std::any_of(all.begin(), all.end(), [](auto const& each) {
@@ -271,6 +277,177 @@
     CHECK(it.group.losses().empty());
 }
 
+TEST_CASE(
+    "A host that was started while the store was away promotes nobody before the "
+    "primary can be listed again",
+    "[leadership][leadership-model][lost-store]") {
+    scene it;
+    it.fleet.keeps_missing_rows = true;
+    it.group.at("d1").deaf = true;
+    it.play(milliseconds(500));
+    it.group.set_store_away(true);
+    it.host(1).kill(seconds(1));
+    it.play(seconds(2));
+    it.lapse_all();
+    it.group.at("d0").registration_lag = milliseconds(1500);
+    it.group.at("d2").registration_lag = milliseconds(1500);
+    it.host(1).manages = true;
+    it.group.set_store_away(false);
+    it.play(seconds(8));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+    CHECK_FALSE(it.host(1).is_changing());
+}
+
+TEST_CASE(
+    "A host that finds no primary after the store's return promotes a replica in the "
+    "end",
+    "[leadership][leadership-model][lost-store]") {
+    scene it;
+    it.fleet.keeps_missing_rows = true;
+    it.group.set_store_away(true);
+    it.host(1).kill(seconds(1));
+    it.group.crash("d0", std::nullopt);
+    it.play(seconds(2));
+    it.lapse_all();
+    it.host(1).manages = true;
+    it.group.set_store_away(false);
+    it.play(seconds(8));
+    INFO(it.story());
+    CHECK(it.group.primary() != "d0");
+    CHECK_FALSE(it.host(1).is_changing());
+}
+
+TEST_CASE(
+    "A call for the stopped primary that may still be carried out is settled when the "
+    "directory is complete again",
+    "[leadership][leadership-model][lost-store]") {
+    scene it;
+    it.group.at("d1").deaf = true;
+    it.group.at("d2").deaf = true;
+    it.play(milliseconds(500));
+    it.group.set_store_away(true);
+    it.play(seconds(1));
+    it.group.set_store_away(false);
+    instant const answers_from = it.group.now() + seconds(6);
+    it.faults.on_promotion = [&](std::string const&, std::string const&) {
+        promotion_fate fate;
+        if (it.group.now() < answers_from) {
+            fate.answered = false;
+            fate.carried_out_after.reset();
+        }
+        return fate;
+    };
+    REQUIRE(it.host(0).begin(change_reason::commits_stalled));
+    it.play(seconds(20));
+    INFO(it.story());
+    CHECK_FALSE(it.host(0).is_changing());
+    CHECK_FALSE(it.is_paused());
+}
+
+TEST_CASE(
+    "A leader that came back is confirmed before replicas are released, though an "
+    "earlier call for another one was accepted",
+    "[leadership][leadership-model]") {
+    scene it;
+    it.group.at("d1").deaf = true;
+    it.play(milliseconds(500));
+    it.group.at("d1").deaf = false;
+    it.group.crash("d0", seconds(1));
+    it.faults.on_promotion = [first =
+                                  true](std::string const&, std::string const&) mutable {
+        promotion_fate fate;
+        if (std::exchange(first, false)) {
+            fate.answered = false;
+            fate.carried_out_after = milliseconds(950);
+        }
+        return fate;
+    };
+    it.host(0).forget_leader();
+    REQUIRE(it.host(0).begin(change_reason::primary_lost));
+    it.play(seconds(1));
+    std::string const called = it.host(0).candidate();
+    it.play(milliseconds(300));
+    it.group.at(called).deaf = true;
+    it.play(seconds(5));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
+TEST_CASE(
+    "A row that is missing when the store is lost again is kept until it can be back "
+    "after the store's return",
+    "[leadership][leadership-model][lost-store]") {
+    scene it;
+    it.fleet.keeps_missing_rows = true;
+    it.group.set_store_away(true);
+    it.play(milliseconds(100));
+    it.lapse_all();
+    it.group.at("d0").registration_lag = milliseconds(1500);
+    it.group.set_store_away(false);
+    it.play(milliseconds(200));
+    it.group.set_store_away(true);
+    it.play(seconds(4));
+    it.group.set_store_away(false);
+    it.play(milliseconds(200));
+    INFO(it.story());
+    CHECK(it.host(0).view().find("d0") != nullptr);
+}
+
+TEST_CASE(
+    "A candidate that lost its log after it was called for isn't called for again",
+    "[leadership][leadership-model][lost-log]") {
+    scene it;
+    it.group.crash("d0", seconds(30));
+    REQUIRE(it.host(0).begin(change_reason::primary_lost));
+    while (it.host(0).candidate().empty() ||
+           it.group.trace().back().find("accepted") == std::string::npos) {
+        it.play(milliseconds(10));
+    }
+    it.group.start_empty(it.host(0).candidate(), milliseconds(900));
+    it.play(seconds(8));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
+TEST_CASE(
+    "A crashed primary that alone has the last commits is waited for by a host that was "
+    "started after the departure of its replica",
+    "[leadership][leadership-model]") {
+    scene it;
+    it.group.at("d1").deaf = true;
+    it.play(milliseconds(500));
+    it.group.crash("d2", std::nullopt);
+    it.host(1).kill(seconds(7));
+    it.play(seconds(8));
+    it.group.crash("d0", seconds(4));
+    REQUIRE(it.host(1).begin(change_reason::primary_lost));
+    it.play(seconds(10));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
+TEST_CASE(
+    "A crashed primary is waited for while a replica may be unlisted that alone received "
+    "from it, by a host that saw none of its commits",
+    "[leadership][leadership-model][lost-store]") {
+    scene it;
+    it.fleet.keeps_missing_rows = true;
+    it.host(1).kill(seconds(3));
+    it.group.set_store_away(true);
+    it.group.cut_off_present_replicas();
+    it.group.add_empty_replica(milliseconds(300));
+    it.group.at("d3").registration_lag = milliseconds(1500);
+    it.play(milliseconds(3500));
+    it.group.set_store_away(false);
+    it.play(milliseconds(200));
+    it.group.crash("d0", seconds(4));
+    REQUIRE(it.host(1).begin(change_reason::primary_lost));
+    it.play(seconds(10));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
 TEST_CASE(
     "A former primary that has become a replica is compared by a host that takes it for "
     "the primary",
--- a/tests/support/leadership_hosts_model.cpp
+++ b/tests/support/leadership_hosts_model.cpp
@@ -106,6 +106,24 @@
            found->second.unreachable_from.count(this->own_name) == 0;
 }
 
+std::vector<registered_database> modelled_host::listed_databases() {
+    auto const stored = this->fleet.group.directory();
+    if (!this->fleet.keeps_missing_rows) {
+        return stored;
+    }
+    database_directory read;
+    read.version = store_version{1, 1};
+    for (registered_database const& each : stored) {
+        read.databases.emplace(each.id, each);
+    }
+    this->tracker.read(read, this->fleet.group.now());
+    std::vector<registered_database> kept;
+    for (auto const& each : this->tracker.current().databases) {
+        kept.push_back(each.second);
+    }
+    return kept;
+}
+
 void modelled_host::read_directory() {
     instant const time = this->fleet.group.now();
     this->readings.began(time);
@@ -114,12 +132,12 @@
         return;
     }
     this->readings.succeeded(time, 0);
-    auto const present = this->fleet.group.directory();
+    auto const present = this->listed_databases();
     auto const& known = this->routing.databases();
     for (registered_database const& each : known) {
         bool const has_left =
             std::none_of(present.begin(), present.end(), [&each](auto const& one) {
-                return one.id == each.id;
+                return one.id == each.id && one.started_ms == each.started_ms;
             });
         if (has_left) {
             this->departures.replica_left(time);
@@ -575,6 +593,7 @@
         this->departures = departure_memory(this->fleet.group.now());
         this->acknowledged = acknowledged_commits();
         this->readings = directory_readings();
+        this->tracker = directory_tracker();
         this->read_directory();
         this->note("is back");
     });
--- a/tests/support/leadership_hosts_model.hpp
+++ b/tests/support/leadership_hosts_model.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <persimmonpoint/core/membership/directory_readings.hpp>
+#include <persimmonpoint/core/membership/directory_tracker.hpp>
 #include <persimmonpoint/core/recovery/acknowledged_commits.hpp>
 #include <persimmonpoint/core/recovery/leadership_change.hpp>
 #include <persimmonpoint/core/recovery/primary_failure_detector.hpp>
@@ -51,6 +52,8 @@
     replicated_group& group;
     fault_plan& faults;
     std::vector<std::unique_ptr<modelled_host>> hosts;
+    /// Hosts keep a row that is missing for a while, as directory_tracker does.
+    bool keeps_missing_rows = false;
 
     void add_host(std::string const& name);
     modelled_host& host(std::size_t index) { return *this->hosts.at(index); }
@@ -79,6 +82,11 @@
     bool is_alive() const { return this->alive; }
     bool is_frozen() const { return this->frozen; }
     bool is_changing() const { return this->change != nullptr; }
+    /// Of the change that is under way.
+    std::string candidate() const {
+        return this->change ? this->change->candidate() : "";
+    }
+    void forget_leader() { this->routing = group_routing(); }
     bool reaches(std::string const& database) const;
     group_routing const& view() const { return this->routing; }
     void learn(std::string const& database, std::uint64_t term);
@@ -90,6 +98,7 @@
     bool manages = false; ///< It takes itself for the owner of the primary.
 
 private:
+    std::vector<registered_database> listed_databases();
     void step();
     bool can_watch() const;
     void watch();
@@ -132,6 +141,7 @@
     departure_memory departures;
     acknowledged_commits acknowledged;
     directory_readings readings;
+    directory_tracker tracker;
     instant change_began{};
     unsigned change_number = 0; ///< Of the present change, or the last.
     instant next_change{};
--- a/tests/support/random_leadership_faults.cpp
+++ b/tests/support/random_leadership_faults.cpp
@@ -13,11 +13,19 @@
 constexpr duration time_to_recover = seconds(20);
 constexpr int ticks_per_look = 3;
 constexpr std::size_t fewest_databases = 3;
+constexpr std::uint64_t store_seeds = 1000000;
+constexpr unsigned most_unlisted = 2;
+constexpr unsigned most_empty_starts = 2;
+// As databases and the store do.
+constexpr std::uint64_t heartbeat_ms = 1200;
+constexpr std::uint64_t row_lifetime_ms = 3600;
+constexpr std::uint64_t longest_registration_ms = 2000;
 
 class random_leadership_run final : private fault_plan {
 public:
     random_leadership_run(std::uint64_t seed, fault_set const& allowed)
         : dice(seed),
+          store_dice(seed + store_seeds),
           group(this->dice.once_in(4) ? fewest_databases + 1 : fewest_databases),
           fleet{this->group, *this, {}} {
         this->choose_faults(allowed);
@@ -42,9 +50,13 @@
 
     void choose_faults(fault_set const& allowed) {
         this->rarity = this->dice.between(1, 4);
-        for (std::size_t i = 0; i < fault_kinds; ++i) {
+        for (std::size_t i = 0; i < first_store_fault; ++i) {
             this->chosen[i] = allowed[i] && !this->dice.once_in(3);
         }
+        for (std::size_t i = first_store_fault; i < fault_kinds; ++i) {
+            this->chosen[i] = allowed[i] && !this->store_dice.once_in(4);
+            this->fleet.keeps_missing_rows = this->fleet.keeps_missing_rows || allowed[i];
+        }
     }
 
     bool has(fault_kind kind) const {
@@ -58,6 +70,12 @@
                this->dice.once_in(seconds_apart * ticks_per_second * this->rarity);
     }
 
+    bool store_fault_strikes(fault_kind kind, std::uint64_t seconds_apart) {
+        constexpr std::uint64_t ticks_per_second = 100;
+        return this->has(kind) &&
+               this->store_dice.once_in(seconds_apart * ticks_per_second);
+    }
+
     // Time
 
     void play(duration how_long) {
@@ -106,6 +124,7 @@
         this->strike_databases();
         this->strike_network();
         this->strike_hosts();
+        this->strike_store();
     }
 
     void strike_databases() {
@@ -181,6 +200,93 @@
         }
     }
 
+    void strike_store() {
+        if (this->store_fault_strikes(fault_kind::lost_store, 8) &&
+            !this->group.is_store_away()) {
+            this->lose_store();
+        }
+        if (this->store_fault_strikes(fault_kind::partial_cut, 12)) {
+            this->cut_present_replicas();
+        }
+        bool const may_start = this->empty_starts < most_empty_starts;
+        if (may_start && this->store_fault_strikes(fault_kind::empty_start, 10)) {
+            this->start_some_empty();
+        }
+    }
+
+    void lose_store() {
+        unsigned const number = ++this->store_losses;
+        this->group.set_store_away(true);
+        for (auto const& each : this->group.databases()) {
+            std::string const id = each.first;
+            this->group.at(id).registration_lag =
+                this->store_dice.milliseconds_between(0, longest_registration_ms);
+            duration const silence = this->store_dice.milliseconds_between(
+                row_lifetime_ms - heartbeat_ms, row_lifetime_ms);
+            this->group.after(silence, [this, id, number] {
+                if (this->group.is_store_away() && this->store_losses == number) {
+                    this->group.lapse(id);
+                }
+            });
+        }
+        if (this->has(fault_kind::unlisted_replica)) {
+            this->group.after(this->store_dice.milliseconds_between(100, 3000), [this] {
+                this->add_unlisted_replica();
+            });
+        }
+        this->group.after(this->store_dice.milliseconds_between(500, 7000), [this] {
+            this->find_store();
+        });
+    }
+
+    void find_store() {
+        if (this->group.is_store_away()) {
+            this->group.set_store_away(false);
+        }
+    }
+
+    void add_unlisted_replica() {
+        if (!this->group.is_store_away() || this->unlisted == most_unlisted) {
+            return;
+        }
+        ++this->unlisted;
+        std::string const id = "d" + std::to_string(this->group.databases().size());
+        this->group.add_empty_replica(this->store_dice.milliseconds_between(50, 800));
+        this->group.at(id).registration_lag =
+            this->store_dice.milliseconds_between(0, longest_registration_ms);
+        if (this->has(fault_kind::partial_cut) && !this->store_dice.once_in(3)) {
+            this->cut_present_replicas();
+            this->group.at(id).cut_off = false;
+        }
+    }
+
+    void cut_present_replicas() {
+        unsigned const number = ++this->partial_cuts;
+        this->group.cut_off_present_replicas();
+        this->group.after(
+            this->store_dice.milliseconds_between(300, 7000), [this, number] {
+                if (this->partial_cuts == number) {
+                    this->group.mend_cuts();
+                    this->group.note("replicas receive again");
+                }
+            });
+    }
+
+    void start_some_empty() {
+        std::vector<std::string> living;
+        for (auto const& [id, each] : this->group.databases()) {
+            if (each.alive) {
+                living.push_back(id);
+            }
+        }
+        if (!living.empty()) {
+            ++this->empty_starts;
+            this->group.start_empty(
+                living[this->store_dice.between(0, living.size() - 1)],
+                this->store_dice.milliseconds_between(200, 3000));
+        }
+    }
+
     modelled_host& some_host() {
         return this->fleet.host(this->dice.between(0, this->fleet.hosts.size() - 1));
     }
@@ -257,6 +363,8 @@
         this->faults_go_on = false;
         this->group.note("faults end");
         this->group.set_primary_cut(false);
+        this->group.mend_cuts();
+        this->find_store();
         for (auto const& each : this->group.databases()) {
             this->group.at(each.first).deaf = false;
             this->group.at(each.first).unreachable_from.clear();
@@ -314,6 +422,9 @@
     }
 
     bool store_answers(std::string const&) override {
+        if (this->group.is_store_away()) {
+            return false;
+        }
         return this->group.now() >= this->store_away_until || this->dice.once_in(3);
     }
 
@@ -354,6 +465,7 @@
     }
 
     seeded_dice dice;
+    seeded_dice store_dice; ///< For faults from lost_store on.
     replicated_group group;
     modelled_fleet fleet;
     fault_set chosen{};
@@ -361,6 +473,10 @@
     bool faults_go_on = true;
     unsigned deaths = 0;
     unsigned leavers = 0;
+    unsigned store_losses = 0;
+    unsigned unlisted = 0;
+    unsigned partial_cuts = 0;
+    unsigned empty_starts = 0;
     int ticks = 0;
     instant store_away_until{};
 };
@@ -369,10 +485,12 @@
 
 char const* to_string(fault_kind kind) {
     static std::array<char const*, fault_kinds> const names = {
-        "brief_crash",    "death",       "primary_cut", "host_cut",      "deaf_replica",
-        "leaving",        "frozen_host", "killed_host", "owners_differ", "false_alarm",
-        "store_away",     "lost_order",  "late_order",  "late_answer",   "lost_promotion",
-        "late_promotion", "lost_news"};
+        "brief_crash",   "death",       "primary_cut",      "host_cut",
+        "deaf_replica",  "leaving",     "frozen_host",      "killed_host",
+        "owners_differ", "false_alarm", "store_away",       "lost_order",
+        "late_order",    "late_answer", "lost_promotion",   "late_promotion",
+        "lost_news",     "lost_store",  "unlisted_replica", "partial_cut",
+        "empty_start"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -390,6 +508,12 @@
 }
 
 fault_set all_faults() {
+    fault_set out{};
+    std::fill_n(out.begin(), first_store_fault, true);
+    return out;
+}
+
+fault_set all_faults_and_store_losses() {
     fault_set out;
     out.fill(true);
     return out;
--- a/tests/support/random_leadership_faults.hpp
+++ b/tests/support/random_leadership_faults.hpp
@@ -29,12 +29,20 @@
     lost_promotion, ///< A call is not carried out, or its answer is lost.
     late_promotion, ///< A call is carried out up to 12 s later.
     lost_news,      ///< A new leader is told late or never.
+    // What follows is drawn from other dice, so that the seeds of those above play the
+    // same with and without.
+    lost_store,       ///< For 0.5 to 7 s; rows lapse, and are back up to 2 s later.
+    unlisted_replica, ///< One joins while the store is lost.
+    partial_cut,      ///< Replicas don't receive; one that joins then does.
+    empty_start,      ///< A database starts again without its log.
     count
 };
 
 char const* to_string(fault_kind kind);
 
 inline constexpr auto fault_kinds = static_cast<std::size_t>(fault_kind::count);
+inline constexpr auto first_store_fault =
+    static_cast<std::size_t>(fault_kind::lost_store);
 using fault_set = std::array<bool, fault_kinds>;
 
 /// The same numbers from a seed on every platform.
@@ -68,8 +76,12 @@
 /// 20 s after them. Each seed has its own selection of `allowed`.
 random_run_result run_with_random_faults(std::uint64_t seed, fault_set const& allowed);
 
+/// All up to lost_news.
 fault_set all_faults();
 
+/// Also those from lost_store on.
+fault_set all_faults_and_store_losses();
+
 } // namespace persimmonpoint::tests
 
 #endif // PERSIMMONPOINT_TESTS_SUPPORT_RANDOM_LEADERSHIP_FAULTS_HPP_INCLUDED
--- a/tests/support/replicated_group_model.cpp
+++ b/tests/support/replicated_group_model.cpp
@@ -86,23 +86,39 @@
     this->note(away ? "store is away" : "store is back");
 }
 
+void replicated_group::lapse(std::string const& id) {
+    database& silent = this->at(id);
+    if (silent.registered) {
+        this->note("registration of " + id + " lapses");
+        silent.registered = false;
+    }
+}
+
 /// True if a database that isn't listed can register now.
-bool replicated_group::takes_registrations() const {
-    return !this->store_away && this->time - this->store_back >= this->registration_time;
+bool replicated_group::takes_registration(database const& of) const {
+    duration const lag = std::max(this->registration_time, of.registration_lag);
+    return !this->store_away && this->time - this->store_back >= lag;
+}
+
+void replicated_group::register_state(std::string const& id, database& of) {
+    of.last_alive = this->time;
+    of.claims_primary = this->leads(id);
+    if (!this->store_away) {
+        of.listed_born = of.born;
+    }
+    if (!of.registered) {
+        this->note(id + " is registered again");
+    }
+    of.registered = true;
 }
 
 void replicated_group::update_registrations() {
     for (auto& [id, each] : this->members) {
-        if (each.alive && !each.registered && !this->takes_registrations()) {
+        if (each.alive && !each.registered && !this->takes_registration(each)) {
             continue;
         }
         if (each.alive) {
-            each.last_alive = this->time;
-            each.claims_primary = this->leads(id);
-            if (!each.registered) {
-                this->note(id + " is registered again");
-            }
-            each.registered = true;
+            this->register_state(id, each);
             continue;
         }
         bool const expired = this->time - each.last_alive > registration_lifetime;
@@ -121,7 +137,7 @@
     for (auto const& [id, each] : this->members) {
         if (each.registered) {
             out.push_back(registered_database{
-                id, "g", {}, {}, 1, each.leaving, each.claims_primary, 1});
+                id, "g", {}, {}, 1, each.leaving, each.claims_primary, each.listed_born});
         }
     }
     return out;
@@ -140,12 +156,13 @@
     database const& primary = this->at(this->leader);
     bool const can = id != this->leader && primary.alive && !this->stopped &&
                      !this->primary_cut && replica.alive && !replica.deaf &&
-                     replica.held == 0 && this->time >= replica.joins;
+                     replica.held == 0 && !replica.cut_off && this->time >= replica.joins;
     if (!can) {
         return false;
     }
     replica.log = primary.log;
     replica.log_term = this->current_term;
+    replica.is_blank = false;
     for (waiting_commit const& each : this->waiting) {
         this->acknowledged.emplace(each.number, acknowledgement{id, this->time});
         this->last_acknowledged = each.since;
@@ -155,6 +172,19 @@
     return true;
 }
 
+void replicated_group::cut_off_present_replicas() {
+    for (auto& [id, each] : this->members) {
+        each.cut_off = !this->leads(id);
+    }
+    this->note("primary is cut from its present replicas");
+}
+
+void replicated_group::mend_cuts() {
+    for (auto& each : this->members) {
+        each.second.cut_off = false;
+    }
+}
+
 duration replicated_group::commit_stalled_for() const {
     return this->waiting.empty() ? duration(0) : this->time - this->waiting.front().since;
 }
@@ -189,7 +219,8 @@
         (this->leads(id) ? "primary " : "replica ") + format(this->position_of(target)) +
         format_hold(target.held));
     return database_state{
-        this->leads(id), this->current_term, this->position_of(target), target.held};
+        this->leads(id), target.is_blank ? 0 : this->current_term,
+        this->position_of(target), target.held};
 }
 
 /// A replica, and a primary whose term isn't lower, refuse it.
@@ -216,16 +247,17 @@
             caller + ": promotion of " + id + " accepted, token " +
             std::to_string(token));
         // A primary that was stopped before could tell what it has.
-        bool const primary_told = this->stopped && this->at(this->leader).alive;
-        this->after(promotion_delay, [this, id, caller, primary_told] {
-            this->take_effect(id, caller, primary_told && this->stopped);
-        });
+        database const& last = this->at(this->leader);
+        accepted_call const call{
+            id, found->second.born, caller,
+            this->stopped && last.alive && !last.is_blank};
+        this->after(promotion_delay, [this, call] { this->take_effect(call); });
     }
     return promotion_result::accepted;
 }
 
-void replicated_group::take_effect(
-    std::string const& id, std::string const& caller, bool primary_told) {
+void replicated_group::take_effect(accepted_call const& call) {
+    std::string const& id = call.database;
     database& next = this->at(id);
     if (this->leads(id) || !next.alive) {
         return;
@@ -236,12 +268,14 @@
         id + " leads in term " + std::to_string(this->current_term) + " with " +
         format(this->position_of(next)) + " instead of " + this->leader + " with " +
         format(this->position_of(this->at(this->leader))));
-    this->check_promotion(id, caller, primary_told);
+    this->check_promotion(call);
     this->leader = id;
     this->stopped = false;
     next.held = 0;
     next.log_term = this->current_term;
+    next.is_blank = false;
     this->primary_cut = false;
+    this->mend_cuts();
     this->waiting.clear();
 }
 
@@ -251,9 +285,10 @@
     return of.at >= started && this->time - started <= return_notice;
 }
 
-void replicated_group::check_promotion(
-    std::string const& id, std::string const& caller, bool primary_told) {
-    database const& next = this->at(id);
+void replicated_group::check_promotion(accepted_call const& call) {
+    database const& next = this->at(call.database);
+    bool const primary_told = call.primary_told && this->stopped;
+    bool const emptied = next.born != call.born;
     auto missing = this->acknowledged;
     for (std::uint64_t const each : next.log) {
         missing.erase(each);
@@ -290,8 +325,9 @@
     for (auto const& each : missing) {
         this->acknowledged.erase(each.first);
     }
-    if (all_absent || (!primary_told && (all_were_absent || all_joined))) {
+    if (all_absent || emptied || (!primary_told && (all_were_absent || all_joined))) {
         ++(all_absent        ? this->exempt_absent
+           : emptied         ? this->exempt_emptied
            : all_were_absent ? this->exempt_returned
                              : this->exempt_joined);
         this->note("exempt: lacks acknowledged commits of " + join(holders));
@@ -299,8 +335,9 @@
     }
     this->note(
         "LOST " + std::to_string(missing.size()) + " that these have: " + join(holders) +
-        "; called by " + caller);
-    this->lost.push_back({this->time, id, caller, missing.size(), std::move(holders)});
+        "; called by " + call.caller);
+    this->lost.push_back(
+        {this->time, call.database, call.caller, missing.size(), std::move(holders)});
 }
 
 std::optional<std::uint64_t>
@@ -338,12 +375,34 @@
     back.alive = true;
     ++back.starts;
     back.started = this->time;
-    if (id == this->leader && !this->stop_survives) {
+    if (id == this->leader && !this->stop_survives && !back.is_blank) {
         this->stopped = false;
     }
     this->note(id + (this->leads(id) ? " is back and leads" : " is back"));
 }
 
+void replicated_group::start_empty(std::string const& id, duration down_for) {
+    this->after(down_for, [this, id] { this->forget_all(id); });
+    this->crash(id, down_for);
+}
+
+void replicated_group::forget_all(std::string const& id) {
+    database& blank = this->at(id);
+    if (blank.gone) {
+        return;
+    }
+    blank.log.clear();
+    blank.log_term = 0;
+    blank.is_blank = true;
+    blank.leaving = false;
+    ++blank.born;
+    this->note(id + " starts without its log");
+    if (this->leads(id)) {
+        this->stopped = true;
+        this->waiting_when_stopped = 0;
+    }
+}
+
 void replicated_group::leave(std::string const& id, duration drain, duration joining) {
     this->at(id).leaving = true;
     this->note(id + " is leaving");
--- a/tests/support/replicated_group_model.hpp
+++ b/tests/support/replicated_group_model.hpp
@@ -38,9 +38,14 @@
         bool gone = false; ///< Dead for good.
         bool registered = true;
         bool claims_primary = false; ///< As it registered when it last could.
+        bool is_blank = false; ///< Started without a log, and has not received since.
+        bool cut_off = false;  ///< From the primary; others may receive.
         unsigned starts = 1;
-        instant started{}; ///< Or came back.
-        instant joins{};   ///< A new replica receives nothing before.
+        std::uint64_t born = 1;        ///< Of the start at which it last was empty.
+        std::uint64_t listed_born = 1; ///< As it registered when it last could.
+        duration registration_lag{}; ///< After the store's return, while it isn't listed.
+        instant started{};           ///< Or came back.
+        instant joins{};             ///< A new replica receives nothing before.
         instant last_alive{};
         /// When it was last down, or gone, without a registration.
         std::optional<instant> absent_at;
@@ -69,6 +74,8 @@
     /// database that is missing then registers `registration_time` after its return.
     void set_store_away(bool away);
     bool is_store_away() const { return this->store_away; }
+    /// The store drops the row of a database that it didn't hear for some time.
+    void lapse(std::string const& id);
 
     // Commits
 
@@ -77,6 +84,9 @@
     bool receive(std::string const& id);
     void set_primary_cut(bool cut) { this->primary_cut = cut; }
     bool primary_is_cut() const { return this->primary_cut; }
+    /// Cuts the primary from the replicas that there are now, but from none that joins.
+    void cut_off_present_replicas();
+    void mend_cuts();
     /// How long the oldest commit has waited for its first replica.
     duration commit_stalled_for() const;
     std::size_t acknowledged_count() const { return this->acknowledged.size(); }
@@ -115,6 +125,8 @@
 
     /// It comes back after `down_for`, or never.
     void crash(std::string const& id, std::optional<duration> down_for);
+    /// It comes back under its id without its log, and knows nothing of before.
+    void start_empty(std::string const& id, duration down_for);
     /// It goes on serving for `drain` and is then gone; an empty replica replaces it.
     void leave(std::string const& id, duration drain, duration joining);
     /// It receives nothing until it has caught up, `joining` from now.
@@ -130,6 +142,8 @@
     /// Promotions that lacked commits which only replicas acknowledged that had started
     /// shortly before the promotion's effect: nobody could have held them.
     std::size_t exempted_joined() const { return this->exempt_joined; }
+    /// The same, but the promoted database lost its log after it had been called for.
+    std::size_t exempted_emptied() const { return this->exempt_emptied; }
     std::size_t promotions() const { return this->promoted; }
     std::vector<std::string> const& trace() const { return this->events; }
     duration registration_time{}; ///< From the store's return to a new registration.
@@ -148,15 +162,22 @@
     };
 
     log_position position_of(database const& of) const;
+    struct accepted_call {
+        std::string database;
+        std::uint64_t born; ///< Of the database when the call was accepted.
+        std::string caller;
+        bool primary_told; ///< The primary was stopped before the call was accepted.
+    };
+
     void stop(std::string const& id, std::uint64_t given_term);
     void come_back(std::string const& id);
-    /// @param primary_told The primary was stopped before the call was accepted.
-    void take_effect(std::string const& id, std::string const& caller, bool primary_told);
-    void
-    check_promotion(std::string const& id, std::string const& caller, bool primary_told);
+    void take_effect(accepted_call const& call);
+    void check_promotion(accepted_call const& call);
     bool joined_lately(acknowledgement const& of) const;
     void update_registrations();
-    bool takes_registrations() const;
+    bool takes_registration(database const& of) const;
+    void register_state(std::string const& id, database& of);
+    void forget_all(std::string const& id);
 
     instant time;
     std::multimap<instant, std::function<void()>> agenda;
@@ -182,6 +203,7 @@
     std::size_t exempt_absent = 0;
     std::size_t exempt_returned = 0;
     std::size_t exempt_joined = 0;
+    std::size_t exempt_emptied = 0;
     std::size_t promoted = 0;
     std::vector<std::string> events;
 };
