--- a/tests/introspective/leadership_commits.tests.cpp
+++ b/tests/introspective/leadership_commits.tests.cpp
@@ -216,6 +216,121 @@
     group.promotion_fails_with.reset();
     group.run(change, now, seconds(5));
     CHECK(change.is_over());
-    CHECK_FALSE(group.leader.empty());
+    CHECK(group.leader == "x");
     CHECK_FALSE(group.lost_commit);
 }
+
+TEST_CASE(
+    "A candidate that lost its log before the platform took the call isn't called for "
+    "again",
+    "[leadership][leadership-commits]") {
+    acting_group group = group_of_three();
+    group.copies["p"].alive = false;
+    group.promotion_fails_with = promotion_result::not_applied;
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
+    instant now = start;
+    group.run(change, now, milliseconds(500));
+    std::string const first = change.candidate();
+    REQUIRE(group.count(change_action_kind::promote) > 0);
+    group.copies[first].received = 0;
+    group.run(change, now, milliseconds(100));
+    group.promotion_fails_with.reset();
+    group.run(change, now, seconds(5));
+    CHECK(change.is_over());
+    CHECK(group.leader != first);
+    CHECK_FALSE(group.lost_commit);
+}
+
+TEST_CASE(
+    "A planned promotion isn't called for again once the candidate is cut from the "
+    "primary "
+    "that serves",
+    "[leadership][leadership-commits]") {
+    acting_group group = group_of_three();
+    group.leaving = group.leader;
+    group.promotion_fails_with = promotion_result::not_applied;
+    leadership_change change = group.begin_change(start, change_reason::primary_leaving);
+    instant now = start;
+    group.run(change, now, milliseconds(500));
+    REQUIRE(group.count(change_action_kind::promote) > 0);
+    group.copies[change.candidate()].receives = false;
+    group.copies["x"];
+    group.unlisted.insert("x");
+    group.write();
+    group.run(change, now, milliseconds(300));
+    group.promotion_fails_with.reset();
+    group.run(change, now, seconds(1));
+    CHECK_FALSE(group.lost_commit);
+    CHECK(group.leader == "p");
+}
+
+TEST_CASE(
+    "A stopped primary that crashed before it was held is given up once its tail need "
+    "not "
+    "be kept",
+    "[leadership][leadership-commits]") {
+    acting_group group = group_with_cut_primary();
+    group.known.listing = directory_listing::incomplete;
+    leadership_change change = group.begin_change(start, change_reason::commits_stalled);
+    instant now = start;
+    while (!group.leader.empty()) {
+        group.run(change, now, milliseconds(10));
+    }
+    group.copies["p"].alive = false;
+    group.run(change, now, seconds(2));
+    REQUIRE(group.count(change_action_kind::promote) == 0);
+    group.known.listing = directory_listing::complete;
+    group.run(change, now, seconds(5));
+    CHECK(change.is_over());
+    CHECK(group.leader == "r0");
+}
+
+TEST_CASE(
+    "Commits of an earlier term account for no tail of the present one",
+    "[leadership][leadership-commits]") {
+    change_members members("p", acting_group::first_term, departure::none);
+    members.set_databases(std::vector<group_replica>{{"p", false}, {"r0", false}});
+    members.primary_asked_to_stop(start);
+    constexpr std::uint64_t next_term = acting_group::first_term + 1;
+    members.record("p", {false, next_term, {next_term, 9}, 0}, start, {});
+    commit_knowledge known;
+    known.unacknowledged = 5;
+    known.listing = directory_listing::incomplete;
+    members.set_commits(known);
+    SECTION("the replica has nothing of the present term") {
+        members.record(
+            "r0", {false, next_term, {acting_group::first_term, 8}, 0}, start, {});
+        CHECK(members.counts("p"));
+    }
+    SECTION("the replica has all but one commit of it") {
+        members.record("r0", {false, next_term, {next_term, 8}, 0}, start, {});
+        CHECK_FALSE(members.counts("p"));
+    }
+}
+
+TEST_CASE(
+    "A database that started again under its id is taken for another one",
+    "[leadership][leadership-commits]") {
+    change_members members("p", acting_group::first_term, departure::none);
+    members.set_databases(std::vector<group_replica>{{"p", false, 1}, {"r0", false, 1}});
+    database_state const full{
+        false, acting_group::first_term, {acting_group::first_term, 9}, 0};
+    members.primary_asked_to_stop(start);
+    members.record("p", full, start, {});
+    members.record("r0", full, start, {});
+    REQUIRE(members.is_primary_stopped());
+    SECTION("as a replica its earlier position no longer counts") {
+        members.set_databases(
+            std::vector<group_replica>{{"p", false, 1}, {"r0", false, 2}});
+        CHECK_FALSE(members.find("r0")->report);
+        CHECK(members.has_lost_replica());
+    }
+    SECTION("as a primary that was stopped it is a replica like others") {
+        members.set_databases(
+            std::vector<group_replica>{{"p", false, 2}, {"r0", false, 1}});
+        CHECK_FALSE(members.is_primary_stopped());
+        CHECK(members.primary().empty());
+        CHECK(members.counts("p"));
+        CHECK_FALSE(members.find("p")->report);
+    }
+}
