Replicas are released behind a confirmed leader only when the change's own earlier call can't take effect any more

A call that wasn't answered within its time may have been accepted just before the leader came back. The newer token rules out calls that are still to be accepted, not that one.

--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -451,6 +451,10 @@
     // While all are held, a candidate that comes to lead by an outdated call acknowledges
     // nothing.
     this->hold_candidate = this->hold_candidate || this->promotion_unsettled;
+    if (this->promotion_unsettled && this->confirms_leader) {
+        // The call may have been accepted: its effect is awaited like another host's.
+        this->foreign_hold_seen_at = now;
+    }
     this->promotion_unsettled = false;
     if (this->confirms_leader) {
         this->chosen_id = this->members.primary();
