--- a/tests/introspective/leadership_model.tests.cpp
+++ b/tests/introspective/leadership_model.tests.cpp
@@ -434,6 +434,32 @@
     CHECK(it.group.losses().empty());
 }
 
+TEST_CASE(
+    "A candidate that may have lost its log since it answered isn't called for again "
+    "behind an unanswered call",
+    "[leadership][leadership-model][lost-log][!mayfail]") {
+    scene it;
+    it.group.crash("d0", seconds(30));
+    std::optional<instant> called_at;
+    it.faults.on_promotion = [&](std::string const&, std::string const&) {
+        promotion_fate fate;
+        if (!called_at) {
+            called_at = it.group.now();
+            fate.answered = false;
+            fate.carried_out_after.reset();
+        }
+        return fate;
+    };
+    REQUIRE(it.host(0).begin(change_reason::primary_lost));
+    while (!called_at) {
+        it.play(milliseconds(10));
+    }
+    it.group.start_empty(it.host(0).candidate(), milliseconds(990));
+    it.play(seconds(8));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
 TEST_CASE(
     "A crashed primary that alone has the last commits is waited for by a host that was "
     "started after the departure of its replica",
