A leaving replica whose row vanishes is gone, as before; only a leaving primary is kept

A replica that is dropped counts as departed, which the change reckons with. The test of now has a primary, and a replica's is beside it.

--- a/src/persimmonpoint/core/membership/directory_tracker.cpp
+++ b/src/persimmonpoint/core/membership/directory_tracker.cpp
@@ -24,7 +24,7 @@
             continue;
         }
         instant const since = this->missing_since.emplace(id, now).first->second;
-        bool const has_left = entry.leaving && was_in_reach;
+        bool const has_left = entry.leaving && (was_in_reach || !entry.claims_primary);
         if (has_left || now - since >= missing_limit) {
             this->missing_since.erase(id);
         } else {
--- a/src/persimmonpoint/core/membership/directory_tracker.hpp
+++ b/src/persimmonpoint/core/membership/directory_tracker.hpp
@@ -13,7 +13,8 @@
 ///
 /// Entries of live databases can vanish while the store is away and come back soon after
 /// its return; so one that is missing is kept for a while. One of a database that was
-/// leaving is dropped at once, if the store was in reach for long enough before.
+/// leaving is dropped at once; but if it was a primary, only if the store was in reach
+/// for long enough before.
 class directory_tracker {
 public:
     /// A reading of the store. True if what this host goes by has changed.
--- a/tests/introspective/membership.tests.cpp
+++ b/tests/introspective/membership.tests.cpp
@@ -55,11 +55,14 @@
 }
 
 TEST_CASE(
-    "An entry that was leaving is kept for a while when it vanishes as the store is back",
+    "A primary that was leaving is kept for a while when its entry vanishes as the store "
+    "is "
+    "back",
     "[directory]") {
     directory_tracker tracker;
     database_directory first = directory(1, {"a", "b"});
     first.databases["b"].leaving = true;
+    first.databases["b"].claims_primary = true;
     tracker.read(first, start, true);
     CHECK_FALSE(tracker.read(directory(2, {"a"}), start + seconds(5), false));
     CHECK(tracker.current().databases.count("b") == 1);
@@ -72,6 +75,17 @@
     }
 }
 
+TEST_CASE(
+    "A replica that was leaving is gone when its entry vanishes as the store is back",
+    "[directory]") {
+    directory_tracker tracker;
+    database_directory first = directory(1, {"a", "b"});
+    first.databases["b"].leaving = true;
+    tracker.read(first, start, true);
+    CHECK(tracker.read(directory(2, {"a"}), start + seconds(5), false));
+    CHECK(tracker.current().databases.count("b") == 0);
+}
+
 TEST_CASE(
     "The time that an entry may be missing begins anew when the store was away",
     "[directory]") {
