Without a listed primary nobody is promoted while the directory is in doubt

What callers would see: acknowledged commits lost. Cause: while the store is away, and for a while behind its return, the primary may live without a row; a host that was started meanwhile, or whose group lost its primary's row, took it for gone and promoted the first replica that was listed.

--- a/src/persimmonpoint/core/recovery/change_members.hpp
+++ b/src/persimmonpoint/core/recovery/change_members.hpp
@@ -34,6 +34,8 @@
     /// Whether each database is listed that can have received before the primary was
     /// stopped.
     directory_listing listing = directory_listing::complete;
+    /// True if rows of living databases may be missing, as the store was out of reach.
+    bool directory_in_doubt = false;
 };
 
 /// What a change knows of one database of its group when it requests a promotion.
@@ -134,6 +136,10 @@
         return this->tail_may_be_acknowledged() &&
                this->commits.listing == directory_listing::pending;
     }
+    /// True if no primary is listed, but one that lives may be missing in the directory.
+    bool may_miss_primary() const {
+        return this->primary_member() == nullptr && this->commits.directory_in_doubt;
+    }
     /// Position of the most advanced replica that reported.
     log_position furthest_replica() const;
 
--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -441,7 +441,7 @@
     bool const all_reported = this->all_reported(actions, now);
     this->look_for_commits(actions, now);
     this->confirms_leader = false;
-    if (this->members.awaits_listing()) {
+    if (this->members.awaits_listing() || this->members.may_miss_primary()) {
         return;
     }
     if (!primary_known || !(all_reported || this->hold_requested) ||
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -632,6 +632,7 @@
         if (stopped || is_holder_gone || is_long) {
             this->keep_reading(since);
         }
+        commits.directory_in_doubt = this->context.view.readings.is_in_doubt(this->now());
         commits.listing = this->context.view.readings.judge(since, this->now());
         commits.acknowledged = known.required(commits.listing);
         commits.unacknowledged = this->unacknowledged_by(*group.change);
--- a/tests/introspective/leadership_commits.tests.cpp
+++ b/tests/introspective/leadership_commits.tests.cpp
@@ -334,3 +334,32 @@
         CHECK_FALSE(members.find("p")->report);
     }
 }
+
+TEST_CASE(
+    "Without a listed primary nobody is promoted while rows of living databases may be "
+    "missing",
+    "[leadership][leadership-commits]") {
+    acting_group group = group_with_unseen_replica();
+    group.unlisted.insert("p");
+    group.known.directory_in_doubt = true;
+    leadership_change change(
+        "", group.registered(), acting_group::first_term, change_reason::primary_lost,
+        start);
+    instant now = start;
+    group.run(change, now, seconds(3));
+    CHECK(group.count(change_action_kind::promote) == 0);
+    CHECK_FALSE(group.any_held());
+    SECTION("the primary that is listed again stays") {
+        group.unlisted.erase("p");
+        group.known.directory_in_doubt = false;
+        group.known.acknowledged = group.position(group.acknowledged);
+        group.run(change, now, seconds(5));
+        CHECK(group.leader == "p");
+        CHECK_FALSE(group.lost_commit);
+    }
+    SECTION("a replica leads once the doubt is over") {
+        group.known.directory_in_doubt = false;
+        group.run(change, now, seconds(5));
+        CHECK(group.leader == "r0");
+    }
+}
--- a/tests/introspective/leadership_model.tests.cpp
+++ b/tests/introspective/leadership_model.tests.cpp
@@ -301,7 +301,7 @@
 TEST_CASE(
     "A host that was started while the store was away promotes nobody before the "
     "primary can be listed again",
-    "[leadership][leadership-model][lost-store][!mayfail]") {
+    "[leadership][leadership-model][lost-store]") {
     scene it;
     it.fleet.keeps_missing_rows = true;
     it.group.at("d1").deaf = true;
--- a/tests/support/leadership_hosts_model.cpp
+++ b/tests/support/leadership_hosts_model.cpp
@@ -340,6 +340,7 @@
         this->acknowledged.log_lost(newest->database);
     }
     commit_knowledge commits;
+    commits.directory_in_doubt = this->readings.is_in_doubt(time);
     commits.listing = this->readings.judge(since, time);
     commits.acknowledged = this->acknowledged.required(commits.listing);
     commits.unacknowledged = this->manages ? this->fleet.group.unacknowledged_count() : 0;
