--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -441,7 +441,7 @@
     bool const all_reported = this->all_reported(actions, now);
     this->look_for_commits(actions, now);
     this->confirms_leader = false;
-    if (this->members.awaits_listing()) {
+    if (this->members.awaits_listing() || this->members.may_miss_primary()) {
         return;
     }
     if (!primary_known || !(all_reported || this->hold_requested) ||
@@ -451,6 +451,10 @@
     // While all are held, a candidate that comes to lead by an outdated call acknowledges
     // nothing.
     this->hold_candidate = this->hold_candidate || this->promotion_unsettled;
+    if (this->promotion_unsettled && this->confirms_leader) {
+        // The call may have been accepted: its effect is awaited like another host's.
+        this->foreign_hold_seen_at = now;
+    }
     this->promotion_unsettled = false;
     if (this->confirms_leader) {
         this->chosen_id = this->members.primary();
--- a/tests/introspective/leadership_model.tests.cpp
+++ b/tests/introspective/leadership_model.tests.cpp
@@ -69,6 +69,12 @@
         }
     }
 
+    void lapse_all() {
+        for (auto const& each : this->group.databases()) {
+            this->group.lapse(each.first);
+        }
+    }
+
     bool is_paused() const {
         auto const& all = this->group.databases();
         return std::any_of(all.begin(), all.end(), [](auto const& each) {
@@ -130,17 +136,18 @@
 /// Plays the seeds and tells of the first run that is wrong.
 void play_seeds(
     std::uint64_t last_seed,
-    std::function<bool(random_run_result const&)> const& is_wrong) {
+    std::function<bool(random_run_result const&)> const& is_wrong,
+    fault_set const& allowed = all_faults()) {
     std::vector<std::uint64_t> const none;
     std::vector<std::uint64_t> endless;
     std::vector<std::uint64_t> wrong;
     std::string first;
     for (std::uint64_t seed = 1; seed <= last_seed; ++seed) {
-        if (!ends([seed] { run_with_random_faults(seed, all_faults()); })) {
+        if (!ends([&] { run_with_random_faults(seed, allowed); })) {
             endless.push_back(seed);
             continue;
         }
-        random_run_result const run = run_with_random_faults(seed, all_faults());
+        random_run_result const run = run_with_random_faults(seed, allowed);
         if (is_wrong(run)) {
             wrong.push_back(seed);
             first = first.empty() ? told(seed, run) : first;
@@ -157,6 +164,7 @@
 constexpr std::uint64_t seeds_in_ci = 150;
 #endif
 constexpr std::uint64_t seeds_in_long_run = 13000;
+constexpr std::uint64_t seeds_with_lost_store = 3000;
 constexpr std::array<std::uint64_t, 25> seeds_that_failed_once = {
     287,  370,  521,  610,  617,  889,  1637, 1765, 1771, 1835, 1946,  2173, 3983,
     4072, 5019, 5699, 6357, 6468, 6492, 6691, 7141, 8797, 8834, 10778, 12110};
@@ -188,6 +196,12 @@
     play_seeds(seeds_in_ci, is_stuck);
 }
 
+TEST_CASE(
+    "Every change ends in random runs in which the store is lost and logs are",
+    "[leadership][leadership-model][lost-store]") {
+    play_seeds(seeds_in_ci, is_stuck, all_faults_and_store_losses());
+}
+
 TEST_CASE(
     "Seeds of the fleet's model that failed once lose nothing and end",
     "[leadership][leadership-model]") {
@@ -213,6 +227,19 @@
     play_seeds(seeds_in_long_run, has_lost);
 }
 
+TEST_CASE(
+    "No acknowledged commit is lost in many random runs in which the store is lost and "
+    "logs are",
+    "[.][lost-store-long]") {
+    play_seeds(seeds_with_lost_store, has_lost, all_faults_and_store_losses());
+}
+
+TEST_CASE(
+    "Every change ends in many random runs in which the store is lost and logs are",
+    "[.][lost-store-long]") {
+    play_seeds(seeds_with_lost_store, is_stuck, all_faults_and_store_losses());
+}
+
 TEST_CASE(
     "Every change ends in many random runs of the fleet's model",
     "[.][leadership-model-long]") {
@@ -271,6 +298,206 @@
     CHECK(it.group.losses().empty());
 }
 
+TEST_CASE(
+    "A host that was started while the store was away promotes nobody before the "
+    "primary can be listed again",
+    "[leadership][leadership-model][lost-store]") {
+    scene it;
+    it.fleet.keeps_missing_rows = true;
+    it.group.at("d1").deaf = true;
+    it.play(milliseconds(500));
+    it.group.set_store_away(true);
+    it.host(1).kill(seconds(1));
+    it.play(seconds(2));
+    it.lapse_all();
+    it.group.at("d0").registration_lag = milliseconds(1500);
+    it.group.at("d2").registration_lag = milliseconds(1500);
+    it.host(1).manages = true;
+    it.group.set_store_away(false);
+    it.play(seconds(8));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+    CHECK_FALSE(it.host(1).is_changing());
+}
+
+TEST_CASE(
+    "A host that finds no primary after the store's return promotes a replica in the "
+    "end",
+    "[leadership][leadership-model][lost-store]") {
+    scene it;
+    it.fleet.keeps_missing_rows = true;
+    it.group.set_store_away(true);
+    it.host(1).kill(seconds(1));
+    it.group.crash("d0", std::nullopt);
+    it.play(seconds(2));
+    it.lapse_all();
+    it.host(1).manages = true;
+    it.group.set_store_away(false);
+    it.play(seconds(8));
+    INFO(it.story());
+    CHECK(it.group.primary() != "d0");
+    CHECK_FALSE(it.host(1).is_changing());
+}
+
+TEST_CASE(
+    "A call for the stopped primary that may still be carried out is settled when the "
+    "directory is complete again",
+    "[leadership][leadership-model][lost-store]") {
+    scene it;
+    it.group.at("d1").deaf = true;
+    it.group.at("d2").deaf = true;
+    it.play(milliseconds(500));
+    it.group.set_store_away(true);
+    it.play(seconds(1));
+    it.group.set_store_away(false);
+    it.faults.on_promotion = [first =
+                                  true](std::string const&, std::string const&) mutable {
+        promotion_fate fate;
+        fate.answered = !std::exchange(first, false);
+        if (!fate.answered) {
+            fate.carried_out_after.reset();
+        }
+        return fate;
+    };
+    REQUIRE(it.host(0).begin(change_reason::commits_stalled));
+    it.play(milliseconds(500));
+    it.group.crash("d0", seconds(4));
+    it.play(seconds(20));
+    INFO(it.story());
+    CHECK_FALSE(it.host(0).is_changing());
+    CHECK_FALSE(it.is_paused());
+}
+
+TEST_CASE(
+    "Replicas are released behind a leader that came back only when an earlier call for "
+    "another database can't take effect any more",
+    "[leadership][leadership-model]") {
+    scene it;
+    it.group.crash("d0", milliseconds(6600));
+    it.play(milliseconds(6200));
+    it.faults.on_promotion = [first =
+                                  true](std::string const&, std::string const&) mutable {
+        promotion_fate fate;
+        if (std::exchange(first, false)) {
+            fate.answered = false;
+            fate.carried_out_after = milliseconds(950);
+        }
+        return fate;
+    };
+    REQUIRE(it.host(0).begin(change_reason::primary_lost));
+    it.play(milliseconds(500));
+    std::string const called = it.host(0).candidate();
+    REQUIRE(it.group.leads("d0"));
+    REQUIRE(called != "");
+    it.group.at(called).deaf = true;
+    it.play(seconds(8));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+    CHECK_FALSE(it.host(0).is_changing());
+    CHECK_FALSE(it.is_paused());
+}
+
+TEST_CASE(
+    "A row that is missing when the store is lost again is kept until it can be back "
+    "after the store's return",
+    "[leadership][leadership-model][lost-store]") {
+    scene it;
+    it.fleet.keeps_missing_rows = true;
+    it.play(milliseconds(100));
+    it.group.set_store_away(true);
+    it.play(milliseconds(100));
+    it.lapse_all();
+    it.group.at("d0").registration_lag = milliseconds(1500);
+    it.group.set_store_away(false);
+    it.play(milliseconds(200));
+    it.group.set_store_away(true);
+    it.play(seconds(4));
+    it.group.set_store_away(false);
+    it.play(milliseconds(200));
+    INFO(it.story());
+    CHECK(it.host(0).view().find("d0") != nullptr);
+}
+
+TEST_CASE(
+    "A candidate that lost its log after it was called for isn't called for again",
+    "[leadership][leadership-model][lost-log]") {
+    scene it;
+    it.group.crash("d0", seconds(30));
+    REQUIRE(it.host(0).begin(change_reason::primary_lost));
+    while (it.host(0).candidate().empty() ||
+           it.group.trace().back().find("accepted") == std::string::npos) {
+        it.play(milliseconds(10));
+    }
+    it.group.start_empty(it.host(0).candidate(), milliseconds(900));
+    it.play(seconds(8));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
+TEST_CASE(
+    "A candidate that may have lost its log since it answered isn't called for again "
+    "behind an unanswered call",
+    "[leadership][leadership-model][lost-log][!mayfail]") {
+    scene it;
+    it.group.crash("d0", seconds(30));
+    std::optional<instant> called_at;
+    it.faults.on_promotion = [&](std::string const&, std::string const&) {
+        promotion_fate fate;
+        if (!called_at) {
+            called_at = it.group.now();
+            fate.answered = false;
+            fate.carried_out_after.reset();
+        }
+        return fate;
+    };
+    REQUIRE(it.host(0).begin(change_reason::primary_lost));
+    while (!called_at) {
+        it.play(milliseconds(10));
+    }
+    it.group.start_empty(it.host(0).candidate(), milliseconds(990));
+    it.play(seconds(8));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
+TEST_CASE(
+    "A crashed primary that alone has the last commits is waited for by a host that was "
+    "started after the departure of its replica",
+    "[leadership][leadership-model][!mayfail]") {
+    scene it;
+    it.group.at("d1").deaf = true;
+    it.play(milliseconds(500));
+    it.group.crash("d2", std::nullopt);
+    it.host(1).kill(seconds(7));
+    it.play(seconds(8));
+    it.group.crash("d0", seconds(4));
+    REQUIRE(it.host(1).begin(change_reason::primary_lost));
+    it.play(seconds(10));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
+TEST_CASE(
+    "A crashed primary is waited for while a replica may be unlisted that alone received "
+    "from it, by a host that saw none of its commits",
+    "[leadership][leadership-model][lost-store][!mayfail]") {
+    scene it;
+    it.fleet.keeps_missing_rows = true;
+    it.host(1).kill(seconds(3));
+    it.group.set_store_away(true);
+    it.group.cut_off_present_replicas();
+    it.group.add_empty_replica(milliseconds(300));
+    it.group.at("d3").registration_lag = milliseconds(1500);
+    it.play(milliseconds(3500));
+    it.group.set_store_away(false);
+    it.play(milliseconds(200));
+    it.group.crash("d0", seconds(4));
+    REQUIRE(it.host(1).begin(change_reason::primary_lost));
+    it.play(seconds(10));
+    INFO(it.story());
+    CHECK(it.group.losses().empty());
+}
+
 TEST_CASE(
     "A former primary that has become a replica is compared by a host that takes it for "
     "the primary",
