--- a/src/persimmonpoint/standin/line_group.cpp
+++ b/src/persimmonpoint/standin/line_group.cpp
@@ -76,6 +76,7 @@
     bool deaf = false;
     bool isolated = false;
     bool silent = false;
+    std::set<std::string> cut_from; ///< The other side need not say so.
     std::chrono::milliseconds delay{0};
     std::chrono::milliseconds order_delay{0};
     std::size_t orders = 0; ///< Since the delay of orders was set.
@@ -104,8 +105,14 @@
     void lead(member& next);
     void check_promotion(member const& next);
 
+    bool is_cut(member const& copy) const {
+        return copy.cut_from.count(this->primary->id) > 0 ||
+               this->primary->cut_from.count(copy.id) > 0;
+    }
+
     bool receives(member const& copy) const {
-        bool const linked = !copy.deaf && !copy.isolated && !this->primary->isolated;
+        bool const linked = !copy.deaf && !copy.isolated && !this->primary->isolated &&
+                            !this->is_cut(copy);
         return linked && copy.alive && copy.held_term == 0 && this->primary->alive &&
                !this->stopped;
     }
@@ -118,8 +125,8 @@
 
     log_position position(member const& of) const {
         std::uint64_t const last_number = this->primary->log.size();
-        bool const has_all =
-            of.log.size() == last_number && this->has(of, last_number) && !of.deaf;
+        bool const has_all = of.log.size() == last_number && this->has(of, last_number) &&
+                             !of.deaf && !this->is_cut(of);
         std::uint64_t const last = of.log.empty() ? 1 : of.log.back()->term;
         return {has_all ? this->current_term : last, of.log.size()};
     }
@@ -697,6 +704,20 @@
     this->impl->deliver();
 }
 
+void line_group::set_cut(std::string const& id, bool cut) {
+    member& target = this->impl->at(id);
+    if (cut == !target.cut_from.empty()) {
+        return;
+    }
+    target.cut_from.clear();
+    for (auto const& each : this->impl->members) {
+        if (cut && each.first != id) {
+            target.cut_from.insert(each.first);
+        }
+    }
+    this->impl->deliver();
+}
+
 void line_group::set_order_delay(std::string const& id, std::chrono::milliseconds delay) {
     member& target = this->impl->at(id);
     target.order_delay = delay;
--- a/src/persimmonpoint/standin/line_group.hpp
+++ b/src/persimmonpoint/standin/line_group.hpp
@@ -56,6 +56,9 @@
     /// No copy receives anything from this database, and it receives nothing. It lives
     /// and answers.
     void set_isolated(std::string const& id, bool isolated);
+    /// No link to the databases that there are when it begins; one that joins later has
+    /// its link. It lives and answers.
+    void set_cut(std::string const& id, bool cut);
     /// Every second STATUS, PAUSE and RESUME gets no answer and is carried out this much
     /// later, unless the database dies before; none are if the delay is zero.
     void set_order_delay(std::string const& id, std::chrono::milliseconds delay);
--- a/tests/introspective/line_group.tests.cpp
+++ b/tests/introspective/line_group.tests.cpp
@@ -160,3 +160,26 @@
         state = answer.closed ? std::string() : answer.rows.front();
     }
 }
+
+TEST_CASE(
+    "A cut primary of the stand-in commits with a copy that joins later", "[soak]") {
+    group_stage stage;
+    stage.with_group([](auto& group) {
+        group.set_cut("db-0", true);
+        group.add_copy_of("db-0");
+    });
+    REQUIRE(stage.ask(0, "WRITE a 1").error.empty());
+    CHECK(stage.ask(1, "STATUS").rows.front() == "replica 1 1.0 0 0 0 1");
+    SECTION("and a copy that was cut off lacks the commit when it is promoted") {
+        stage.with_group([](auto& group) { group.promote("db-1"); });
+        auto const found = stage.lossy_promotions();
+        REQUIRE(found.size() == 1);
+        CHECK(found.front().missing == 1);
+        REQUIRE(found.front().holders.size() == 2);
+        CHECK(found.front().holders[1].id == "db-3");
+    }
+    SECTION("and the others receive it when the cut heals") {
+        stage.with_group([](auto& group) { group.set_cut("db-0", false); });
+        CHECK(stage.ask(1, "STATUS").rows.front() == "replica 1 1.1 0 0 0 1");
+    }
+}
