--- a/tests/introspective/soak_record.tests.cpp
+++ b/tests/introspective/soak_record.tests.cpp
@@ -128,7 +128,7 @@
 }
 
 TEST_CASE("A soak's plan is the same for the same seed", "[soak]") {
-    auto const plan = GENERATE(plan_soak, plan_leadership_soak);
+    auto const plan = GENERATE(plan_soak, plan_leadership_soak, plan_unseen_soak);
     auto const first = plan(7, seconds(20), 3, 3);
     auto const again = plan(7, seconds(20), 3, 3);
     REQUIRE(first.size() == again.size());
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -29,9 +29,22 @@
     std::size_t hosts = 3;
     std::size_t callers = 12;
     milliseconds length{10000};
-    bool of_leadership = false;
+    std::string faults = "everyday";
+
+    bool of_leadership() const { return this->faults != "everyday"; }
 };
 
+/// How the plan of a set of faults is drawn; null if there is no such set.
+decltype(&plan_soak) planner_of(std::string const& faults) {
+    if (faults == "everyday") {
+        return plan_soak;
+    }
+    if (faults == "leadership") {
+        return plan_leadership_soak;
+    }
+    return faults == "unseen" ? plan_unseen_soak : nullptr;
+}
+
 soak_time now() {
     return std::chrono::steady_clock::now();
 }
@@ -136,8 +149,8 @@
 
 /// Violations of one seed.
 std::vector<std::string> run_seed(soak_options const& options) {
-    auto const draw = options.of_leadership ? plan_leadership_soak : plan_soak;
-    auto const plan = draw(options.seed, options.length, options.hosts, 3);
+    auto const plan =
+        planner_of(options.faults)(options.seed, options.length, options.hosts, 3);
     soak_stage stage(options.program, options.folder, options.hosts);
     if (!stage.wait_ready(ready_patience)) {
         return {"hosts did not become ready"};
@@ -161,7 +174,7 @@
     soak_evidence evidence;
     evidence.disturbances = play(stage, plan, options.length);
     auto violations = check_recovery(stage);
-    if (options.of_leadership) {
+    if (options.of_leadership()) {
         for (std::string& each : check_holds(stage)) {
             violations.push_back(std::move(each));
         }
@@ -207,7 +220,7 @@
         "length", "Seconds of faults", cxxopts::value<unsigned>()->default_value("10"))(
         "hosts", "Processes", cxxopts::value<std::size_t>()->default_value("3"))(
         "callers", "Callers", cxxopts::value<std::size_t>()->default_value("12"))(
-        "faults", "everyday, or leadership",
+        "faults", "everyday, leadership, or unseen",
         cxxopts::value<std::string>()->default_value("everyday"));
     auto const given = parser.parse(argc, argv);
     soak_options options;
@@ -215,7 +228,11 @@
     options.length = std::chrono::seconds(given["length"].as<unsigned>());
     options.hosts = given["hosts"].as<std::size_t>();
     options.callers = given["callers"].as<std::size_t>();
-    options.of_leadership = given["faults"].as<std::string>() == "leadership";
+    options.faults = given["faults"].as<std::string>();
+    if (planner_of(options.faults) == nullptr) {
+        std::cerr << "soak: no such faults: " << options.faults << std::endl;
+        return 2;
+    }
     std::uint64_t const first = given["seed"].as<std::uint64_t>();
     std::uint64_t const seeds = given["count"].as<std::uint64_t>();
     std::size_t failed = 0;
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -11,6 +11,8 @@
 
 /// Longer than the grace of a stopped host, behind which it is killed.
 constexpr milliseconds stop_time(3600);
+/// Rows are written this often.
+constexpr std::int64_t heartbeat_ms = 1200;
 
 struct kind_traits {
     soak_fault kind;
@@ -20,7 +22,7 @@
     bool host;
 };
 
-constexpr std::array<kind_traits, 28> traits = {{
+constexpr std::array<kind_traits, 33> traits = {{
     {soak_fault::host_killed, "host killed", false, false, true},
     {soak_fault::host_stopped, "host stopped", true, false, true},
     {soak_fault::host_paused, "host paused", false, false, true},
@@ -49,6 +51,11 @@
     {soak_fault::primary_isolated, "primary isolated", false, false, false},
     {soak_fault::registration_silent, "registration silent", false, false, false},
     {soak_fault::database_replaced, "database replaced", true, false, false},
+    {soak_fault::store_away, "store away", false, true, false},
+    {soak_fault::store_away_lapsing, "store away, rows lapse", false, true, false},
+    {soak_fault::replica_joined, "replica joined without a row", true, false, false},
+    {soak_fault::primary_cut, "primary cut from its replicas", false, false, false},
+    {soak_fault::primary_leaving, "primary leaving", true, false, false},
 }};
 
 /// The kinds that plan_soak draws from: the first ones. The seeds that failed once keep
@@ -167,6 +174,38 @@
     return next;
 }
 
+/// One scene of plan_unseen_soak. What it lasts beyond is healed by the end of the plan.
+milliseconds add_unseen_scene(planner& drawn, milliseconds at) {
+    auto const add = [&drawn](soak_fault kind, milliseconds from, milliseconds until) {
+        planned_fault next;
+        next.kind = kind;
+        next.at = from;
+        next.length = until - from;
+        next.delay = milliseconds(drawn.draw(0, heartbeat_ms));
+        drawn.add(next, 1);
+    };
+    bool const lapses = drawn.draw(0, 1) == 0;
+    bool const leaves = drawn.draw(0, 1) == 0;
+    milliseconds const back = at + milliseconds(drawn.draw(2500, 5000));
+    milliseconds const cut = at + milliseconds(drawn.draw(300, 1000));
+    milliseconds const joined = cut + milliseconds(drawn.draw(50, 600));
+    milliseconds const listed = back + milliseconds(drawn.draw(0, 1900));
+    milliseconds const linked = back + milliseconds(drawn.draw(3000, 6000));
+    add(lapses ? soak_fault::store_away_lapsing : soak_fault::store_away, at, back);
+    add(soak_fault::primary_cut, cut, linked);
+    add(soak_fault::replica_joined, joined, listed);
+    if (leaves) {
+        milliseconds const told = joined + milliseconds(drawn.draw(100, 900));
+        add(soak_fault::primary_leaving, told,
+            back + milliseconds(drawn.draw(4000, 8000)));
+    } else {
+        milliseconds const crash = back + milliseconds(drawn.draw(-700, 500));
+        add(soak_fault::primary_killed, crash,
+            crash + milliseconds(drawn.draw(2500, 3500)));
+    }
+    return back;
+}
+
 } // namespace
 
 char const* to_string(soak_fault kind) {
@@ -174,7 +213,8 @@
 }
 
 bool hits_primary(soak_fault kind) {
-    return kind == soak_fault::primary_killed || kind == soak_fault::primary_isolated;
+    return kind == soak_fault::primary_killed || kind == soak_fault::primary_isolated ||
+           kind == soak_fault::primary_cut || kind == soak_fault::primary_leaving;
 }
 
 bool is_planned(soak_fault kind) {
@@ -235,4 +275,16 @@
     return drawn.finish();
 }
 
+std::vector<planned_fault> plan_unseen_soak(
+    std::uint64_t seed,
+    milliseconds length,
+    std::size_t /*hosts*/,
+    std::size_t /*databases*/) {
+    planner drawn(seed, length);
+    for (milliseconds at(drawn.draw(500, 1500)); at < length;) {
+        at = add_unseen_scene(drawn, at) + milliseconds(drawn.draw(9000, 12000));
+    }
+    return drawn.finish();
+}
+
 } // namespace persimmonpoint::tests
--- a/tests/soak/soak_plan.hpp
+++ b/tests/soak/soak_plan.hpp
@@ -38,6 +38,11 @@
     primary_isolated,    ///< Lives and answers, and has no link to its copies.
     registration_silent, ///< A database that works doesn't reach the store.
     database_replaced,   ///< Drains until it heals, then ends; a copy takes its place.
+    store_away,          ///< Hosts and databases don't reach it; the rows stay.
+    store_away_lapsing,  ///< The same, and all rows lapse.
+    replica_joined,      ///< With the primary's log; it has no row until it heals.
+    primary_cut,     ///< From the databases that there are; those that join are linked.
+    primary_leaving, ///< Drains until it heals, then ends.
 };
 
 /// Name in the soak's report.
@@ -72,6 +77,14 @@
     std::size_t hosts,
     std::size_t databases);
 
+/// The store is away, a primary is cut from its replicas and acknowledges with a replica
+/// that has no row yet, and is replaced as the store is back, or crashes.
+std::vector<planned_fault> plan_unseen_soak(
+    std::uint64_t seed,
+    std::chrono::milliseconds length,
+    std::size_t hosts,
+    std::size_t databases);
+
 } // namespace persimmonpoint::tests
 
 #endif // PERSIMMONPOINT_TESTS_SOAK_SOAK_PLAN_HPP_INCLUDED
--- a/tests/soak/soak_stage.cpp
+++ b/tests/soak/soak_stage.cpp
@@ -33,6 +33,7 @@
 constexpr milliseconds promotion_delay(600);
 /// A registration lapses after three heartbeats of silence.
 constexpr milliseconds lapse_time(3600);
+constexpr milliseconds heartbeat_interval(1200);
 
 std::string at(std::uint16_t port) {
     return "127.0.0.1:" + std::to_string(port);
@@ -199,6 +200,9 @@
 }
 
 void soak_stage::register_database(database_slot& slot) {
+    if (slot.unheard || slot.gone) {
+        return;
+    }
     if (!slot.silent_since) {
         std::string const state = slot.draining ? "draining" : "ready";
         std::string const role = slot.id == this->group->leader() ? "primary" : "replica";
@@ -257,6 +261,66 @@
     this->successors.erase(database);
 }
 
+std::size_t soak_stage::join_replica() {
+    std::string const id = this->group->add_copy_of(this->group->leader());
+    this->note(id + " joins");
+    database_slot slot{
+        id, std::make_unique<fault_proxy>(this->loop, port_of(this->group->address(id)))};
+    slot.unheard = this->store_lost;
+    slot.silent_since = std::chrono::steady_clock::now();
+    this->databases.push_back(std::move(slot));
+    return this->databases.size() - 1;
+}
+
+void soak_stage::end_departure(database_slot& slot) {
+    this->note(slot.id + " ends");
+    slot.gone = true;
+    slot.draining = false;
+    if (slot.alive) {
+        this->group->kill(slot.id);
+    }
+    slot.alive = false;
+    this->store->remove("servers", slot.id);
+}
+
+bool soak_stage::is_store_away() const {
+    return this->lasts_anywhere(soak_fault::store_away) ||
+           this->lasts_anywhere(soak_fault::store_away_lapsing);
+}
+
+void soak_stage::lose_store() {
+    this->store_lost = true;
+    this->rows_lapse = this->lasts_anywhere(soak_fault::store_away_lapsing);
+    this->store->silence_watches();
+    for (auto const& each : this->hosts) {
+        each->store->reset();
+    }
+    for (database_slot& each : this->databases) {
+        each.unheard = true;
+    }
+}
+
+void soak_stage::regain_store() {
+    this->store_lost = false;
+    for (std::size_t i = 0; i < this->databases.size(); ++i) {
+        database_slot& slot = this->databases[i];
+        if (this->rows_lapse && std::exchange(slot.registered, false)) {
+            this->store->remove("servers", slot.id);
+        }
+        // Of each database another share of the interval has passed.
+        milliseconds const wait =
+            (this->heartbeat_phase + i * heartbeat_interval / databases_in_group) %
+            heartbeat_interval;
+        auto const heartbeat = std::make_shared<asio::steady_timer>(this->loop, wait);
+        heartbeat->async_wait([this, i, heartbeat](boost::system::error_code) {
+            if (i < this->databases.size() && !this->store_lost) {
+                this->databases[i].unheard = false;
+                this->register_database(this->databases[i]);
+            }
+        });
+    }
+}
+
 void soak_stage::write_settings(std::size_t host) {
     host_slot const& slot = *this->hosts[host];
     std::string const number = std::to_string(host);
@@ -330,6 +394,8 @@
 planned_fault soak_stage::begin(planned_fault fault) {
     if (hits_primary(fault.kind)) {
         fault.target = this->primary_number();
+    } else if (fault.kind == soak_fault::replica_joined) {
+        this->on_loop([&] { fault.target = this->join_replica(); });
     }
     this->on_loop([&] {
         this->note(
@@ -412,6 +478,10 @@
     case soak_fault::database_replaced:
         this->on_loop([&] { this->begin_replacement(target); });
         return;
+    case soak_fault::store_away:
+    case soak_fault::store_away_lapsing:
+        this->heartbeat_phase = fault.delay;
+        return;
     case soak_fault::promotions_late:
         this->on_loop([&] { this->store->set_promotion_delay(fault.delay); });
         return;
@@ -450,7 +520,8 @@
     database_slot& slot = this->databases[database];
     bool const dead = this->lasts(soak_fault::database_killed, database) ||
                       this->lasts(soak_fault::primary_killed, database);
-    bool const silent = dead || this->lasts(soak_fault::registration_silent, database);
+    bool const silent = dead || this->lasts(soak_fault::registration_silent, database) ||
+                        this->lasts(soak_fault::replica_joined, database);
     link_fault link = link_fault::none;
     if (this->lasts(soak_fault::database_cut, database)) {
         link = link_fault::cut;
@@ -462,14 +533,24 @@
         link = link_fault::delayed;
     }
     bool const leaves = this->lasts(soak_fault::database_replaced, database);
+    bool const departs = this->lasts(soak_fault::primary_leaving, database);
     this->on_loop([&] {
-        if (slot.draining && !leaves) {
+        if (departs && !slot.draining) {
+            slot.draining = true;
+            this->register_database(slot);
+        } else if (slot.draining && !departs && this->successors.count(database) == 0) {
+            this->end_departure(slot);
+        } else if (slot.draining && !leaves && !departs) {
             this->end_replacement(database);
         }
+        if (slot.gone) {
+            return;
+        }
         slot.proxy->set_fault(link);
         this->group->set_deaf(slot.id, this->lasts(soak_fault::replica_deaf, database));
         this->group->set_isolated(
             slot.id, this->lasts(soak_fault::primary_isolated, database));
+        this->group->set_cut(slot.id, this->lasts(soak_fault::primary_cut, database));
         if (!this->lasts(soak_fault::orders_late, database)) {
             this->group->set_order_delay(slot.id, milliseconds(0));
         }
@@ -489,12 +570,20 @@
     standin::store_fault fault = standin::store_fault::none;
     if (this->lasts_anywhere(soak_fault::store_silent)) {
         fault = standin::store_fault::silent;
-    } else if (this->lasts_anywhere(soak_fault::store_unavailable)) {
+    } else if (
+        this->lasts_anywhere(soak_fault::store_unavailable) || this->is_store_away()) {
         fault = standin::store_fault::unavailable;
     } else if (this->lasts_anywhere(soak_fault::store_answers_lost)) {
         fault = standin::store_fault::answer_lost;
     }
+    bool const away = this->is_store_away();
+    if (!away && this->store_lost) {
+        this->on_loop([&] { this->regain_store(); });
+    }
     this->store->set_fault(fault);
+    if (away && !this->store_lost) {
+        this->on_loop([&] { this->lose_store(); });
+    }
     if (!this->lasts_anywhere(soak_fault::promotions_late)) {
         this->on_loop([&] { this->store->set_promotion_delay(milliseconds(0)); });
     }
--- a/tests/soak/soak_stage.hpp
+++ b/tests/soak/soak_stage.hpp
@@ -68,6 +68,8 @@
         bool alive = true;
         bool registered = false;
         bool draining = false;
+        bool unheard = false; ///< Since the store was away; it keeps its row or has none.
+        bool gone = false;    ///< Has ended for good.
         std::optional<soak_time>
             silent_since{}; ///< Its heartbeats don't reach the store.
     };
@@ -81,6 +83,13 @@
     void set_silent(database_slot& slot, bool silent);
     void begin_replacement(std::size_t database);
     void end_replacement(std::size_t database);
+    /// Its number; it has no row before it is heard.
+    std::size_t join_replica();
+    void end_departure(database_slot& slot);
+    bool is_store_away() const;
+    void lose_store();
+    /// Rows come back with the databases' next heartbeats.
+    void regain_store();
     std::size_t primary_number();
     /// Writes a line to the stage's own log, beside the hosts'; on the loop's thread.
     void note(std::string const& text);
@@ -109,6 +118,9 @@
     std::uint64_t version = 0;
     std::size_t extra_routes = 0;
     std::multiset<std::pair<soak_fault, std::size_t>> lasting;
+    bool store_lost = false;
+    bool rows_lapse = false;
+    std::chrono::milliseconds heartbeat_phase{0};
 };
 
 } // namespace persimmonpoint::tests
