--- a/tests/soak/soak_stage.cpp
+++ b/tests/soak/soak_stage.cpp
@@ -307,10 +307,12 @@
         if (this->rows_lapse && std::exchange(slot.registered, false)) {
             this->store->remove("servers", slot.id);
         }
-        // Of each database another share of the interval has passed.
-        milliseconds const wait =
+        // Of each database another share of the interval has passed; one that drains
+        // reports it at once.
+        milliseconds const next_heartbeat =
             (this->heartbeat_phase + i * heartbeat_interval / databases_in_group) %
             heartbeat_interval;
+        milliseconds const wait = slot.draining ? milliseconds(0) : next_heartbeat;
         auto const heartbeat = std::make_shared<asio::steady_timer>(this->loop, wait);
         heartbeat->async_wait([this, i, heartbeat](boost::system::error_code) {
             if (i < this->databases.size() && !this->store_lost) {
