--- a/tests/support/leadership_hosts_model.cpp
+++ b/tests/support/leadership_hosts_model.cpp
@@ -106,20 +106,40 @@
            found->second.unreachable_from.count(this->own_name) == 0;
 }
 
+std::vector<registered_database> modelled_host::listed_databases() {
+    auto const stored = this->fleet.group.directory();
+    if (!this->fleet.keeps_missing_rows) {
+        return stored;
+    }
+    database_directory read;
+    read.version = store_version{1, 1};
+    for (registered_database const& each : stored) {
+        read.databases.emplace(each.id, each);
+    }
+    instant const time = this->fleet.group.now();
+    this->tracker.read(read, time, this->readings.is_steady(time));
+    std::vector<registered_database> kept;
+    for (auto const& each : this->tracker.current().databases) {
+        kept.push_back(each.second);
+    }
+    return kept;
+}
+
 void modelled_host::read_directory() {
     instant const time = this->fleet.group.now();
     this->readings.began(time);
     if (this->fleet.group.is_store_away()) {
         this->readings.failed(time);
+        this->tracker.reading_failed();
         return;
     }
+    auto const present = this->listed_databases();
     this->readings.succeeded(time, 0);
-    auto const present = this->fleet.group.directory();
     auto const& known = this->routing.databases();
     for (registered_database const& each : known) {
         bool const has_left =
             std::none_of(present.begin(), present.end(), [&each](auto const& one) {
-                return one.id == each.id;
+                return one.id == each.id && one.started_ms == each.started_ms;
             });
         if (has_left) {
             this->departures.replica_left(time);
@@ -315,13 +335,24 @@
     if (this->readings.needs_reading(since, time)) {
         this->read_directory();
     }
+    auto const& newest = this->acknowledged.newest();
+    if (newest && this->routing.find(newest->database) == nullptr) {
+        this->acknowledged.log_lost(newest->database);
+    }
     commit_knowledge commits;
+    commits.directory_in_doubt = this->readings.is_in_doubt(time);
     commits.listing = this->readings.judge(since, time);
     commits.acknowledged = this->acknowledged.required(commits.listing);
     commits.unacknowledged = this->manages ? this->fleet.group.unacknowledged_count() : 0;
     return commits;
 }
 
+departure modelled_host::departure_known() const {
+    instant const time = this->fleet.group.now();
+    return this->departures.judge(
+        time, this->change_began, this->readings.is_in_doubt(time));
+}
+
 std::vector<group_replica> modelled_host::databases() const {
     std::vector<group_replica> out;
     for (registered_database const& each : this->routing.databases()) {
@@ -350,7 +381,7 @@
     this->change_began = time;
     this->change = std::make_unique<leadership_change>(
         this->primary, present, leader ? leader->term : 0, reason, time,
-        this->departures.judge(time, time));
+        this->departure_known());
     this->last_state.clear();
     this->note(
         std::string("change begins, ") + to_string(reason) + ", old primary " +
@@ -361,8 +392,7 @@
 
 void modelled_host::step() {
     this->change->set_databases(this->databases());
-    this->change->set_departure(
-        this->departures.judge(this->fleet.group.now(), this->change_began));
+    this->change->set_departure(this->departure_known());
     this->change->set_commits(this->known_commits());
     if (auto const& leader = this->routing.leader()) {
         this->change->leader_learned(leader->database, leader->term);
@@ -575,6 +605,7 @@
         this->departures = departure_memory(this->fleet.group.now());
         this->acknowledged = acknowledged_commits();
         this->readings = directory_readings();
+        this->tracker = directory_tracker();
         this->read_directory();
         this->note("is back");
     });
