News of other hosts make a missing row last no longer

Rows of databases that had ended long before were kept, and the change waited for them. Another host may keep a missing row as this one does, so its list shows no row to be back; only a reading of the store does. Test: 'News from a host that keeps a missing entry ...', red before, green now; all of introspective passed.

--- a/src/persimmonpoint/core/membership/directory_tracker.cpp
+++ b/src/persimmonpoint/core/membership/directory_tracker.cpp
@@ -67,7 +67,10 @@
     this->note_era(other.version.era);
     this->directory = other;
     this->keep_leaving(this->directory);
-    this->missing_since.clear();
+    // The other host may keep what is missing, as this one does.
+    std::erase_if(this->missing_since, [&other](auto const& each) {
+        return other.databases.count(each.first) == 0;
+    });
     return true;
 }
 
--- a/tests/introspective/membership.tests.cpp
+++ b/tests/introspective/membership.tests.cpp
@@ -98,6 +98,16 @@
     CHECK(tracker.read(directory(4, {"a"}), start + seconds(8), false));
 }
 
+TEST_CASE(
+    "News from a host that keeps a missing entry make it last no longer", "[directory]") {
+    directory_tracker tracker;
+    tracker.read(directory(1, {"a", "b"}), start, true);
+    CHECK_FALSE(tracker.read(directory(2, {"a"}), start + seconds(1), true));
+    CHECK(tracker.received(directory(3, {"a", "b", "c"})));
+    CHECK(tracker.read(directory(3, {"a", "c"}), start + milliseconds(3500), true));
+    CHECK(tracker.current().databases.count("b") == 0);
+}
+
 TEST_CASE("An older reading or an older message changes nothing", "[directory]") {
     directory_tracker tracker;
     tracker.read(directory(9, {"a"}), start, true);
