A primary that leaves is stopped before it is replaced while the directory is in doubt

Trace: front-kumamoto-2 calls at 27.587 for a planned replacement, all listed replicas held, the store back for 0.6 s. The primary serves on. A replica that joined while the store was away (listed at 28.414) acknowledges 1.421 at 28.195; the candidate has 1.420 as it comes to lead a few milliseconds later. Cause: only replicas that are listed can be held.

Test: 'A primary that leaves is stopped before it is replaced while a replica may be unlisted', red before.

--- a/src/persimmonpoint/core/recovery/change_members.hpp
+++ b/src/persimmonpoint/core/recovery/change_members.hpp
@@ -136,6 +136,8 @@
         return this->tail_may_be_acknowledged() &&
                this->commits.listing == directory_listing::pending;
     }
+    /// True if a replica that lives may be missing in the directory.
+    bool may_miss_replica() const { return this->commits.directory_in_doubt; }
     /// True if no primary is listed, but one that lives may be missing in the directory.
     bool may_miss_primary() const {
         return this->primary_member() == nullptr && this->commits.directory_in_doubt;
--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -462,9 +462,12 @@
         this->choose_candidate();
         bool const is_held = this->members.find(this->chosen_id)->report->held_term > 0;
         bool const is_planned = this->cause == change_reason::primary_leaving;
-        // One that is held can't catch up with a primary that serves on.
+        // One that is held can't catch up with a primary that serves on. A replica that
+        // isn't listed can't be held: only the primary's stop keeps it from
+        // acknowledging.
+        bool const stops_primary = !is_planned || this->members.may_miss_replica();
         this->hold_candidate = this->hold_candidate || is_held ||
-                               (!is_planned && this->primary_answers(now));
+                               (stops_primary && this->primary_answers(now));
     }
     this->machine.fire(leadership_event::candidate_chosen);
 }
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -67,7 +67,7 @@
 /// only once it has received as much as each of them. A primary that is stopped no longer
 /// replicates: the candidate is held too and the most advanced replica is promoted.
 /// A primary that leaves is not stopped while it replicates to the candidate, so that it
-/// serves until the promotion takes effect.
+/// serves until the promotion takes effect; but it is while the directory is in doubt.
 ///
 /// Which replicas there are is known from the directory only, and one that joined while
 /// the store was out of reach isn't listed. So the candidate must have each commit that
--- a/tests/introspective/leadership_commits.tests.cpp
+++ b/tests/introspective/leadership_commits.tests.cpp
@@ -363,3 +363,26 @@
         CHECK(group.leader == "r0");
     }
 }
+
+TEST_CASE(
+    "A primary that leaves is stopped before it is replaced while a replica may be "
+    "unlisted",
+    "[leadership][leadership-commits]") {
+    acting_group group = group_of_three();
+    group.copies["x"];
+    group.unlisted.insert("x");
+    group.known.directory_in_doubt = true;
+    group.known.listing = directory_listing::incomplete;
+    group.leaving = group.leader;
+    leadership_change change = group.begin_change(start, change_reason::primary_leaving);
+    instant now = start;
+    group.run(change, now, milliseconds(300));
+    REQUIRE(group.count(change_action_kind::promote) > 0);
+    group.copies["r0"].receives = false;
+    group.copies["r1"].receives = false;
+    group.write();
+    group.run(change, now, seconds(3));
+    CHECK(change.is_over());
+    CHECK(group.leader == "r0");
+    CHECK_FALSE(group.lost_commit);
+}
