A departure that is over by time is possible, not seen, while the directory is in doubt

Since a departure stayed 'seen' while the store was out of reach, so that any silent primary was waited for. 'Possible' keeps a primary that answers and is ahead, which is what the doubt is about; a silent one is waited for only where it was ahead, or acknowledged commits are known to be missing.

A lost watch of the configuration now counts as a failed reading, too: most hosts read the directory each 5 s and would not notice an absence between.

--- a/src/persimmonpoint/core/recovery/departure_memory.cpp
+++ b/src/persimmonpoint/core/recovery/departure_memory.cpp
@@ -26,9 +26,12 @@
 departure departure_memory::judge(
     instant now, instant change_began, bool directory_in_doubt) const {
     if (this->left_at) {
-        bool const is_settled = !directory_in_doubt && this->received_at &&
-                                now - *this->received_at >= registration_delay;
-        return is_settled ? departure::none : departure::seen;
+        bool const is_over =
+            this->received_at && now - *this->received_at >= registration_delay;
+        if (!is_over) {
+            return departure::seen;
+        }
+        return directory_in_doubt ? departure::possible : departure::none;
     }
     if (this->received_at) {
         return departure::none;
--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -73,6 +73,9 @@
         observe::log_event(
             reached ? observe::log_level::info : observe::log_level::warning,
             reached ? "store_reached" : "store_lost", {{"reason", reason}});
+        if (!reached) {
+            this->observer.on_databases_read(false, this->time.now());
+        }
     }
 
     /// A call that brings the configuration failed. Says how long it was waited for.
--- a/src/persimmonpoint/engine/store_watch.hpp
+++ b/src/persimmonpoint/engine/store_watch.hpp
@@ -19,8 +19,8 @@
     virtual ~store_observer() = default;
     virtual void on_stored_configuration(stored_configuration configuration) = 0;
     virtual void on_stored_databases(database_directory directory) = 0;
-    /// A reading of the databases ended that began at `began_at`. What it brought has
-    /// been told before.
+    /// A reading of the databases ended that began at `began_at`, or the store was lost
+    /// then. What it brought has been told before.
     virtual void on_databases_read(bool succeeded, instant began_at) = 0;
     virtual void on_stored_hosts(stored_hosts hosts) = 0;
 };
