--- a/src/persimmonpoint/core/routing/log_position.hpp
+++ b/src/persimmonpoint/core/routing/log_position.hpp
@@ -5,6 +5,8 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
+#include <string>
 
 namespace persimmonpoint {
 
@@ -23,6 +25,13 @@
     return reached.term >= floor.term && reached.offset >= floor.offset;
 }
 
+/// As written to logs: "7.3337", or "none".
+inline std::string to_string(std::optional<log_position> const& position) {
+    return position
+               ? std::to_string(position->term) + "." + std::to_string(position->offset)
+               : "none";
+}
+
 } // namespace persimmonpoint
 
 #endif // PERSIMMONPOINT_CORE_ROUTING_LOG_POSITION_HPP_INCLUDED
--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -392,6 +392,7 @@
              {"reason", outcome.answer.error_text},
              {"attempts", outcome.attempts},
              {"load", outcome.answer.load},
+             {"position", to_string(outcome.answer.position)},
              {"took_ms", to_seconds(took) * 1000},
              {"configuration", this->configuration().version}});
     }
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -45,8 +45,7 @@
 std::string describe(promotion_evidence const& each, instant now) {
     std::string text = each.id;
     if (each.report) {
-        text += " " + std::to_string(each.report->received.term) + "." +
-                std::to_string(each.report->received.offset);
+        text += " " + to_string(each.report->received);
         text += each.report->leads ? " leads" : "";
         text += each.is_candidate ? " candidate" : "";
         text += each.held ? " held" : "";
@@ -69,8 +68,7 @@
         return "none";
     }
     std::string const holder = commit->database.empty() ? "gone" : commit->database;
-    return holder + " " + std::to_string(commit->position.term) + "." +
-           std::to_string(commit->position.offset);
+    return holder + " " + to_string(commit->position);
 }
 
 std::string describe(std::vector<promotion_evidence> const& all, instant now) {
@@ -81,6 +79,21 @@
     return text;
 }
 
+/// Answers of other hosts on whether they reach a database.
+struct reach_survey {
+    std::size_t asked = 0;
+    std::size_t answered = 0; ///< Or known not to answer.
+    std::size_t reached = 0;
+    std::size_t unanswered = 0;
+
+    void add(reach_answer answer) {
+        ++this->answered;
+        this->reached += answer == reach_answer::reached ? 1 : 0;
+        this->unanswered += answer == reach_answer::none ? 1 : 0;
+    }
+    bool is_complete() const { return this->answered == this->asked; }
+};
+
 struct watched_group {
     std::string primary; ///< Empty if none is known.
     /// Registered databases, with the time of their start.
@@ -402,30 +415,35 @@
             return;
         }
         group.asking = true;
-        auto const left = std::make_shared<std::size_t>(asked.size());
-        auto const reached = std::make_shared<bool>(false);
+        auto const answers = std::make_shared<reach_survey>();
+        answers->asked = asked.size();
         for (std::string const& each : asked) {
             this->mesh->ask_reach(
                 each, group.primary,
-                [weak = this->weak_from_this(), name, primary_id = group.primary, left,
-                 reached](bool yes) {
-                    *reached = *reached || yes;
+                [weak = this->weak_from_this(), name, primary_id = group.primary,
+                 answers](reach_answer answer) {
+                    answers->add(answer);
                     auto const keeper = weak.lock();
-                    if (--*left == 0 && keeper) {
-                        keeper->others_answered(name, primary_id, *reached);
+                    if (answers->is_complete() && keeper) {
+                        keeper->others_answered(name, primary_id, *answers);
                     }
                 });
         }
     }
 
-    void
-    others_answered(std::string const& name, std::string const& primary, bool reached) {
+    void others_answered(
+        std::string const& name, std::string const& primary, reach_survey const& others) {
         watched_group& group = this->groups[name];
         group.asking = false;
         observe::log_event(
             observe::log_level::info, "primary_silent",
-            {{"group", name}, {"database", primary}, {"others_reach_it", reached}});
-        if (reached) {
+            {{"group", name},
+             {"database", primary},
+             {"others_reach_it", others.reached > 0},
+             {"hosts_asked", others.asked},
+             {"hosts_without_answer", others.unanswered},
+             {"hosts_linked", this->mesh->connected_hosts().size()}});
+        if (others.reached > 0) {
             group.leave_alone_until = this->now() + leave_alone;
             return;
         }
--- a/src/persimmonpoint/engine/peer_exchanges.cpp
+++ b/src/persimmonpoint/engine/peer_exchanges.cpp
@@ -47,7 +47,7 @@
     }
     reach_handler const done = std::move(found->second.done);
     this->reach.erase(found);
-    done(message.reached);
+    done(message.reached ? reach_answer::reached : reach_answer::not_reached);
 }
 
 void peer_exchanges::expire(instant now) {
@@ -61,7 +61,7 @@
         }
     }
     for (reach_handler const& each : expired) {
-        each(false);
+        each(reach_answer::none);
     }
 }
 
@@ -72,7 +72,7 @@
         each.second(were_sent ? link_lost() : no_link());
     }
     for (auto const& each : open_reach) {
-        each.second.done(false);
+        each.second.done(reach_answer::none);
     }
 }
 
--- a/src/persimmonpoint/engine/peer_exchanges.hpp
+++ b/src/persimmonpoint/engine/peer_exchanges.hpp
@@ -10,7 +10,14 @@
 
 namespace persimmonpoint::engine {
 
-using reach_handler = std::function<void(bool)>;
+/// What another host says of its way to a database.
+enum class reach_answer {
+    reached,
+    not_reached,
+    none ///< It gave no answer in time, or there is no link to it.
+};
+
+using reach_handler = std::function<void(reach_answer)>;
 
 /// The answer to an order that was certainly not sent.
 upstream_response no_link();
@@ -19,7 +26,7 @@
 class peer_exchanges {
 public:
     void add_order(std::uint64_t number, response_handler done);
-    /// The question counts as answered by no once `deadline` has passed.
+    /// The question ends without an answer once `deadline` has passed.
     void add_reach(std::uint64_t number, instant deadline, reach_handler done);
 
     /// An answer that nobody waits for is passed over.
--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -497,17 +497,15 @@
 }
 
 void peer_mesh::ask_reach(
-    std::string const& host,
-    std::string const& database,
-    std::function<void(bool)> done) {
+    std::string const& host, std::string const& database, reach_handler done) {
     auto const found = this->impl->peers.find(host);
     if (found == this->impl->peers.end()) {
-        done(false);
+        done(reach_answer::none);
         return;
     }
     std::uint64_t const number = ++this->impl->last_number;
     if (!this->impl->send(found->second, reach_query_message{number, database})) {
-        done(false);
+        done(reach_answer::none);
         return;
     }
     found->second.exchanges.add_reach(
--- a/src/persimmonpoint/engine/peer_mesh.hpp
+++ b/src/persimmonpoint/engine/peer_mesh.hpp
@@ -2,10 +2,10 @@
 #define PERSIMMONPOINT_ENGINE_PEER_MESH_HPP_INCLUDED
 
 #include <boost/asio/io_context.hpp>
-#include <functional>
 #include <memory>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
 #include <persimmonpoint/engine/mesh_observer.hpp>
+#include <persimmonpoint/engine/peer_exchanges.hpp>
 #include <persimmonpoint/interfaces/clock.hpp>
 #include <span>
 #include <string>
@@ -52,11 +52,9 @@
     void send(std::string const& host, peer_message const& message);
     /// To all hosts that are linked.
     void broadcast(peer_message const& message);
-    /// Asks whether a host reaches a database; false also if it does not answer.
-    void ask_reach(
-        std::string const& host,
-        std::string const& database,
-        std::function<void(bool)> done);
+    /// Asks whether a host reaches a database.
+    void
+    ask_reach(std::string const& host, std::string const& database, reach_handler done);
     /// Tells all at once that this host takes no further orders.
     void announce();
     /// Tells that this host knows something newer: all others in a small fleet, the
