--- a/tests/introspective/leadership_model.tests.cpp
+++ b/tests/introspective/leadership_model.tests.cpp
@@ -498,6 +498,28 @@
     CHECK(it.group.losses().empty());
 }
 
+TEST_CASE(
+    "Commits that other hosts pass on, of a primary that is silent to the host which "
+    "replaces it, are not lost",
+    "[leadership][leadership-model][silent-to-one][!mayfail]") {
+    scene it;
+    it.group.at("d0").unreachable_from = {"h0"};
+    REQUIRE(it.host(0).begin(change_reason::primary_lost));
+    while (it.group.trace().back().find("accepted") == std::string::npos) {
+        it.play(milliseconds(10));
+    }
+    it.group.cut_off_present_replicas();
+    it.group.add_empty_replica(milliseconds(20));
+    it.group.set_store_away(false);
+    it.group.at("d3").registered = false;
+    it.group.at("d3").registration_lag = milliseconds(1200);
+    it.play(seconds(8));
+    INFO(it.story());
+    REQUIRE(it.group.promotions() == 1);
+    CHECK(it.group.losses().empty());
+    CHECK(it.group.exempted_joined() == 0);
+}
+
 TEST_CASE(
     "A former primary that has become a replica is compared by a host that takes it for "
     "the primary",
