--- a/src/persimmonpoint/core/recovery/acknowledgement_gate.cpp
+++ b/src/persimmonpoint/core/recovery/acknowledgement_gate.cpp
@@ -29,7 +29,7 @@
             known != this->replicas.end() && known->second.started_ms == each.started_ms;
         if (is_known) {
             note_row(known->second, each, false, now);
-            next.emplace(each.id, std::move(known->second));
+            next.emplace(each.id, known->second);
             continue;
         }
         duration const age = std::chrono::milliseconds(
--- a/src/persimmonpoint/core/recovery/change_members.cpp
+++ b/src/persimmonpoint/core/recovery/change_members.cpp
@@ -157,8 +157,8 @@
 
 bool change_members::counts(std::string_view id) const {
     return id != this->primary_id ||
-           (this->stopped &&
-            (this->may_have_lost_replica() || this->tail_may_be_acknowledged()));
+           (this->stopped && (this->leaves_replica_out || this->may_have_lost_replica() ||
+                              this->tail_may_be_acknowledged()));
 }
 
 bool change_members::may_receive(std::string_view id) const {
--- a/src/persimmonpoint/core/recovery/change_members.hpp
+++ b/src/persimmonpoint/core/recovery/change_members.hpp
@@ -127,6 +127,10 @@
     bool may_have_lost_replica() const { return this->departed != departure::none; }
     void set_departure(departure now_known) { this->departed = now_known; }
     void set_commits(commit_knowledge const& now_known) { this->commits = now_known; }
+    /// True while a replica that doesn't answer is not compared. It may have received
+    /// what no other has, so that the primary counts once it is stopped.
+    void set_leaves_out(bool value) { this->leaves_replica_out = value; }
+    bool leaves_out() const { return this->leaves_replica_out; }
     /// True if commits were acknowledged that no registered replica has.
     bool lack_acknowledged() const;
     /// True if the database lacks a commit that is known to be acknowledged.
@@ -162,6 +166,7 @@
     std::uint64_t highest_term;
     std::optional<instant> stop_asked_at;
     bool stopped = false;
+    bool leaves_replica_out = false;
     departure departed;
     commit_knowledge commits;
     map members;
--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -215,6 +215,8 @@
     if (leads_as_begun && !this->begun_term) {
         this->begun_term = primary->report->term;
     }
+    this->members.set_leaves_out(
+        this->leaves_silent_out(now) && this->has_silent_replica(now));
     if (!this->members.is_primary_stopped()) {
         this->stopped_at.reset();
     } else if (!this->stopped_at) {
@@ -465,7 +467,8 @@
         // One that is held can't catch up with a primary that serves on. A replica that
         // isn't listed can't be held: only the primary's stop keeps it from
         // acknowledging.
-        bool const stops_primary = !is_planned || this->members.may_miss_replica();
+        bool const stops_primary = !is_planned || this->members.may_miss_replica() ||
+                                   this->serves_beside_silent(now);
         this->hold_candidate = this->hold_candidate || is_held ||
                                (stops_primary && this->primary_answers(now));
     }
@@ -485,10 +488,25 @@
 }
 
 bool leadership_change::leaves_silent_out(instant now) const {
-    return this->serves_on() && this->primary_answers(now) &&
+    bool const is_primary_compared =
+        this->primary_answers(now) || this->members.is_primary_stopped();
+    return this->cause == change_reason::primary_leaving && is_primary_compared &&
            now - this->begun_at >= silent_replica_patience;
 }
 
+bool leadership_change::has_silent_replica(instant now) const {
+    return std::any_of(
+        this->members.all().begin(), this->members.all().end(), [&](auto const& each) {
+            return each.first != this->members.primary() &&
+                   !each.second.answers(now, primary_silence);
+        });
+}
+
+bool leadership_change::serves_beside_silent(instant now) const {
+    return this->serves_on() && this->leaves_silent_out(now) &&
+           this->has_silent_replica(now);
+}
+
 void leadership_change::watch_primary(std::vector<change_action>& actions, instant now) {
     std::string const id = this->members.primary();
     change_member const* const primary = this->members.primary_member();
@@ -708,7 +726,8 @@
            std::all_of(
                this->members.all().begin(), this->members.all().end(),
                [&](auto const& each) {
-                   bool const is_left_out = !each.second.report && this->serves_on();
+                   bool const is_left_out =
+                       !each.second.report && this->members.leaves_out();
                    return !this->members.counts(each.first) || is_left_out ||
                           (each.second.report && each.second.report->received <= reached);
                });
@@ -739,6 +758,11 @@
         return;
     }
     this->watch_primary(actions, now);
+    if (!this->promotion_unsettled && this->serves_beside_silent(now)) {
+        this->hold_candidate = true;
+        this->machine.fire(leadership_event::candidate_lost);
+        return;
+    }
     if (this->needs_newer_token()) {
         this->request_in_flight = false;
         this->machine.fire(leadership_event::token_outdated);
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -195,9 +195,13 @@
     bool primary_answers(instant now) const;
     /// True while the old primary goes on serving until its planned replacement leads.
     bool serves_on() const;
-    /// True if replicas that don't answer need not be waited for: the old primary serves
-    /// on, and its own position is compared.
+    /// True if replicas that don't answer need not be waited for, as the position of a
+    /// primary that leaves is compared.
     bool leaves_silent_out(instant now) const;
+    /// True if a replica is silent that another host may pass acknowledgements on by.
+    bool has_silent_replica(instant now) const;
+    /// True if the primary serves on, though a replica is left out.
+    bool serves_beside_silent(instant now) const;
     /// True if the candidate has all that a primary which serves on has told of.
     bool covers_serving_primary() const;
     bool must_be_held(std::string_view id, instant now) const;
--- a/tests/introspective/leadership_premises.tests.cpp
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -372,7 +372,27 @@
     }
     CHECK(change.is_over());
     CHECK(group.leader == "r0");
-    CHECK(group.count(change_action_kind::stop_primary) == 0);
+    CHECK(group.count(change_action_kind::stop_primary) == 1);
+    CHECK_FALSE(group.lost_commit);
+}
+
+TEST_CASE(
+    "A primary that leaves acknowledges nothing by a replica that is silent to the host "
+    "which replaces it",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.leaving = "p";
+    group.silent = "r1";
+    leadership_change change = group.begin_change(start, change_reason::primary_leaving);
+    instant now = start;
+    for (int i = 0; i < 800 && !change.is_over(); ++i) {
+        bool const is_called = group.count(change_action_kind::promote) > 0;
+        group.copies["r0"].receives = !is_called;
+        group.write();
+        group.run(change, now, milliseconds(10));
+    }
+    CHECK(change.is_over());
+    CHECK(group.leader == "r0");
     CHECK_FALSE(group.lost_commit);
 }
 
--- a/tests/support/acting_group.cpp
+++ b/tests/support/acting_group.cpp
@@ -79,6 +79,10 @@
     case change_action_kind::abandoned:
         return;
     default:
+        if (action.database == this->silent) {
+            change.reported(action.database, std::nullopt, now);
+            return;
+        }
         this->obey(action);
         change.reported(action.database, this->state_of(action.database), now);
     }
