--- a/src/persimmonpoint/core/recovery/acknowledgement_gate.cpp
+++ b/src/persimmonpoint/core/recovery/acknowledgement_gate.cpp
@@ -95,7 +95,6 @@
     return ids;
 }
 
-/// A replica is asked while it may yet show a commit.
 bool acknowledgement_gate::is_needed(std::string_view id) const {
     return std::any_of(
         this->commits.begin(), this->commits.end(), [id](auto const& each) {
@@ -131,7 +130,6 @@
     return found == this->replicas.end() ? std::string() : found->first;
 }
 
-/// Another database has been promoted, with the commit or without.
 bool acknowledgement_gate::is_superseded(acknowledged_write const& commit) const {
     return !commit.position ||
            std::any_of(
--- a/src/persimmonpoint/core/recovery/acknowledgement_gate.hpp
+++ b/src/persimmonpoint/core/recovery/acknowledgement_gate.hpp
@@ -54,12 +54,12 @@
 /// as it began to leave are settled; by then there is time enough to receive from the
 /// primary.
 ///
-/// Nor does a database count that led lately: a host that is about to replace it leaves
-/// it out, and needn't know that another host has replaced it already.
+/// A database that led lately doesn't count: a host that is about to replace it leaves it
+/// out, and needn't know that another host has replaced it already.
 ///
 /// A call for a promotion may be carried out late, when its caller is gone and holds no
-/// further replica. While one is held, those that joined since, or shortly before, don't
-/// count.
+/// further replica. So one that joined lately counts only while neither it nor any that
+/// was listed no later is held.
 class acknowledgement_gate {
 public:
     /// Takes the group's listed databases.
@@ -96,10 +96,12 @@
 
     /// A settled replica that shows the commit; empty if there is none.
     std::string witness_of(acknowledged_write const& commit) const;
+    /// True if another database has been promoted since, with the commit or without.
     bool is_superseded(acknowledged_write const& commit) const;
     bool is_settled(std::string_view id, std::string_view primary) const;
     /// True if neither the replica nor any that was listed no later may be held.
     bool is_group_free(std::string_view id, std::string_view primary) const;
+    /// True if the replica may yet show a commit that waits.
     bool is_needed(std::string_view id) const;
     static void
     note_row(replica& one, registered_database const& row, bool is_new, instant now);
