Soak: judge promotions by what callers were told

The stand-in counted a commit as lost at a promotion if its database had answered it to a host. A host may now keep such an answer to itself, and one that a cut link swallows was never heard either; a host may also tell a caller of a commit whose answer it didn't get, which wasn't counted.

The stand-in now records every write that a promotion drops, acknowledged or not, and the soak counts those whose caller has a success in its record: told before the promotion, or afterwards unless the write was run again by a later primary. Planted histories show each case, in both directions.

--- a/src/persimmonpoint/standin/line_group.cpp
+++ b/src/persimmonpoint/standin/line_group.cpp
@@ -104,6 +104,7 @@
     void deliver();
     void lead(member& next);
     void check_promotion(member const& next);
+    void note_dropped(member const& next);
 
     bool is_cut(member const& copy) const {
         return copy.cut_from.count(this->primary->id) > 0 ||
@@ -136,6 +137,7 @@
         std::function<bool()> answer) {
         this->primary->log.push_back(std::make_shared<log_entry const>(
             log_entry{this->current_term, std::move(writes)}));
+        this->committed.insert(this->primary->log.back());
         this->commits.push_back({this->primary->log.size(), std::move(answer)});
         this->deliver();
     }
@@ -149,8 +151,10 @@
     std::uint64_t current_term = 1;
     bool stopped = false; ///< The primary gave up its lead, and nobody leads yet.
     std::list<waiting_commit> commits;
+    entry_set committed;    ///< But for those that a promotion dropped.
     entry_set acknowledged; ///< But for those that a promotion dropped.
     std::vector<lossy_promotion> lossy;
+    std::vector<dropped_write> dropped;
     std::chrono::milliseconds promotion_delay{0};
     std::function<void()> promotion_hook;
     order_hook on_order;
@@ -556,6 +560,7 @@
     }
     this->stopped = false;
     this->check_promotion(next);
+    this->note_dropped(next);
     ++this->current_term;
     this->primary = &next;
     next.held_term = 0;
@@ -587,6 +592,20 @@
     }
 }
 
+void line_group::implementation::note_dropped(member const& next) {
+    entry_set missing = this->committed;
+    for (auto const& each : next.log) {
+        missing.erase(each);
+    }
+    auto const now = std::chrono::steady_clock::now();
+    for (auto const& each : missing) {
+        this->committed.erase(each);
+        for (auto const& [item, data] : each->writes) {
+            this->dropped.push_back({item, data, next.id, this->current_term + 1, now});
+        }
+    }
+}
+
 line_group::line_group(asio::io_context& loop, std::string name, std::size_t databases)
     : impl(std::make_shared<implementation>(loop, std::move(name))) {
     for (std::size_t i = 0; i < databases; ++i) {
@@ -742,6 +761,10 @@
     return this->impl->lossy;
 }
 
+std::vector<line_group::dropped_write> line_group::dropped_writes() const {
+    return this->impl->dropped;
+}
+
 std::string line_group::data(std::string const& item) const {
     std::string const* const found = newest(this->impl->primary->log, item);
     return found == nullptr ? std::string() : *found;
@@ -751,7 +774,7 @@
     std::vector<item_write> all;
     for (auto const& entry : this->impl->primary->log) {
         for (auto const& [name, value] : entry->writes) {
-            all.push_back({name, value});
+            all.push_back({name, value, entry->term});
         }
     }
     return all;
--- a/src/persimmonpoint/standin/line_group.hpp
+++ b/src/persimmonpoint/standin/line_group.hpp
@@ -86,6 +86,18 @@
     /// In order. Each commit counts at the first promotion that drops it.
     std::vector<lossy_promotion> lossy_promotions() const;
 
+    /// A write that the log of a promoted database lacked, whether or not it was
+    /// acknowledged.
+    struct dropped_write {
+        std::string item;
+        std::string data;
+        std::string database; ///< The promoted one.
+        std::uint64_t term = 0;
+        std::chrono::steady_clock::time_point at; ///< When it was promoted.
+    };
+    /// In order. Each commit counts at the first promotion that drops it.
+    std::vector<dropped_write> dropped_writes() const;
+
     /// Data of an item in the log of the primary; empty if there is none.
     std::string data(std::string const& item) const;
     /// Times that a write of this data took effect in the primary's log.
@@ -93,6 +105,7 @@
     struct item_write {
         std::string item;
         std::string data;
+        std::uint64_t term = 0; ///< Of the primary that ran it.
     };
     /// All writes in the primary's log, the oldest first.
     std::vector<item_write> writes() const;
--- a/tests/introspective/line_group.tests.cpp
+++ b/tests/introspective/line_group.tests.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <future>
 #include <persimmonpoint/standin/line_group.hpp>
+#include <set>
 #include <support/line_caller.hpp>
 #include <thread>
 
@@ -50,6 +51,12 @@
         return found;
     }
 
+    std::vector<standin::line_group::dropped_write> dropped_writes() {
+        std::vector<standin::line_group::dropped_write> found;
+        this->with_group([&](auto& group) { found = group.dropped_writes(); });
+        return found;
+    }
+
     /// On a connection of its own, with little patience.
     line_caller::reply ask_briefly(std::size_t database, std::string const& text) const {
         line_caller caller(this->port(database), std::chrono::milliseconds(200));
@@ -112,6 +119,33 @@
     CHECK(stage.lossy_promotions().empty());
 }
 
+TEST_CASE(
+    "The stand-in records each write that a promotion drops, acknowledged or not",
+    "[soak]") {
+    group_stage stage;
+    stage.with_group([](auto& group) { group.set_deaf("db-2", true); });
+    REQUIRE(stage.ask(0, "WRITE a 1").error.empty());
+    stage.with_group([](auto& group) {
+        group.set_deaf("db-0", true);
+        group.promote("db-1");
+    });
+    CHECK(stage.dropped_writes().empty());
+    CHECK(stage.ask_briefly(1, "WRITE a 2").closed);
+    // The second one drops the first write as well, which its log lacks.
+    stage.with_group([](auto& group) { group.promote("db-2"); });
+    stage.with_group([](auto& group) { group.promote("db-0"); });
+    auto const found = stage.dropped_writes();
+    REQUIRE(found.size() == 2);
+    std::set<std::string> data;
+    for (auto const& each : found) {
+        CHECK(each.item == "a");
+        CHECK(each.database == "db-2");
+        CHECK(each.term == 3);
+        data.insert(each.data);
+    }
+    CHECK(data == std::set<std::string>{"1", "2"});
+}
+
 TEST_CASE("PAUSE holds a replica of the stand-in and nothing at its primary", "[soak]") {
     group_stage stage;
     CHECK(stage.ask(0, "PAUSE 1048576").rows.front() == "primary 1 1.0 0 0 0 1");
--- a/tests/introspective/soak_record.tests.cpp
+++ b/tests/introspective/soak_record.tests.cpp
@@ -47,6 +47,21 @@
     CHECK(check_soak(evidence).empty());
 }
 
+TEST_CASE("A promotion may drop what no caller was told of", "[soak]") {
+    soak_evidence evidence = two_writes();
+    SECTION("though its database acknowledged it to a host") {
+        evidence.dropped = {{"c0-0", "second", "db-1", 2, start + milliseconds(20)}};
+        evidence.lossy_promotions = {{"db-1", 2, 1, {{"db-0", 1, true}}}};
+        evidence.operations[1].outcome = soak_outcome::unknown;
+        evidence.log.pop_back();
+    }
+    SECTION("and whose second run was acknowledged") {
+        evidence.dropped = {{"c0-0", "second", "db-1", 2, start + milliseconds(12)}};
+        evidence.log[1].term = 2;
+    }
+    CHECK(check_soak(evidence).empty());
+}
+
 TEST_CASE("The soak's checks catch what is planted in a history", "[soak]") {
     soak_evidence evidence = two_writes();
     SECTION("an acknowledged write that is gone") {
@@ -54,10 +69,20 @@
         check_finds(evidence, "acknowledged and lost");
     }
     SECTION("a promotion that dropped an acknowledged write") {
+        evidence.dropped = {{"c0-0", "second", "db-1", 2, start + milliseconds(20)}};
         evidence.lossy_promotions = {{"db-1", 2, 1, {{"db-0", 1, true}}}};
         check_finds(evidence, "promoted without acknowledged commits: db-1");
         check_finds(evidence, "db-0 (alive) had 1");
     }
+    SECTION("a promotion that dropped a write of which a caller hears later") {
+        evidence.dropped = {{"c0-0", "second", "db-1", 2, start + milliseconds(12)}};
+        check_finds(evidence, "promoted without acknowledged commits: db-1");
+    }
+    SECTION("a promotion that dropped a write before it was run again") {
+        evidence.dropped = {{"c0-0", "second", "db-1", 2, start + milliseconds(20)}};
+        evidence.log[1].term = 2;
+        check_finds(evidence, "promoted without acknowledged commits: db-1");
+    }
     SECTION("a write that took effect twice") {
         evidence.log.push_back({"c0-0", "second"});
         check_finds(evidence, "took effect twice");
--- a/tests/soak/soak_record.hpp
+++ b/tests/soak/soak_record.hpp
@@ -64,6 +64,8 @@
     std::vector<soak_operation> operations;
     std::vector<soak_disturbance> disturbances;
     std::vector<standin::line_group::item_write> log; ///< Of the last primary.
+    std::vector<standin::line_group::dropped_write> dropped;
+    /// By what databases answered to hosts; callers may have heard less, or more.
     std::vector<standin::line_group::lossy_promotion> lossy_promotions;
     std::map<std::string, std::vector<soak_time>> runs; ///< At databases, by team.
     std::set<std::string> teams_seen;                   ///< By databases.
--- a/tests/soak/soak_stage.cpp
+++ b/tests/soak/soak_stage.cpp
@@ -626,6 +626,7 @@
 void soak_stage::collect(soak_evidence& evidence) {
     this->on_loop([&] {
         evidence.log = this->group->writes();
+        evidence.dropped = this->group->dropped_writes();
         evidence.lossy_promotions = this->group->lossy_promotions();
         evidence.runs[metered.team] = this->group->runs_of(metered.team);
         for (auto const& each : this->group->teams()) {
