--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -2,6 +2,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <limits>
+#include <optional>
 #include <set>
 #include <soak/fault_proxy.hpp>
 #include <string_view>
@@ -15,6 +17,8 @@
 namespace {
 
 constexpr auto delay = std::chrono::milliseconds(120);
+/// Caller of a connection whose end isn't known.
+constexpr std::size_t nobody = std::numeric_limits<std::size_t>::max();
 
 tcp::endpoint on_loopback(std::uint16_t port) {
     return {asio::ip::address_v4::loopback(), port};
@@ -161,6 +165,17 @@
 
     bool closed() const { return !this->near.is_open(); }
 
+    /// Asks for it once.
+    std::size_t caller(fault_proxy::caller_lookup const& caller_at) {
+        if (!this->known_caller) {
+            boost::system::error_code failure;
+            std::uint16_t const far = this->near.local_endpoint(failure).port();
+            std::uint16_t const port = this->near.remote_endpoint(failure).port();
+            this->known_caller = failure ? nobody : caller_at(port, far);
+        }
+        return *this->known_caller;
+    }
+
 private:
     tcp::socket near;
     tcp::socket far;
@@ -168,14 +183,18 @@
     pump from_target;
     bool silent = false;
     bool dialled = false;
+    std::optional<std::size_t> known_caller;
 };
 
 } // namespace
 
 struct fault_proxy::implementation
     : std::enable_shared_from_this<fault_proxy::implementation> {
-    implementation(asio::io_context& loop, std::uint16_t target)
-        : loop(loop), acceptor(loop, on_loopback(0)), target(target) {}
+    implementation(asio::io_context& loop, std::uint16_t target, caller_lookup caller_at)
+        : loop(loop),
+          acceptor(loop, on_loopback(0)),
+          target(target),
+          caller_at(std::move(caller_at)) {}
 
     void accept() {
         this->acceptor.async_accept(
@@ -197,7 +216,19 @@
             return;
         }
         this->open.insert(made);
-        made->apply(this->fault, this->target);
+        this->apply(*made);
+    }
+
+    void apply(connection& to) const {
+        bool const cut =
+            !this->cut.empty() && this->cut.count(to.caller(this->caller_at)) > 0;
+        to.apply(cut ? link_fault::cut : this->fault, this->target);
+    }
+
+    void apply_to_all() {
+        for (auto const& each : this->open) {
+            this->apply(*each);
+        }
     }
 
     void reset() {
@@ -209,12 +240,15 @@
     asio::io_context& loop;
     tcp::acceptor acceptor;
     std::uint16_t target;
+    caller_lookup caller_at;
+    std::set<std::size_t> cut;
     link_fault fault = link_fault::none;
     std::set<std::shared_ptr<connection>> open;
 };
 
-fault_proxy::fault_proxy(asio::io_context& loop, std::uint16_t target)
-    : impl(std::make_shared<implementation>(loop, target)) {
+fault_proxy::fault_proxy(
+    asio::io_context& loop, std::uint16_t target, caller_lookup caller_at)
+    : impl(std::make_shared<implementation>(loop, target, std::move(caller_at))) {
     this->impl->accept();
 }
 
@@ -234,9 +268,12 @@
         this->impl->reset();
         return;
     }
-    for (auto const& each : this->impl->open) {
-        each->apply(fault, this->impl->target);
-    }
+    this->impl->apply_to_all();
+}
+
+void fault_proxy::cut_callers(std::set<std::size_t> callers) {
+    this->impl->cut = std::move(callers);
+    this->impl->apply_to_all();
 }
 
 void fault_proxy::silence() {
--- a/tests/soak/fault_proxy.hpp
+++ b/tests/soak/fault_proxy.hpp
@@ -2,8 +2,11 @@
 #define PERSIMMONPOINT_TESTS_SOAK_FAULT_PROXY_HPP_INCLUDED
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <set>
 
 namespace persimmonpoint::tests {
 
@@ -19,12 +22,22 @@
 /// thread.
 class fault_proxy {
 public:
-    fault_proxy(boost::asio::io_context& loop, std::uint16_t target);
+    /// Number of whoever opened a connection, by the ports at its end and at the proxy's.
+    using caller_lookup =
+        std::function<std::size_t(std::uint16_t near, std::uint16_t far)>;
+
+    fault_proxy(
+        boost::asio::io_context& loop,
+        std::uint16_t target,
+        caller_lookup caller_at = nullptr);
     ~fault_proxy();
 
     std::uint16_t port() const;
     /// For open connections and new ones, until it is set again.
     void set_fault(link_fault fault);
+    /// Nothing passes between these callers and the target, whatever the fault is. For
+    /// open connections and new ones, until it is set again.
+    void cut_callers(std::set<std::size_t> callers);
     /// Open connections carry nothing any more, for good; new ones work.
     void silence();
     void reset();
--- a/tests/soak/host_process.hpp
+++ b/tests/soak/host_process.hpp
@@ -23,6 +23,7 @@
     /// Sends a signal; nothing happens if the process has ended.
     void send(int signal);
     bool running();
+    pid_t number() const { return this->id; }
     /// How it ended: "exit 0", "signal 9"; empty while it runs.
     std::string ending();
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -42,7 +42,10 @@
     if (faults == "leadership") {
         return plan_leadership_soak;
     }
-    return faults == "unseen" ? plan_unseen_soak : nullptr;
+    if (faults == "unseen") {
+        return plan_unseen_soak;
+    }
+    return faults == "silent" ? plan_silent_soak : nullptr;
 }
 
 soak_time now() {
@@ -144,6 +147,9 @@
     if (late) {
         std::cout << " by " << fault.delay.count() << " ms";
     }
+    if (fault.kind == soak_fault::primary_silent_to_hosts) {
+        std::cout << ", hosts: " << fault.rank;
+    }
     std::cout << '\n';
 }
 
@@ -220,7 +226,7 @@
         "length", "Seconds of faults", cxxopts::value<unsigned>()->default_value("10"))(
         "hosts", "Processes", cxxopts::value<std::size_t>()->default_value("3"))(
         "callers", "Callers", cxxopts::value<std::size_t>()->default_value("12"))(
-        "faults", "everyday, leadership, or unseen",
+        "faults", "everyday, leadership, unseen, or silent",
         cxxopts::value<std::string>()->default_value("everyday"));
     auto const given = parser.parse(argc, argv);
     soak_options options;
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -22,7 +22,7 @@
     bool host;
 };
 
-constexpr std::array<kind_traits, 33> traits = {{
+constexpr std::array<kind_traits, 35> traits = {{
     {soak_fault::host_killed, "host killed", false, false, true},
     {soak_fault::host_stopped, "host stopped", true, false, true},
     {soak_fault::host_paused, "host paused", false, false, true},
@@ -56,6 +56,8 @@
     {soak_fault::replica_joined, "replica joined without a row", true, false, false},
     {soak_fault::primary_cut, "primary cut from its replicas", false, false, false},
     {soak_fault::primary_leaving, "primary leaving", true, false, false},
+    {soak_fault::primary_silent_to_hosts, "primary silent to hosts", false, false, false},
+    {soak_fault::ranked_host_paused, "host of a rank paused", false, false, true},
 }};
 
 /// The kinds that plan_soak draws from: the first ones. The seeds that failed once keep
@@ -206,6 +208,34 @@
     return back;
 }
 
+/// One scene of plan_silent_soak; when the last of it heals.
+milliseconds add_silent_scene(planner& drawn, milliseconds at, std::size_t hosts) {
+    planned_fault silence;
+    silence.kind = soak_fault::primary_silent_to_hosts;
+    silence.at = at;
+    silence.length = milliseconds(drawn.draw(3500, 6000));
+    silence.rank = 1 + drawn.draw_index(std::max<std::size_t>(hosts, 2) - 1);
+    planned_fault pause;
+    pause.kind = soak_fault::ranked_host_paused;
+    pause.at = at + milliseconds(drawn.draw(900, 2200));
+    pause.length = milliseconds(drawn.draw(450, 800));
+    planned_fault cut;
+    cut.kind = soak_fault::primary_cut;
+    cut.at = pause.at + milliseconds(drawn.draw(-200, 500));
+    cut.length = milliseconds(drawn.draw(2500, 4000));
+    planned_fault joined;
+    joined.kind = soak_fault::replica_joined;
+    joined.at = cut.at + milliseconds(drawn.draw(20, 300));
+    joined.length = milliseconds(drawn.draw(0, heartbeat_ms));
+    drawn.add(silence, 1);
+    for (pause.rank = silence.rank; pause.rank < hosts; ++pause.rank) {
+        drawn.add(pause, 1);
+    }
+    drawn.add(cut, 1);
+    drawn.add(joined, 1);
+    return std::max(at + silence.length, cut.at + cut.length);
+}
+
 } // namespace
 
 char const* to_string(soak_fault kind) {
@@ -214,7 +244,8 @@
 
 bool hits_primary(soak_fault kind) {
     return kind == soak_fault::primary_killed || kind == soak_fault::primary_isolated ||
-           kind == soak_fault::primary_cut || kind == soak_fault::primary_leaving;
+           kind == soak_fault::primary_cut || kind == soak_fault::primary_leaving ||
+           kind == soak_fault::primary_silent_to_hosts;
 }
 
 bool is_planned(soak_fault kind) {
@@ -287,4 +318,16 @@
     return drawn.finish();
 }
 
+std::vector<planned_fault> plan_silent_soak(
+    std::uint64_t seed,
+    milliseconds length,
+    std::size_t hosts,
+    std::size_t /*databases*/) {
+    planner drawn(seed, length);
+    for (milliseconds at(drawn.draw(500, 1500)); at < length;) {
+        at = add_silent_scene(drawn, at, hosts) + milliseconds(drawn.draw(1000, 2500));
+    }
+    return drawn.finish();
+}
+
 } // namespace persimmonpoint::tests
--- a/tests/soak/soak_plan.hpp
+++ b/tests/soak/soak_plan.hpp
@@ -43,6 +43,8 @@
     replica_joined,      ///< With the primary's log; it has no row until it heals.
     primary_cut,     ///< From the databases that there are; those that join are linked.
     primary_leaving, ///< Drains until it heals, then ends.
+    primary_silent_to_hosts, ///< Those before a rank don't reach it.
+    ranked_host_paused,      ///< Played as host_paused, of the host at a rank.
 };
 
 /// Name in the soak's report.
@@ -61,6 +63,7 @@
     std::chrono::milliseconds at{0};
     std::chrono::milliseconds length{0};
     std::chrono::milliseconds delay{0}; ///< Of what comes late.
+    std::size_t rank = 0; ///< In the order in which hosts serve the primary.
 };
 
 /// Faults that come in series and overlap, drawn from the seed, ordered by time.
@@ -85,6 +88,15 @@
     std::size_t hosts,
     std::size_t databases);
 
+/// A primary is silent to some hosts, those that reach it don't answer when they are
+/// asked, and it is cut from its replicas and acknowledges with a replica that has no row
+/// yet.
+std::vector<planned_fault> plan_silent_soak(
+    std::uint64_t seed,
+    std::chrono::milliseconds length,
+    std::size_t hosts,
+    std::size_t databases);
+
 } // namespace persimmonpoint::tests
 
 #endif // PERSIMMONPOINT_TESTS_SOAK_SOAK_PLAN_HPP_INCLUDED
--- a/tests/soak/soak_stage.cpp
+++ b/tests/soak/soak_stage.cpp
@@ -6,8 +6,10 @@
 #include <csignal>
 #include <fstream>
 #include <future>
+#include <persimmonpoint/core/routing/owner_ranking.hpp>
 #include <persimmonpoint/report/event_reader.hpp>
 #include <soak/soak_stage.hpp>
+#include <soak/socket_owner.hpp>
 #include <sstream>
 #include <stdexcept>
 #include <support/free_port.hpp>
@@ -23,7 +25,10 @@
 namespace {
 
 constexpr char const* group_name = "passcount-db";
+constexpr char const* zone = "a";
 constexpr std::size_t databases_in_group = 3;
+/// Of the databases that there are at the start.
+constexpr std::uint64_t long_ago_ms = 1000;
 constexpr soak_quota metered{"metered", 20, 20};
 constexpr milliseconds probe_patience(500);
 constexpr milliseconds poll_pause(50);
@@ -75,6 +80,12 @@
                .rfind("HTTP/1.1 200", 0) == 0;
 }
 
+std::uint64_t unix_ms() {
+    auto const now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(now).count());
+}
+
 std::string host_name(std::size_t host) {
     return "host-" + std::to_string(host);
 }
@@ -116,11 +127,6 @@
     this->group->set_order_hook([this](std::string const& id, std::string const& text) {
         this->note(id + " carries out " + text);
     });
-    for (std::string const& id : this->group->ids()) {
-        this->databases.push_back(
-            {id, std::make_unique<fault_proxy>(
-                     this->loop, port_of(this->group->address(id)))});
-    }
     for (std::size_t i = 0; i < host_count; ++i) {
         auto slot = std::make_unique<host_slot>();
         slot->callers = free_port();
@@ -129,6 +135,9 @@
         slot->store = std::make_unique<fault_proxy>(this->loop, this->store->port());
         this->hosts.push_back(std::move(slot));
     }
+    for (std::string const& id : this->group->ids()) {
+        this->databases.push_back(this->make_slot(id, long_ago_ms));
+    }
     this->configure();
     this->register_databases();
     this->thread = std::thread([this] {
@@ -170,6 +179,53 @@
     done.get_future().wait();
 }
 
+soak_stage::database_slot
+soak_stage::make_slot(std::string const& id, std::uint64_t born) {
+    database_slot slot;
+    slot.id = id;
+    slot.born = born;
+    slot.proxy = std::make_unique<fault_proxy>(
+        this->loop, port_of(this->group->address(id)),
+        [this](std::uint16_t near, std::uint16_t far) {
+            return this->host_at(near, far);
+        });
+    return slot;
+}
+
+std::size_t soak_stage::host_at(std::uint16_t near, std::uint16_t far) const {
+    auto const socket = find_socket(near, far);
+    auto const found =
+        std::find_if(this->hosts.begin(), this->hosts.end(), [&](auto const& each) {
+            return socket && has_socket(each->process_id, *socket);
+        });
+    return static_cast<std::size_t>(found - this->hosts.begin());
+}
+
+std::vector<std::size_t> soak_stage::ranked_hosts(std::string const& database) const {
+    std::vector<registered_host> all;
+    for (std::size_t i = 0; i < this->hosts.size(); ++i) {
+        all.push_back({host_name(i), at(this->hosts[i]->peers), zone});
+    }
+    std::vector<std::size_t> numbers;
+    for (std::string const& each : rank_owners(database, zone, all)) {
+        auto const found =
+            std::find_if(all.begin(), all.end(), [&each](registered_host const& host) {
+                return host.name == each;
+            });
+        numbers.push_back(static_cast<std::size_t>(found - all.begin()));
+    }
+    return numbers;
+}
+
+void soak_stage::cut_first_hosts(database_slot& slot, std::size_t rank) {
+    auto const ranked = this->ranked_hosts(slot.id);
+    slot.silent_to.clear();
+    for (std::size_t i = 0; i < std::min(rank, ranked.size()); ++i) {
+        slot.silent_to.insert(ranked[i]);
+        this->note(slot.id + " is silent to " + host_name(ranked[i]));
+    }
+}
+
 void soak_stage::configure() {
     std::string routes = route("alerts", "primary") + "," +
                          route("browse", "bounded_staleness") + "," +
@@ -210,10 +266,11 @@
         this->store->put(
             "servers", slot.id,
             R"({"service":")" + std::string(group_name) + R"(","address":")" +
-                at(slot.proxy->port()) +
-                R"(","zone":"a","version":"v1","slots":4,"state":")" + state +
+                at(slot.proxy->port()) + R"(","zone":")" + zone +
+                R"(","version":"v1","slots":4,"state":")" + state +
                 R"(","database_role":")" + role +
-                R"(","cold_remaining_ms":0,"sequence":1,"born":1000})");
+                R"(","cold_remaining_ms":0,"sequence":1,"born":)" +
+                std::to_string(slot.born) + "}");
         return;
     }
     bool const lapsed =
@@ -244,9 +301,7 @@
     slot.draining = true;
     std::string const id = this->group->add_copy_of(slot.id);
     this->note(id + " is to replace " + slot.id);
-    auto proxy =
-        std::make_unique<fault_proxy>(this->loop, port_of(this->group->address(id)));
-    this->successors[database] = {id, std::move(proxy)};
+    this->successors[database] = this->make_slot(id, unix_ms());
     this->register_databases();
 }
 
@@ -264,8 +319,7 @@
 std::size_t soak_stage::join_replica() {
     std::string const id = this->group->add_copy_of(this->group->leader());
     this->note(id + " joins");
-    database_slot slot{
-        id, std::make_unique<fault_proxy>(this->loop, port_of(this->group->address(id)))};
+    database_slot slot = this->make_slot(id, unix_ms());
     slot.unheard = this->store_lost;
     slot.silent_since = std::chrono::steady_clock::now();
     this->databases.push_back(std::move(slot));
@@ -328,7 +382,7 @@
     std::string const number = std::to_string(host);
     auto const written = this->folder / ("host-" + number + ".toml.new");
     std::ofstream(written) << "[host]\nname = \"host-" << number
-                           << "\"\navailability_zone = \"a\"\n"
+                           << "\"\navailability_zone = \"" << zone << "\"\n"
                            << "[listen]\ncallers = \"" << at(slot.callers)
                            << "\"\nreadiness = \"" << at(slot.readiness)
                            << "\"\npeers = \"" << at(slot.peers) << "\"\n"
@@ -348,6 +402,7 @@
     slot.ending = false;
     slot.process = std::make_unique<host_process>(
         this->program, this->folder / (name + ".toml"), this->folder / (name + ".log"));
+    slot.process_id = slot.process->number();
 }
 
 void soak_stage::end_process(std::size_t host, int signal) {
@@ -396,6 +451,10 @@
 planned_fault soak_stage::begin(planned_fault fault) {
     if (hits_primary(fault.kind)) {
         fault.target = this->primary_number();
+    } else if (fault.kind == soak_fault::ranked_host_paused) {
+        fault.kind = soak_fault::host_paused;
+        auto const& primary = this->databases[this->primary_number()];
+        fault.target = this->ranked_hosts(primary.id).at(fault.rank);
     } else if (fault.kind == soak_fault::replica_joined) {
         this->on_loop([&] { fault.target = this->join_replica(); });
     }
@@ -484,6 +543,10 @@
     case soak_fault::store_away_lapsing:
         this->heartbeat_phase = fault.delay;
         return;
+    case soak_fault::primary_silent_to_hosts:
+        this->on_loop(
+            [&] { this->cut_first_hosts(this->databases[target], fault.rank); });
+        return;
     case soak_fault::promotions_late:
         this->on_loop([&] { this->store->set_promotion_delay(fault.delay); });
         return;
@@ -535,6 +598,8 @@
         link = link_fault::delayed;
     }
     bool const leaves = this->lasts(soak_fault::database_replaced, database);
+    bool const is_silent_to_some =
+        this->lasts(soak_fault::primary_silent_to_hosts, database);
     bool const departs = this->lasts(soak_fault::primary_leaving, database);
     this->on_loop([&] {
         if (departs && !slot.draining) {
@@ -549,6 +614,8 @@
             return;
         }
         slot.proxy->set_fault(link);
+        slot.proxy->cut_callers(
+            is_silent_to_some ? slot.silent_to : std::set<std::size_t>());
         this->group->set_deaf(slot.id, this->lasts(soak_fault::replica_deaf, database));
         this->group->set_isolated(
             slot.id, this->lasts(soak_fault::primary_isolated, database));
--- a/tests/soak/soak_stage.hpp
+++ b/tests/soak/soak_stage.hpp
@@ -1,6 +1,7 @@
 #ifndef PERSIMMONPOINT_TESTS_SOAK_SOAK_STAGE_HPP_INCLUDED
 #define PERSIMMONPOINT_TESTS_SOAK_SOAK_STAGE_HPP_INCLUDED
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <filesystem>
@@ -60,11 +61,14 @@
         std::uint16_t peers = 0;
         std::unique_ptr<fault_proxy> store;
         std::unique_ptr<host_process> process;
-        bool ending = false; ///< Was sent SIGTERM or SIGKILL.
+        std::atomic<pid_t> process_id{-1}; ///< Of the last one that was started.
+        bool ending = false;               ///< Was sent SIGTERM or SIGKILL.
     };
     struct database_slot {
         std::string id;
+        std::uint64_t born = 0; ///< Milliseconds of Unix time.
         std::unique_ptr<fault_proxy> proxy;
+        std::set<std::size_t> silent_to; ///< Hosts; while it is silent to some.
         bool alive = true;
         bool registered = false;
         bool draining = false;
@@ -77,6 +81,13 @@
     bool lasts(soak_fault kind, std::size_t target) const;
     bool lasts_anywhere(soak_fault kind) const;
     void on_loop(std::function<void()> const& action);
+    database_slot make_slot(std::string const& id, std::uint64_t born);
+    /// Whose connection has these ports at its ends; the number of hosts if it is
+    /// nobody's.
+    std::size_t host_at(std::uint16_t near, std::uint16_t far) const;
+    /// Numbers of the hosts in the order in which they serve a database.
+    std::vector<std::size_t> ranked_hosts(std::string const& database) const;
+    void cut_first_hosts(database_slot& slot, std::size_t rank);
     void configure();
     void register_databases();
     void register_database(database_slot& slot);
