--- a/src/persimmonpoint/core/recovery/acknowledgement_gate.cpp
+++ b/src/persimmonpoint/core/recovery/acknowledgement_gate.cpp
@@ -17,6 +17,15 @@
 /// Maximum age of a report that shows a replica free.
 constexpr duration free_report_max_age = std::chrono::seconds(1);
 
+/// How long the database has been running at least, by the time of day.
+duration least_age(registered_database const& of, std::uint64_t unix_ms) {
+    if (of.started_ms == 0 || of.started_ms > unix_ms) {
+        return duration(0);
+    }
+    duration const age = std::chrono::milliseconds(unix_ms - of.started_ms);
+    return std::clamp<duration>(age - clock_tolerance, duration(0), longest_late_call);
+}
+
 } // namespace
 
 void acknowledgement_gate::set_databases(
@@ -32,14 +41,9 @@
             next.emplace(each.id, known->second);
             continue;
         }
-        duration const age = std::chrono::milliseconds(
-            each.started_ms > 0 && unix_ms > each.started_ms ? unix_ms - each.started_ms
-                                                             : 0);
-        bool const runs_for_long =
-            !this->has_list && age >= longest_late_call + clock_tolerance;
         replica& added = next[each.id];
         added.started_ms = each.started_ms;
-        added.listed_at = runs_for_long ? now - longest_late_call : now;
+        added.listed_at = this->has_list ? now : now - least_age(each, unix_ms);
         note_row(added, each, true, now);
     }
     this->replicas = std::move(next);
--- a/tests/introspective/acknowledgement_gate.tests.cpp
+++ b/tests/introspective/acknowledgement_gate.tests.cpp
@@ -185,14 +185,24 @@
     acknowledgement_gate gate;
     std::vector<registered_database> const databases = {
         listed("p"), listed("old", time_of_day_ms - 60'000),
-        listed("young", time_of_day_ms - 20'000), listed("unknown", 0)};
+        listed("young", time_of_day_ms - 20'000), listed("new", time_of_day_ms - 12'000),
+        listed("unknown", 0)};
     gate.set_databases(databases, start, time_of_day_ms);
     gate.add(1, {"p", log_position{3, 41}, start + seconds(2)});
     gate.reported("young", state(41), start, start);
+    gate.reported("new", state(41), start, start);
     gate.reported("unknown", state(41), start, start);
     CHECK(gate.decide(start).empty());
-    gate.reported("old", state(41), start, start);
-    CHECK(gate.decide(start).size() == 1);
+    SECTION("one that runs for long counts") {
+        gate.reported("old", state(41), start, start);
+        CHECK(gate.decide(start).size() == 1);
+    }
+    SECTION("one that runs for some time counts while those before it are free") {
+        gate.reported("old", state(40), start, start);
+        auto const decisions = gate.decide(start);
+        REQUIRE(decisions.size() == 1);
+        CHECK(decisions.front().replica == "young");
+    }
 }
 
 TEST_CASE(
