Soak: judge promotions by what databases acknowledged, too

Since the soak counted a commit as lost at a promotion only if a caller had been told of it.

Each entry of lossy_promotions is a violation again, with a text of its own, beside the check of what callers were told. The stand-in records no registrations, so holders aren't told apart by them: every lossy promotion counts, also one whose missing commits nobody has any longer.

The case "A promotion may drop what no caller was told of ... though its database acknowledged it to a host" stated the opposite. It becomes "A promotion doesn't drop what a database acknowledged to a host, though no caller heard", with the same history, which must now be found; four more sections plant a second run, a dead holder, none, and two promotions. What was acknowledged to nobody may still be dropped.

--- a/tests/introspective/soak_record.tests.cpp
+++ b/tests/introspective/soak_record.tests.cpp
@@ -39,6 +39,16 @@
     CHECK_THAT(found.front(), Catch::Contains(what));
 }
 
+/// What is found if the second write was acknowledged to a host and dropped.
+std::string const acknowledged_and_dropped =
+    "promoted without commits that its database had acknowledged: "
+    "db-1 in term 2 lacked 1, db-0 (alive) had 1";
+
+void drop_acknowledged(soak_evidence& evidence) {
+    evidence.dropped = {{"c0-0", "second", "db-1", 2, start + milliseconds(20)}};
+    evidence.lossy_promotions = {{"db-1", 2, 1, {{"db-0", 1, true}}}};
+}
+
 } // namespace
 
 TEST_CASE("The soak's checks let a right history pass", "[soak]") {
@@ -47,11 +57,11 @@
     CHECK(check_soak(evidence).empty());
 }
 
-TEST_CASE("A promotion may drop what no caller was told of", "[soak]") {
+TEST_CASE(
+    "A promotion may drop what was acknowledged to no host and no caller", "[soak]") {
     soak_evidence evidence = two_writes();
-    SECTION("though its database acknowledged it to a host") {
+    SECTION("as its outcome is unknown") {
         evidence.dropped = {{"c0-0", "second", "db-1", 2, start + milliseconds(20)}};
-        evidence.lossy_promotions = {{"db-1", 2, 1, {{"db-0", 1, true}}}};
         evidence.operations[1].outcome = soak_outcome::unknown;
         evidence.log.pop_back();
     }
@@ -62,17 +72,64 @@
     CHECK(check_soak(evidence).empty());
 }
 
+TEST_CASE(
+    "A promotion doesn't drop what a database acknowledged to a host, though no caller "
+    "heard",
+    "[soak]") {
+    soak_evidence evidence = two_writes();
+    drop_acknowledged(evidence);
+    SECTION("as its outcome is unknown") {
+        evidence.operations[1].outcome = soak_outcome::unknown;
+        evidence.log.pop_back();
+        check_finds(evidence, acknowledged_and_dropped);
+    }
+    SECTION("before its second run was acknowledged") {
+        evidence.dropped.front().at = start + milliseconds(12);
+        evidence.log[1].term = 2;
+        check_finds(evidence, acknowledged_and_dropped);
+    }
+    SECTION("and whose holder died") {
+        evidence.operations[1].outcome = soak_outcome::unknown;
+        evidence.log.pop_back();
+        evidence.lossy_promotions.front().holders.front().alive = false;
+        check_finds(evidence, "db-1 in term 2 lacked 1, db-0 (dead) had 1");
+    }
+    SECTION("and which nobody has any longer") {
+        evidence.operations[1].outcome = soak_outcome::unknown;
+        evidence.log.pop_back();
+        evidence.lossy_promotions.front().holders.clear();
+        check_finds(evidence, "database had acknowledged: db-1 in term 2 lacked 1");
+    }
+    SECTION("at each of two promotions") {
+        evidence.operations[1].outcome = soak_outcome::unknown;
+        evidence.log.pop_back();
+        evidence.lossy_promotions.push_back({"db-2", 3, 4, {{"db-1", 4, true}}});
+        auto const found = check_soak(evidence);
+        REQUIRE(found.size() == 2);
+        CHECK(found[0] == acknowledged_and_dropped);
+        CHECK_THAT(
+            found[1], Catch::EndsWith("db-2 in term 3 lacked 4, db-1 (alive) had 4"));
+    }
+}
+
 TEST_CASE("The soak's checks catch what is planted in a history", "[soak]") {
     soak_evidence evidence = two_writes();
     SECTION("an acknowledged write that is gone") {
         evidence.log.pop_back();
         check_finds(evidence, "acknowledged and lost");
     }
-    SECTION("a promotion that dropped an acknowledged write") {
+    SECTION("a promotion that dropped a write that host and caller were told of") {
+        drop_acknowledged(evidence);
+        auto const found = check_soak(evidence);
+        REQUIRE(found.size() == 2);
+        CHECK_THAT(
+            found[0], Catch::Contains("promoted without acknowledged commits: db-1"));
+        CHECK_THAT(found[0], Catch::Contains("db-0 (alive) had 1"));
+        CHECK(found[1] == acknowledged_and_dropped);
+    }
+    SECTION("a promotion that dropped a write that only its caller was told of") {
         evidence.dropped = {{"c0-0", "second", "db-1", 2, start + milliseconds(20)}};
-        evidence.lossy_promotions = {{"db-1", 2, 1, {{"db-0", 1, true}}}};
         check_finds(evidence, "promoted without acknowledged commits: db-1");
-        check_finds(evidence, "db-0 (alive) had 1");
     }
     SECTION("a promotion that dropped a write of which a caller hears later") {
         evidence.dropped = {{"c0-0", "second", "db-1", 2, start + milliseconds(12)}};
--- a/tests/soak/soak_record.cpp
+++ b/tests/soak/soak_record.cpp
@@ -40,6 +40,7 @@
 
     std::vector<std::string> run() {
         this->check_promotions();
+        this->check_acknowledgements();
         for (soak_operation const& each : this->evidence.operations) {
             if (each.writes) {
                 this->check_write(each);
@@ -119,6 +120,16 @@
         }
     }
 
+    /// By what databases answered to hosts, whether or not a caller heard of it.
+    void check_acknowledgements() {
+        for (auto const& each : this->evidence.lossy_promotions) {
+            this->found.push_back(
+                "promoted without commits that its database had acknowledged: " +
+                each.database + " in term " + std::to_string(each.term) + " lacked " +
+                std::to_string(each.missing) + describe(each));
+        }
+    }
+
     void check_write(soak_operation const& write) {
         std::size_t const count = this->times(write.data);
         if (count > 1) {
