--- a/tests/introspective/leadership_model.tests.cpp
+++ b/tests/introspective/leadership_model.tests.cpp
@@ -2,6 +2,7 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <map>
 #include <support/leadership_hosts_model.hpp>
 #include <support/random_leadership_faults.hpp>
 #include <sys/resource.h>
@@ -69,6 +70,23 @@
         }
     }
 
+    template <class Condition>
+    void play_until(Condition condition) {
+        instant const end = this->group.now() + seconds(10);
+        while (!condition() && this->group.now() < end) {
+            this->play(milliseconds(10));
+        }
+        REQUIRE(condition());
+    }
+
+    /// d0 alone has all commits then; d3 is empty and receives nothing for 7 s.
+    void lose_replicas_but_an_empty_one() {
+        this->group.crash("d1", std::nullopt);
+        this->group.lapse("d1");
+        this->group.leave("d2", seconds(1), seconds(7));
+        this->play(milliseconds(1010));
+    }
+
     void lapse_all() {
         for (auto const& each : this->group.databases()) {
             this->group.lapse(each.first);
@@ -477,6 +495,120 @@
     CHECK(it.group.losses().empty());
 }
 
+TEST_CASE(
+    "An empty database isn't promoted while a crashed primary that lapsed may come back",
+    "[leadership][leadership-model][crashed-primary][!mayfail]") {
+    scene it;
+    it.host(0).manages = true;
+    it.lose_replicas_but_an_empty_one();
+    it.group.crash("d0", seconds(5));
+    it.play(milliseconds(3600));
+    it.group.lapse("d0");
+    it.play(seconds(20));
+    INFO(it.story());
+    CHECK(it.group.promotions() == 0);
+    CHECK(it.group.leads("d0"));
+    CHECK_FALSE(it.host(0).is_changing());
+    CHECK_FALSE(it.is_paused());
+}
+
+TEST_CASE(
+    "An empty database is promoted in the end if the only one with the log doesn't come "
+    "back",
+    "[leadership][leadership-model][crashed-primary]") {
+    scene it;
+    it.host(0).manages = true;
+    it.lose_replicas_but_an_empty_one();
+    it.group.crash("d0", std::nullopt);
+    it.play(seconds(90));
+    INFO(it.story());
+    CHECK(it.group.leads("d3"));
+    CHECK_FALSE(it.host(0).is_changing());
+}
+
+TEST_CASE(
+    "A leaving replica that alone has the last commits is promoted before it ends though "
+    "another replica is silent",
+    "[leadership][leadership-model][leaving-replica][!mayfail]") {
+    scene it;
+    it.group.leave("d1", milliseconds(6900), milliseconds(0));
+    it.group.leave("d2", milliseconds(6900), milliseconds(0));
+    it.play(milliseconds(200));
+    it.group.at("d3").deaf = true;
+    it.group.crash("d4", std::nullopt);
+    it.play(milliseconds(300));
+    it.group.crash("d0", std::nullopt);
+    REQUIRE(it.host(0).begin(change_reason::primary_lost));
+    it.play(seconds(20));
+    INFO(it.story());
+    CHECK(it.group.promotions() > 0);
+    CHECK(it.group.losses().empty());
+    CHECK(it.group.exempted_absent() == 0);
+}
+
+TEST_CASE(
+    "A former primary whose confirmation is carried out behind another host's promotion "
+    "doesn't lead again without what its successor acknowledged",
+    "[leadership][leadership-model][late-confirmation][!mayfail]") {
+    scene it;
+    it.group.at("d0").unreachable_from = {"h0"};
+    it.group.at("d0").deaf = true;
+    std::map<std::string, unsigned> calls;
+    it.faults.on_promotion = [&calls](std::string const& host, std::string const&) {
+        promotion_fate fate;
+        fate.answered = false;
+        fate.carried_out_after.reset();
+        if (++calls[host] == 1) {
+            fate.carried_out_after = milliseconds(host == "h0" ? 2500 : 2200);
+        }
+        return fate;
+    };
+    REQUIRE(it.host(0).begin(change_reason::primary_lost));
+    it.play_until([&calls] { return calls["h0"] > 0; });
+    it.host(0).kill(seconds(30));
+    REQUIRE(it.host(1).begin(change_reason::replica_held));
+    it.play_until([&calls] { return calls["h1"] > 0; });
+    REQUIRE(it.group.leads("d0"));
+    it.group.crash("d2", milliseconds(300)); // It is held no more.
+    it.play(seconds(10));
+    INFO(it.story());
+    REQUIRE(it.group.promotions() > 0);
+    CHECK(it.group.losses().empty());
+}
+
+TEST_CASE(
+    "A former primary isn't made to lead again by a confirmation that is carried out as "
+    "another host's repeated call takes effect",
+    "[leadership][leadership-model][late-confirmation][!mayfail]") {
+    scene it;
+    it.group.at("d0").unreachable_from = {"h0"};
+    it.group.at("d0").deaf = true;
+    std::optional<instant> confirmed_at;
+    std::optional<instant> accepted_at;
+    it.faults.on_promotion = [&](std::string const& host, std::string const&) {
+        instant const now = it.group.now();
+        promotion_fate fate;
+        if (host == "h0") {
+            fate.throttled = !confirmed_at;
+            accepted_at = fate.throttled ? accepted_at : accepted_at.value_or(now);
+        } else {
+            confirmed_at = confirmed_at.value_or(now);
+            it.group.at("d2").unreachable_from = {"h1"};
+            fate.throttled = !accepted_at || now < *accepted_at + milliseconds(560);
+            fate.carried_out_after = milliseconds(60);
+        }
+        return fate;
+    };
+    REQUIRE(it.host(0).begin(change_reason::primary_lost));
+    it.play(milliseconds(200));
+    REQUIRE(it.host(1).begin(change_reason::replica_held));
+    it.play_until([&accepted_at] { return accepted_at.has_value(); });
+    it.play(seconds(10));
+    INFO(it.story());
+    REQUIRE(it.group.promotions() > 0);
+    CHECK(it.group.losses().empty());
+}
+
 TEST_CASE(
     "A crashed primary is waited for while a replica may be unlisted that alone received "
     "from it, by a host that saw none of its commits",
