--- a/src/persimmonpoint/core/recovery/acknowledged_commits.cpp
+++ b/src/persimmonpoint/core/recovery/acknowledged_commits.cpp
@@ -5,7 +5,7 @@
 
 void acknowledged_commits::note(std::string_view database, log_position position) {
     if (!this->last || position > this->last->position) {
-        this->last = acknowledged_commit{position, std::string(database)};
+        this->last = acknowledged_commit{position, std::string(database), std::nullopt};
     }
 }
 
@@ -15,10 +15,32 @@
     }
 }
 
+void acknowledged_commits::lapsed(std::string_view database, instant now) {
+    if (this->last && this->last->database == database && !this->last->lapsed_at) {
+        this->last->lapsed_at = now;
+    }
+}
+
+void acknowledged_commits::came_back(std::string_view database) {
+    if (this->last && this->last->database == database) {
+        this->last->lapsed_at.reset();
+    }
+}
+
+bool acknowledged_commits::is_holder_missing() const {
+    return this->last && (this->last->database.empty() || this->last->lapsed_at);
+}
+
+bool acknowledged_commits::is_log_given_up(instant now) const {
+    return this->is_holder_missing() &&
+           (this->last->database.empty() ||
+            now - *this->last->lapsed_at >= lapsed_log_patience);
+}
+
 std::optional<log_position>
-acknowledged_commits::required(directory_listing listing) const {
-    bool const is_lost = this->last && this->last->database.empty() &&
-                         listing == directory_listing::complete;
+acknowledged_commits::required(directory_listing listing, instant now) const {
+    bool const is_lost =
+        this->is_log_given_up(now) && listing == directory_listing::complete;
     return this->last && !is_lost ? std::optional(this->last->position) : std::nullopt;
 }
 
--- a/src/persimmonpoint/core/recovery/acknowledged_commits.hpp
+++ b/src/persimmonpoint/core/recovery/acknowledged_commits.hpp
@@ -4,15 +4,22 @@
 #include <optional>
 #include <persimmonpoint/core/membership/directory_readings.hpp>
 #include <persimmonpoint/core/routing/log_position.hpp>
+#include <persimmonpoint/core/time.hpp>
 #include <string>
 #include <string_view>
 
 namespace persimmonpoint {
 
+/// A database whose row lapsed is waited for this long, if no other has what it
+/// acknowledged: one that crashed comes back with its log.
+inline constexpr duration lapsed_log_patience = std::chrono::seconds(30);
+
 /// The log of `database` reached at least `position` when it acknowledged a commit.
 struct acknowledged_commit {
     log_position position;
     std::string database; ///< Empty once its log is gone.
+    /// Since when the database isn't listed, though it had not told that it leaves.
+    std::optional<instant> lapsed_at;
 };
 
 /// What one host knows of the commits that were acknowledged in one group: a database
@@ -22,10 +29,19 @@
     void note(std::string_view database, log_position position);
     /// The database left its group, or started again with an empty log.
     void log_lost(std::string_view database);
+    /// The database is no longer listed: it is silent, and may come back with its log.
+    void lapsed(std::string_view database, instant now);
+    /// It is listed again, with the log that it had.
+    void came_back(std::string_view database);
     std::optional<acknowledged_commit> const& newest() const { return this->last; }
     /// The position that a database has to reach to be promoted. None if the log that
-    /// had it is gone and, by `listing`, no unlisted database can have it.
-    std::optional<log_position> required(directory_listing listing) const;
+    /// had it is gone, or was waited for in vain, and, by `listing`, no unlisted database
+    /// can have it.
+    std::optional<log_position> required(directory_listing listing, instant now) const;
+    /// True if the database that had the newest commit isn't there.
+    bool is_holder_missing() const;
+    /// True if its log is gone, or was waited for in vain.
+    bool is_log_given_up(instant now) const;
 
 private:
     std::optional<acknowledged_commit> last;
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -73,7 +73,8 @@
         return "none";
     }
     std::string const holder = commit->database.empty() ? "gone" : commit->database;
-    return holder + " " + to_string(commit->position);
+    return holder + " " + to_string(commit->position) +
+           (commit->lapsed_at ? ", lapsed" : "");
 }
 
 std::string describe(std::vector<promotion_evidence> const& all, instant now) {
@@ -84,6 +85,12 @@
     return text;
 }
 
+/// A database as it was last listed.
+struct listed_database {
+    std::uint64_t started_ms = 0;
+    bool leaving = false;
+};
+
 /// Answers of other hosts on whether they reach a database.
 struct reach_survey {
     std::size_t asked = 0;
@@ -101,8 +108,9 @@
 
 struct watched_group {
     std::string primary; ///< Empty if none is known.
-    /// Registered databases, with the time of their start.
-    std::map<std::string, std::uint64_t> databases;
+    std::map<std::string, listed_database> databases;
+    /// Those whose rows lapsed, though they had not told that they leave.
+    std::map<std::string, listed_database> lapsed;
     /// Of databases that left or lost their logs; set with `databases`.
     std::optional<departure_memory> departures;
     std::unique_ptr<primary_failure_detector> suspicion;
@@ -211,24 +219,50 @@
     }
 
     void note_departures_from(watched_group& group, group_routing& routing) {
-        std::map<std::string, std::uint64_t> present;
+        std::map<std::string, listed_database> present;
         for (registered_database const& each : routing.databases()) {
-            present[each.id] = each.started_ms;
+            present[each.id] = {each.started_ms, each.leaving};
         }
         if (!group.departures) {
             group.departures.emplace(this->started);
         }
-        for (auto const& [id, started] : group.databases) {
+        for (auto const& [id, before] : group.databases) {
             auto const found = present.find(id);
-            if (found == present.end() || found->second != started) {
-                group.departures->replica_left(this->now());
+            bool const is_missing = found == present.end();
+            if (!is_missing && found->second.started_ms == before.started_ms) {
+                continue;
+            }
+            group.departures->replica_left(this->now());
+            this->unacknowledged.erase(id);
+            if (is_missing && !before.leaving) {
+                group.lapsed[id] = before;
+                routing.acknowledged.lapsed(id, this->now());
+            } else {
                 routing.acknowledged.log_lost(id);
-                this->unacknowledged.erase(id);
             }
         }
+        this->note_returns_to(group, routing, present);
         group.databases = std::move(present);
     }
 
+    static void note_returns_to(
+        watched_group& group,
+        group_routing& routing,
+        std::map<std::string, listed_database> const& present) {
+        std::erase_if(group.lapsed, [&](auto const& each) {
+            auto const found = present.find(each.first);
+            if (found == present.end()) {
+                return false;
+            }
+            if (found->second.started_ms == each.second.started_ms) {
+                routing.acknowledged.came_back(each.first);
+            } else {
+                routing.acknowledged.log_lost(each.first);
+            }
+            return true;
+        });
+    }
+
     /// The host that owns the primary's connections has the evidence; without a primary
     /// some host must still act.
     bool manages(std::string const& name, group_routing const& routing) const {
@@ -637,21 +671,20 @@
         group_routing& routing = this->context.view.group(name);
         acknowledged_commits& known = routing.acknowledged;
         if (known.newest() && routing.find(known.newest()->database) == nullptr) {
-            known.log_lost(known.newest()->database);
+            known.lapsed(known.newest()->database, this->now());
         }
-        // Otherwise how complete the directory is makes no difference.
-        bool const is_holder_gone = known.newest() && known.newest()->database.empty();
         std::optional<instant> const stopped = group.change->primary_stopped_at();
         instant const since = stopped.value_or(group.change_started);
         bool const is_long = this->now() - group.change_started > long_change;
         bool const lists_settled = this->lists_settled();
-        if (stopped || is_holder_gone || is_long || !lists_settled) {
+        // Otherwise how complete the directory is makes no difference.
+        if (stopped || known.is_holder_missing() || is_long || !lists_settled) {
             this->keep_reading(since);
         }
         commits.lists_settled = lists_settled;
         commits.directory_in_doubt = this->context.view.readings.is_in_doubt(this->now());
         commits.listing = this->context.view.readings.judge(since, this->now());
-        commits.acknowledged = known.required(commits.listing);
+        commits.acknowledged = known.required(commits.listing, this->now());
         commits.unacknowledged = this->unacknowledged_by(*group.change);
         return commits;
     }
--- a/tests/introspective/acknowledged_commits.tests.cpp
+++ b/tests/introspective/acknowledged_commits.tests.cpp
@@ -31,14 +31,51 @@
     }
     SECTION("which then binds a promotion until no unlisted database can have it") {
         commits.log_lost("db-2");
-        CHECK(commits.required(directory_listing::incomplete) == log_position{4, 60});
-        CHECK(commits.required(directory_listing::pending) == log_position{4, 60});
-        CHECK_FALSE(commits.required(directory_listing::complete));
+        CHECK(
+            commits.required(directory_listing::incomplete, start) ==
+            log_position{4, 60});
+        CHECK(
+            commits.required(directory_listing::pending, start) == log_position{4, 60});
+        CHECK_FALSE(commits.required(directory_listing::complete, start));
     }
     SECTION("and another one's loss changes nothing") {
         commits.log_lost("db-1");
         CHECK(commits.newest()->database == "db-2");
-        CHECK(commits.required(directory_listing::complete) == log_position{4, 60});
+        CHECK(
+            commits.required(directory_listing::complete, start) == log_position{4, 60});
+    }
+}
+
+TEST_CASE(
+    "A database whose row lapsed is waited for, as it may come back with its log",
+    "[leadership][commits]") {
+    acknowledged_commits commits;
+    commits.note("db-1", {4, 60});
+    commits.lapsed("db-2", start);
+    CHECK_FALSE(commits.is_holder_missing());
+    commits.lapsed("db-1", start);
+    CHECK(commits.is_holder_missing());
+    instant const late = start + lapsed_log_patience - milliseconds(1);
+    CHECK(commits.required(directory_listing::complete, late) == log_position{4, 60});
+    SECTION("but not for ever") {
+        CHECK_FALSE(
+            commits.required(directory_listing::complete, start + lapsed_log_patience));
+        CHECK(
+            commits.required(directory_listing::incomplete, start + lapsed_log_patience));
+    }
+    SECTION("unless it is back") {
+        commits.came_back("db-1");
+        CHECK_FALSE(commits.is_holder_missing());
+        CHECK(commits.required(
+            directory_listing::complete, start + 2 * lapsed_log_patience));
+    }
+    SECTION("or is back with an empty log") {
+        commits.log_lost("db-1");
+        CHECK_FALSE(commits.required(directory_listing::complete, start));
+    }
+    SECTION("or a newer commit is acknowledged") {
+        commits.note("db-2", {5, 61});
+        CHECK_FALSE(commits.is_holder_missing());
     }
 }
 
--- a/tests/introspective/leadership_model.tests.cpp
+++ b/tests/introspective/leadership_model.tests.cpp
@@ -497,7 +497,7 @@
 
 TEST_CASE(
     "An empty database isn't promoted while a crashed primary that lapsed may come back",
-    "[leadership][leadership-model][crashed-primary][!mayfail]") {
+    "[leadership][leadership-model][crashed-primary]") {
     scene it;
     it.host(0).manages = true;
     it.lose_replicas_but_an_empty_one();
--- a/tests/support/leadership_hosts_model.cpp
+++ b/tests/support/leadership_hosts_model.cpp
@@ -157,18 +157,45 @@
     this->readings.succeeded(time, 0);
     auto const& known = this->routing.databases();
     for (registered_database const& each : known) {
-        bool const has_left =
-            std::none_of(present.begin(), present.end(), [&each](auto const& one) {
-                return one.id == each.id && one.started_ms == each.started_ms;
+        auto const found =
+            std::find_if(present.begin(), present.end(), [&each](auto const& one) {
+                return one.id == each.id;
             });
-        if (has_left) {
-            this->departures.replica_left(time);
+        bool const is_missing = found == present.end();
+        if (!is_missing && found->started_ms == each.started_ms) {
+            continue;
+        }
+        this->departures.replica_left(time);
+        if (is_missing && !each.leaving) {
+            this->acknowledged.lapsed(each.id, time);
+            this->lapsed[each.id] = each.started_ms;
+        } else {
             this->acknowledged.log_lost(each.id);
         }
     }
+    this->note_returns(present);
     this->routing.set_databases(present);
 }
 
+void modelled_host::note_returns(std::span<registered_database const> present) {
+    for (registered_database const& each : present) {
+        auto const before = this->lapsed.extract(each.id);
+        if (before.empty()) {
+            continue;
+        }
+        if (before.mapped() == each.started_ms) {
+            this->acknowledged.came_back(each.id);
+        } else {
+            this->acknowledged.log_lost(each.id);
+        }
+    }
+}
+
+bool modelled_host::awaits_lapsed_log() const {
+    return this->is_changing() && this->acknowledged.is_holder_missing() &&
+           !this->acknowledged.is_log_given_up(this->fleet.group.now());
+}
+
 /// Only a host that reaches the primary sees its commits acknowledged.
 void modelled_host::note_commits() {
     auto const position = this->fleet.group.acknowledged_position();
@@ -381,7 +408,7 @@
     }
     auto const& newest = this->acknowledged.newest();
     if (newest && this->routing.find(newest->database) == nullptr) {
-        this->acknowledged.log_lost(newest->database);
+        this->acknowledged.lapsed(newest->database, time);
     }
     commit_knowledge commits;
     commits.directory_in_doubt = this->readings.is_in_doubt(time);
@@ -389,7 +416,7 @@
         !this->readings.in_reach_since() ||
         (this->readings.last() && time - *this->readings.last() <= listing_max_age);
     commits.listing = this->readings.judge(since, time);
-    commits.acknowledged = this->acknowledged.required(commits.listing);
+    commits.acknowledged = this->acknowledged.required(commits.listing, time);
     commits.unacknowledged = this->manages ? this->fleet.group.unacknowledged_count() : 0;
     return commits;
 }
--- a/tests/support/leadership_hosts_model.hpp
+++ b/tests/support/leadership_hosts_model.hpp
@@ -1,7 +1,9 @@
 #ifndef PERSIMMONPOINT_TESTS_SUPPORT_LEADERSHIP_HOSTS_MODEL_HPP_INCLUDED
 #define PERSIMMONPOINT_TESTS_SUPPORT_LEADERSHIP_HOSTS_MODEL_HPP_INCLUDED
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <persimmonpoint/core/membership/directory_readings.hpp>
@@ -12,6 +14,7 @@
 #include <persimmonpoint/core/recovery/primary_failure_detector.hpp>
 #include <persimmonpoint/core/recovery/token_demand.hpp>
 #include <persimmonpoint/core/routing/group_routing.hpp>
+#include <span>
 #include <string>
 #include <support/replicated_group_model.hpp>
 #include <vector>
@@ -97,6 +100,8 @@
     void read_directory();
     void note_commits();
     bool acts() const { return this->alive && !this->frozen; }
+    /// True if its change waits for a log that may come back.
+    bool awaits_lapsed_log() const;
     /// Commits of which callers were told that they are in doubt.
     std::size_t commits_in_doubt() const { return this->in_doubt; }
     /// A commit that this host had sent was acknowledged.
@@ -106,6 +111,7 @@
 
 private:
     std::vector<registered_database> listed_databases();
+    void note_returns(std::span<registered_database const> present);
     void step();
     bool can_watch() const;
     void watch();
@@ -149,6 +155,7 @@
     instant last_hold_check{};
     departure_memory departures;
     acknowledged_commits acknowledged;
+    std::map<std::string, std::uint64_t> lapsed; ///< Start of each that isn't listed.
     acknowledgement_gate gate;
     std::size_t in_doubt = 0;
     directory_readings readings;
--- a/tests/support/random_leadership_faults.cpp
+++ b/tests/support/random_leadership_faults.cpp
@@ -42,10 +42,20 @@
         this->play(time_with_faults);
         this->end_faults();
         this->play(time_to_recover);
+        if (this->awaits_lapsed_log()) {
+            this->play(lapsed_log_patience);
+        }
         return this->result();
     }
 
 private:
+    /// True if a host still waits for a log that may come back.
+    bool awaits_lapsed_log() const {
+        return std::any_of(
+            this->fleet.hosts.begin(), this->fleet.hosts.end(),
+            [](auto const& each) { return each->awaits_lapsed_log(); });
+    }
+
     // Which faults
 
     void choose_faults(fault_set const& allowed) {
