--- a/src/persimmonpoint/core/recovery/change_members.hpp
+++ b/src/persimmonpoint/core/recovery/change_members.hpp
@@ -40,6 +40,8 @@
     bool directory_in_doubt = false;
     /// True if each replica is listed that lets acknowledgements pass anywhere.
     bool lists_settled = true;
+    /// True if no other host can have taken the group's lease since it was granted.
+    bool lease_is_fresh = true;
 };
 
 /// What a change knows of one database of its group when it requests a promotion.
@@ -149,6 +151,8 @@
     bool may_miss_replica() const { return this->commits.directory_in_doubt; }
     /// True if a replica may be missing by which other hosts pass acknowledgements on.
     bool may_miss_settled() const { return !this->commits.lists_settled; }
+    /// True if another host may have taken the lease meanwhile.
+    bool may_have_lost_lease() const { return !this->commits.lease_is_fresh; }
     /// True if no primary is listed, but one that lives may be missing in the directory.
     bool may_miss_primary() const {
         return this->primary_member() == nullptr && this->commits.directory_in_doubt;
--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -822,6 +822,9 @@
         return;
     }
     if (this->candidate_is_caught_up()) {
+        if (this->renews_lease()) {
+            return;
+        }
         this->last_promotion_call.reset();
         this->request_in_flight = false;
         this->machine.fire(leadership_event::positions_covered);
@@ -842,6 +845,9 @@
     bool const answers =
         leader->leads() && leader->fresh && leader->answers(now, hold_report_max_age);
     if (answers && this->positions_are_recent(now) && this->leader_covers_held()) {
+        if (this->renews_lease()) {
+            return;
+        }
         this->last_promotion_call.reset();
         this->request_in_flight = false;
         this->machine.fire(leadership_event::positions_covered);
@@ -858,6 +864,15 @@
     this->poll_candidate(actions, now);
 }
 
+bool leadership_change::renews_lease() {
+    if (this->promotion_unsettled || !this->members.may_have_lost_lease()) {
+        return false;
+    }
+    this->request_in_flight = false;
+    this->machine.fire(leadership_event::token_outdated);
+    return true;
+}
+
 bool leadership_change::leader_covers_held() const {
     log_position const reached =
         this->members.all().find(this->chosen_id)->second.report->received;
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -215,6 +215,8 @@
     /// Holds replicas that joined or were released since all were held.
     void hold_again(std::vector<change_action>& actions, instant now);
     void note_foreign_holds(instant now);
+    /// Asks for the lease again if it may have lapsed; true if it does.
+    bool renews_lease();
     bool positions_are_recent(instant now) const;
     bool is_recent(change_member const& member, instant now) const;
     void compare_with_leader(std::vector<change_action>& actions, instant now);
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -123,6 +123,7 @@
     instant change_started{};
     instant next_change{};
     instant next_planned_change{}; ///< The same for a primary that leaves.
+    instant token_granted{};       ///< The one that the present change goes by.
     instant lease_until{}; ///< Until then no other host may change the group's leader.
     instant leave_alone_until{};
     bool asking = false;
@@ -593,6 +594,7 @@
                 }
                 if (token) {
                     keeper->groups[name].tokens.granted(*token);
+                    keeper->groups[name].token_granted = keeper->now();
                     change->token_granted(*token);
                     keeper->step(name, keeper->groups[name]);
                 } else {
@@ -667,6 +669,8 @@
 
     commit_knowledge known_commits(std::string const& name, watched_group const& group) {
         commit_knowledge commits;
+        commits.lease_is_fresh = this->now() - group.token_granted <
+                                 std::chrono::milliseconds(lease_duration_ms);
         if (!this->context.view.replicates_commits(name)) {
             return commits;
         }
--- a/tests/introspective/leadership_premises.tests.cpp
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -556,3 +556,26 @@
     group.run(change, now, seconds(1));
     CHECK(group.count(change_action_kind::promote) <= calls + 1);
 }
+
+TEST_CASE(
+    "A change that waited for longer than its lease lasts doesn't call for a promotion "
+    "beside the next holder",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["p"].alive = false;
+    group.known.lists_settled = false;
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
+    instant now = start;
+    group.run(change, now, seconds(1));
+    REQUIRE(group.count(change_action_kind::request_token) == 1);
+    group.known.lists_settled = true;
+    group.known.lease_is_fresh = false;
+    group.run(change, now, milliseconds(50));
+    CHECK(group.count(change_action_kind::promote) == 0);
+    CHECK(group.count(change_action_kind::request_token) > 1);
+    group.known.lease_is_fresh = true;
+    group.run(change, now, seconds(3));
+    CHECK(group.count(change_action_kind::promote) > 0);
+    CHECK_FALSE(group.leader.empty());
+    CHECK_FALSE(group.lost_commit);
+}
