--- a/src/persimmonpoint/core/recovery/change_members.hpp
+++ b/src/persimmonpoint/core/recovery/change_members.hpp
@@ -38,6 +38,8 @@
     bool directory_in_doubt = false;
     /// True if each replica is listed that lets acknowledgements pass anywhere.
     bool lists_settled = true;
+    /// True if no other host sends the primary a commit any more, as far as that matters.
+    bool fence_stands = true;
 };
 
 /// What a change knows of one database of its group when it requests a promotion.
@@ -144,8 +146,11 @@
     }
     /// True if a replica that lives may be missing in the directory.
     bool may_miss_replica() const { return this->commits.directory_in_doubt; }
-    /// True if a replica may be missing by which other hosts pass acknowledgements on.
-    bool may_miss_settled() const { return !this->commits.lists_settled; }
+    /// True if a replica may be missing by which other hosts pass acknowledgements on, or
+    /// if they may still send the primary commits.
+    bool lacks_premises() const {
+        return !this->commits.lists_settled || !this->commits.fence_stands;
+    }
     /// True if no primary is listed, but one that lives may be missing in the directory.
     bool may_miss_primary() const {
         return this->primary_member() == nullptr && this->commits.directory_in_doubt;
--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -768,7 +768,7 @@
         this->machine.fire(leadership_event::token_outdated);
         return;
     }
-    if (this->members.awaits_listing() || this->members.may_miss_settled()) {
+    if (this->members.awaits_listing() || this->members.lacks_premises()) {
         this->state_entered_at = now; // The candidate's time to catch up begins later.
         this->refresh_stale_reports(actions, now);
         this->poll_candidate(actions, now);
@@ -847,7 +847,7 @@
     this->hold_again(actions, now);
     this->refresh_stale_reports(actions, now);
     bool const may_call =
-        !may_lack_commits && (this->confirms_leader || !this->members.may_miss_settled());
+        !may_lack_commits && (this->confirms_leader || !this->members.lacks_premises());
     if (!this->request_in_flight && may_call &&
         (!this->last_promotion_call ||
          now - *this->last_promotion_call >= promotion_retry_interval)) {
--- a/src/persimmonpoint/core/statement/upstream_request.cpp
+++ b/src/persimmonpoint/core/statement/upstream_request.cpp
@@ -14,6 +14,8 @@
         return "transaction_lost";
     case upstream_refusal::unconfirmed:
         return "unconfirmed";
+    case upstream_refusal::fenced:
+        return "fenced";
     default:
         return "none";
     }
--- a/src/persimmonpoint/core/statement/upstream_request.hpp
+++ b/src/persimmonpoint/core/statement/upstream_request.hpp
@@ -76,7 +76,8 @@
     expired,          ///< The request timed out in the queue.
     transaction_lost, ///< The transaction is not open any more; it was rolled back.
     /// The primary acknowledged the commit, but no replica that all hosts know showed it.
-    unconfirmed
+    unconfirmed,
+    fenced ///< Another host is about to replace the primary, or may be.
 };
 
 /// Name of the reason as used in logs.
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -345,6 +345,11 @@
 
     void send_step(lane& on) {
         order_step const& next = on.steps[on.next_step];
+        bool const is_commit = next.is_main && on.counts_as_commit;
+        if (is_commit && !this->observer.may_send_commit(this->database.id)) {
+            this->commit_refused(on);
+            return;
+        }
         if (next.is_main) {
             on.main_sent = true;
             if (on.counts_as_commit) {
@@ -391,6 +396,27 @@
         }
     }
 
+    /// The commit was not sent; the transaction that it was to end is rolled back.
+    void commit_refused(lane& on) {
+        on.counts_as_commit = false;
+        pending_order pending = this->take_current(on);
+        bool const is_open = on.transaction.is_set() ||
+                             pending.order.kind == upstream_request_kind::commit;
+        if (is_open) {
+            this->roll_back(on);
+        } else {
+            on.view.state = pooled_connection_state::idle;
+            on.view.last_used = this->time.now();
+        }
+        // Whoever chose the connection goes on with it first.
+        asio::post(
+            this->loop,
+            [self = this->shared_from_this(), pending = std::move(pending)]() mutable {
+                self->reply(pending, not_run(upstream_refusal::fenced));
+                self->pump();
+            });
+    }
+
     void note_setup(lane& on, upstream_command const& command) {
         switch (command.action) {
         case upstream_action::reset:
--- a/src/persimmonpoint/engine/database_owner.hpp
+++ b/src/persimmonpoint/engine/database_owner.hpp
@@ -24,6 +24,8 @@
     virtual void on_answer(std::string const& database) = 0;
     virtual void on_refused(std::string const& database) = 0;
     virtual void on_silent(std::string const& database) = 0;
+    /// Asked as a write or COMMIT is about to be sent.
+    virtual bool may_send_commit(std::string const& /*database*/) { return true; }
     virtual void on_commit_sent(std::string const& database, instant sent_at) = 0;
     /// A write or COMMIT that was sent at `sent_at` was answered, or its connection
     /// broke.
--- a/src/persimmonpoint/engine/dispatcher.cpp
+++ b/src/persimmonpoint/engine/dispatcher.cpp
@@ -22,6 +22,18 @@
 constexpr std::size_t most_owners = 3;
 constexpr auto trim_interval = std::chrono::milliseconds(500);
 constexpr duration state_budget = std::chrono::milliseconds(150);
+/// A commit waits for a reading of the store for so long, and is not run then.
+constexpr duration guard_patience = std::chrono::milliseconds(300);
+/// Commits that may wait so; one more is not run.
+constexpr std::size_t most_unjudged = 400;
+
+/// A commit that waits for a reading of the store.
+struct unjudged_commit {
+    upstream_request order;
+    order_source source = 0;
+    response_handler done;
+    instant since{};
+};
 
 std::uint64_t draw_nonce() {
     std::random_device device;
@@ -146,11 +158,80 @@
             return;
         }
         if (changes_log(order) && this->view.replicates_commits(order.group)) {
-            done = this->confirmed(order, std::move(done));
+            this->run_commit(std::move(order), source, std::move(done));
+            return;
         }
         target->submit(std::move(order), source, std::move(done));
     }
 
+    void run_commit(upstream_request order, order_source source, response_handler done) {
+        unjudged_commit commit{
+            std::move(order), source, std::move(done), this->time.now()};
+        fence_verdict const verdict =
+            this->guard == nullptr
+                ? fence_verdict::allow
+                : this->guard->judge(commit.order.group, commit.order.database);
+        bool const may_wait = this->unjudged.size() < most_unjudged;
+        if (verdict == fence_verdict::needs_reading && may_wait) {
+            this->unjudged.push_back(std::move(commit));
+        } else {
+            this->decide(std::move(commit), verdict);
+        }
+    }
+
+    void decide(unjudged_commit commit, fence_verdict verdict) {
+        database_owner* const target = this->owner(commit.order.database);
+        if (target != nullptr && verdict == fence_verdict::allow) {
+            auto const waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+                this->time.now() - commit.since);
+            auto const spent = static_cast<std::uint32_t>(waited.count());
+            std::uint32_t& budget = commit.order.budget_ms;
+            // 0 stands for no limit of the order's own.
+            budget = budget > spent ? budget - spent : std::min(budget, 1U);
+            response_handler done = this->confirmed(commit.order, std::move(commit.done));
+            target->submit(std::move(commit.order), commit.source, std::move(done));
+            return;
+        }
+        if (target != nullptr && commit.order.transaction.is_set()) {
+            upstream_request end = commit.order;
+            end.kind = upstream_request_kind::rollback;
+            end.writes = false;
+            target->submit(
+                std::move(end), commit.source, [](upstream_response const&) {});
+        }
+        upstream_response answer;
+        answer.refusal = upstream_refusal::fenced;
+        commit.done(std::move(answer));
+    }
+
+    /// Looks at the commits that wait for a reading of the store.
+    void judge_again() {
+        instant const now = this->time.now();
+        for (unjudged_commit& each : std::exchange(this->unjudged, {})) {
+            fence_verdict const verdict =
+                this->guard->judge(each.order.group, each.order.database);
+            bool const may_wait = now - each.since < guard_patience;
+            if (verdict == fence_verdict::needs_reading && may_wait) {
+                this->unjudged.push_back(std::move(each));
+            } else {
+                this->decide(std::move(each), verdict);
+            }
+        }
+    }
+
+    void refuse_unjudged() {
+        for (unjudged_commit& each : std::exchange(this->unjudged, {})) {
+            this->decide(std::move(each), fence_verdict::refuse);
+        }
+    }
+
+    /// Whoever gave the orders is gone: nobody is told.
+    void forget_unjudged(order_source source) {
+        std::erase_if(this->unjudged, [source](unjudged_commit const& each) {
+            return each.source == source;
+        });
+    }
+
     /// The handler of a commit, which is told of a success only once it can't be lost.
     response_handler confirmed(upstream_request const& order, response_handler done) {
         instant const deadline =
@@ -245,6 +326,8 @@
     boost::asio::steady_timer trimmer;
     bool ends_transactions = false;
     peer_mesh* mesh = nullptr;
+    commit_guard* guard = nullptr;
+    std::vector<unjudged_commit> unjudged;
     std::map<std::string, std::unique_ptr<database_owner>, std::less<>> owners;
     mutable std::map<std::string, std::vector<std::string>, std::less<>> rankings;
 };
@@ -270,6 +353,15 @@
     this->impl->mesh = &mesh;
 }
 
+void dispatcher::use(commit_guard& guard) {
+    this->impl->guard = &guard;
+    guard.set_listener([weak = this->impl->weak_from_this()] {
+        if (auto const self = weak.lock()) {
+            self->judge_again();
+        }
+    });
+}
+
 void dispatcher::submit(upstream_request order, handler done) {
     registered_database const* const entry =
         this->impl->view.find_database(order.database);
@@ -297,6 +389,7 @@
 }
 
 void dispatcher::forget(order_source source) {
+    this->impl->forget_unjudged(source);
     for (auto& each : this->impl->owners) {
         each.second->forget(source);
     }
@@ -324,6 +417,7 @@
 }
 
 void dispatcher::close() {
+    this->impl->refuse_unjudged();
     this->impl->commits.close();
     for (auto& each : this->impl->owners) {
         each.second->close();
@@ -352,6 +446,7 @@
         sum += each.second->load();
     }
     sum += static_cast<std::uint32_t>(this->impl->commits.waiting());
+    sum += static_cast<std::uint32_t>(this->impl->unjudged.size());
     return sum;
 }
 
--- a/src/persimmonpoint/engine/dispatcher.hpp
+++ b/src/persimmonpoint/engine/dispatcher.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <persimmonpoint/engine/commit_guard.hpp>
 #include <persimmonpoint/engine/database_owner.hpp>
 #include <persimmonpoint/engine/fleet_view.hpp>
 #include <persimmonpoint/engine/peer_mesh.hpp>
@@ -30,6 +31,8 @@
         duration drain);
     ~dispatcher();
     void use(peer_mesh& mesh);
+    /// Commits are sent as far as the guard allows; all of them without one.
+    void use(commit_guard& guard);
 
     /// Gives the order to the first owner that is usable, and to the next one if it could
     /// not be run there.
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -44,6 +44,10 @@
 /// store.
 constexpr duration fresh_time = std::chrono::milliseconds(2500);
 constexpr auto token_retry = std::chrono::milliseconds(200);
+/// A primary that leaves and answered so recently serves until it is replaced.
+constexpr duration serves_lately = std::chrono::milliseconds(600);
+/// Between two readings of the directory that the same fence waits for.
+constexpr duration fence_reading_interval = std::chrono::milliseconds(200);
 
 /// One database in the log line of a promotion, for example
 /// "db-2 7.3337 held 35 ms" or "db-1 no report, left out: old primary, silent".
@@ -121,6 +125,7 @@
     bool token_prepared = false;
     token_demand tokens;
     std::set<std::string> stepping; ///< Databases with an order of the change under way.
+    instant last_fence_reading{};   ///< Of the directory, behind a fence.
 };
 
 /// Nothing is known before the first reading.
@@ -138,9 +143,11 @@
 
 struct leadership_keeper::implementation
     : std::enable_shared_from_this<leadership_keeper::implementation> {
-    implementation(run_context& context, leadership_authority& authority)
+    implementation(
+        run_context& context, leadership_authority& authority, commit_guard& guard)
         : context(context),
           authority(authority),
+          guard(guard),
           timer(context.loop),
           started(context.time.now()) {}
 
@@ -649,6 +656,7 @@
             this->keep_reading(since);
         }
         commits.lists_settled = lists_settled;
+        commits.fence_stands = this->fence_stands(name);
         commits.directory_in_doubt = this->context.view.readings.is_in_doubt(this->now());
         commits.listing = this->context.view.readings.judge(since, this->now());
         commits.acknowledged = known.required(commits.listing);
@@ -656,6 +664,55 @@
         return commits;
     }
 
+    /// Why other hosts send the primary of the present change no commit that matters.
+    std::string_view fence_of(std::string const& name) {
+        leadership_change const& change = *this->groups[name].change;
+        if (change.primary_stopped_at()) {
+            return "stopped";
+        }
+        bool const is_planned = change.reason() == change_reason::primary_leaving;
+        if (is_planned && this->has_answered(change.old_primary(), serves_lately)) {
+            return "planned";
+        }
+        return to_string(this->guard.standing(name));
+    }
+
+    /// Has the other hosts send no commits to the primary of the present change. True
+    /// once they don't, and each database that can have received one is listed.
+    bool fence_stands(std::string const& name) {
+        if (this->fence_of(name) == "planned") {
+            this->guard.end(name);
+            return true;
+        }
+        this->guard.call(name, this->groups[name].change->old_primary());
+        if (this->fence_of(name) == "stopped") {
+            return true;
+        }
+        std::optional<instant> const since = this->guard.stands_since(name);
+        return since && this->was_read_since(name, *since);
+    }
+
+    /// Otherwise has the directory read.
+    bool was_read_since(std::string const& name, instant since) {
+        directory_readings const& readings = this->context.view.readings;
+        bool const is_told = !readings.in_reach_since();
+        if (is_told || (readings.last() && *readings.last() >= since)) {
+            return true;
+        }
+        instant& last = this->groups[name].last_fence_reading;
+        if (last < since || this->now() - last > fence_reading_interval) {
+            last = this->now();
+            this->context.view.readings.began(last);
+            this->authority.read_directory();
+        }
+        return false;
+    }
+
+    bool has_answered(std::string const& database, duration age) const {
+        auto const found = this->answered_at.find(database);
+        return found != this->answered_at.end() && this->now() - found->second < age;
+    }
+
     /// True if this host's directory lists each replica that is settled at any host.
     bool lists_settled() const {
         directory_readings const& readings = this->context.view.readings;
@@ -699,6 +756,8 @@
              {"unacknowledged", this->unacknowledged_by(change)},
              {"directory", this->context.view.directory.current().version.number},
              {"lists_settled", this->lists_settled()},
+             {"fence", this->fence_of(name)},
+             {"hosts_unlinked", this->guard.hosts_unlinked()},
              {"directory_read_ms",
               this->milliseconds_since(this->context.view.readings.last())},
              {"store_reached_ms",
@@ -738,6 +797,7 @@
              {"term", action.term},
              {"took_ms", to_seconds(time - group.change_started) * 1000}});
         this->retired = std::move(group.change);
+        this->guard.end(name);
         group.next_change = time + between_changes;
         bool const stays = action.database == group.primary;
         group.next_planned_change = stays ? time + planned_pause : time;
@@ -776,6 +836,7 @@
 
     run_context& context;
     leadership_authority& authority;
+    commit_guard& guard;
     boost::asio::steady_timer timer;
     std::optional<instant> first_reading; ///< Of the directory.
     instant started; ///< No commit was sent, and no departure seen, before.
@@ -794,8 +855,8 @@
 };
 
 leadership_keeper::leadership_keeper(
-    run_context& context, leadership_authority& authority)
-    : impl(std::make_shared<implementation>(context, authority)) {}
+    run_context& context, leadership_authority& authority, commit_guard& guard)
+    : impl(std::make_shared<implementation>(context, authority, guard)) {}
 
 leadership_keeper::~leadership_keeper() {
     this->impl->timer.cancel();
@@ -808,10 +869,7 @@
 
 void leadership_keeper::probe(
     std::string const& database, std::function<void(bool)> done) {
-    auto const found = this->impl->answered_at.find(database);
-    bool const lately = found != this->impl->answered_at.end() &&
-                        this->impl->now() - found->second < reached_lately;
-    if (lately) {
+    if (this->impl->has_answered(database, reached_lately)) {
         done(true);
         return;
     }
--- a/src/persimmonpoint/engine/leadership_keeper.hpp
+++ b/src/persimmonpoint/engine/leadership_keeper.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <persimmonpoint/core/recovery/leadership_change.hpp>
 #include <persimmonpoint/core/recovery/lease_policy.hpp>
+#include <persimmonpoint/engine/commit_guard.hpp>
 #include <persimmonpoint/engine/database_owner.hpp>
 #include <persimmonpoint/engine/statement_run.hpp>
 #include <string>
@@ -35,7 +36,8 @@
 /// or are leaving.
 class leadership_keeper final : public owner_observer {
 public:
-    leadership_keeper(run_context& context, leadership_authority& authority);
+    leadership_keeper(
+        run_context& context, leadership_authority& authority, commit_guard& guard);
     ~leadership_keeper() override;
     void start(peer_mesh& mesh);
 
--- a/src/persimmonpoint/engine/mesh_observer.hpp
+++ b/src/persimmonpoint/engine/mesh_observer.hpp
@@ -26,6 +26,15 @@
     virtual void on_loan(loan_message const& message) = 0;
     virtual void
     on_reach_query(std::string const& database, std::function<void(bool)> done) = 0;
+    /// `answer` is called once the notice is complied with.
+    virtual void on_fence(
+        std::string const& host,
+        fence_message const& message,
+        std::function<void()> answer) = 0;
+    virtual void on_fence_answer(std::string const& host, std::uint64_t number) = 0;
+    /// What a host that links up must know before anything else; nothing if no primary is
+    /// fenced by this host.
+    virtual std::optional<fence_message> own_fences() = 0;
     /// A host became usable, or is no longer.
     virtual void on_peers_changed() = 0;
     /// A host that was taken to be there has answered over a new link.
--- a/src/persimmonpoint/engine/message_check.cpp
+++ b/src/persimmonpoint/engine/message_check.cpp
@@ -48,6 +48,12 @@
     bool operator()(leader_message const& message) const {
         return is_plain_word(message.group) && is_plain_word(message.database);
     }
+    bool operator()(fence_message const& message) const {
+        return std::all_of(
+            message.fenced.begin(), message.fenced.end(), [](auto const& each) {
+                return is_plain_word(each.group) && is_empty_or_word(each.primary);
+            });
+    }
     template <class Other>
     bool operator()(Other const&) const {
         return true;
--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -238,6 +238,9 @@
                 }
             });
         peer.link->send(hello_message{peer_protocol_version, this->self.name});
+        if (auto const fences = this->observer.own_fences()) {
+            peer.link->send(*fences);
+        }
         peer.last_alive = this->time.now();
         peer.link->send(this->observer.own_state());
         for (peer_message const& each : std::exchange(peer.unsent, {})) {
@@ -278,6 +281,10 @@
             this->observer.on_release(name, *release);
         } else if (auto* const reach = std::get_if<reach_answer_message>(&message)) {
             peer.exchanges.take(*reach);
+        } else if (auto* const fence = std::get_if<fence_message>(&message)) {
+            this->take_fence(name, *fence);
+        } else if (auto* const done = std::get_if<fence_answer_message>(&message)) {
+            this->observer.on_fence_answer(name, done->number);
         } else {
             this->news.take(std::move(message));
         }
@@ -289,6 +296,20 @@
         }
     }
 
+    void take_fence(std::string const& name, fence_message const& fence) {
+        this->observer.on_fence(
+            name, fence, [weak = this->weak_from_this(), name, number = fence.number] {
+                auto const mesh = weak.lock();
+                if (!mesh) {
+                    return;
+                }
+                auto const found = mesh->peers.find(name);
+                if (found != mesh->peers.end() && found->second.link) {
+                    found->second.link->send(fence_answer_message{number});
+                }
+            });
+    }
+
     /// Drops the link; what was sent over it has no known outcome.
     void lose(outgoing& peer, std::string_view reason) {
         bool const was_usable = peer.health.usable();
@@ -445,6 +466,32 @@
         });
 }
 
+bool peer_mesh::hears_all(duration age) const {
+    if (!this->impl->pace.fully_linked) {
+        return true;
+    }
+    instant const now = this->impl->time.now();
+    return std::all_of(
+        this->impl->peers.begin(), this->impl->peers.end(), [&](auto const& each) {
+            outgoing const& peer = each.second;
+            return peer.departed || peer.health.has_stopped() ||
+                   peer.health.heard_within(age, now);
+        });
+}
+
+std::vector<fence_partner> peer_mesh::fence_partners() const {
+    std::vector<fence_partner> partners;
+    for (auto const& [name, peer] : this->impl->peers) {
+        bool const is_linked = peer.health.connected();
+        bool const counts =
+            this->impl->pace.fully_linked ? !peer.health.has_stopped() : is_linked;
+        if (counts && !peer.departed) {
+            partners.push_back({name, is_linked});
+        }
+    }
+    return partners;
+}
+
 bool peer_mesh::is_linked(std::string_view host) const {
     auto const found = this->impl->peers.find(host);
     return host == this->impl->self.name ||
@@ -522,10 +569,14 @@
     this->impl->await(found->second);
 }
 
+void peer_mesh::tell_all(peer_message const& message) {
+    this->broadcast(message);
+    this->impl->server.tell(message);
+}
+
 void peer_mesh::announce() {
     alive_message const state = this->impl->observer.own_state();
-    this->broadcast(state);
-    this->impl->server.tell(state);
+    this->tell_all(state);
 }
 
 void peer_mesh::tell_news() {
--- a/src/persimmonpoint/engine/peer_mesh.hpp
+++ b/src/persimmonpoint/engine/peer_mesh.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
+#include <persimmonpoint/core/recovery/fence_call.hpp>
 #include <persimmonpoint/engine/mesh_observer.hpp>
 #include <persimmonpoint/engine/peer_exchanges.hpp>
 #include <persimmonpoint/interfaces/clock.hpp>
@@ -42,6 +43,12 @@
     std::vector<std::string> lost_hosts(duration age) const;
     /// True if each host that tells this one its news is linked, or has certainly ended.
     bool hears_neighbours() const;
+    /// True if each other host was heard within `age`, or has certainly stopped. In a
+    /// fleet whose hosts aren't all linked to each other, none is expected to be heard.
+    bool hears_all(duration age) const;
+    /// The other hosts that may send commits: in a fleet whose hosts aren't all linked to
+    /// each other, those that are linked to this one.
+    std::vector<fence_partner> fence_partners() const;
     /// True if messages reach the host at once; always true for this one.
     bool is_linked(std::string_view host) const;
     /// Opens a link to the host, if there is none and it may be there.
@@ -54,6 +61,8 @@
     void send(std::string const& host, peer_message const& message);
     /// To all hosts that are linked.
     void broadcast(peer_message const& message);
+    /// To all hosts that are linked, over the links of either side.
+    void tell_all(peer_message const& message);
     /// Asks whether a host reaches a database.
     void
     ask_reach(std::string const& host, std::string const& database, reach_handler done);
--- a/src/persimmonpoint/engine/peer_messages.cpp
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -51,7 +51,7 @@
 template <class Archive>
 void serialize(Archive& archive, upstream_response& value) {
     engine::archive_enum(archive, value.outcome, upstream_outcome::unknown);
-    engine::archive_enum(archive, value.refusal, upstream_refusal::unconfirmed);
+    engine::archive_enum(archive, value.refusal, upstream_refusal::fenced);
     engine::archive_enum(archive, value.error, statement_error::in_doubt);
     archive(value.error_text, value.rows, value.signature);
     engine::archive_enum(archive, value.state, transaction_state::failed);
@@ -81,6 +81,11 @@
     archive(value.configuration, value.databases, value.hosts);
 }
 
+template <class Archive>
+void serialize(Archive& archive, fenced_primary& value) {
+    archive(value.group, value.primary);
+}
+
 template <class Archive>
 void serialize(Archive& archive, database_directory& value) {
     archive(value.version, value.databases);
@@ -189,6 +194,16 @@
     archive(value.number, value.reached);
 }
 
+template <class Archive>
+void serialize(Archive& archive, fence_message& value) {
+    archive(value.number, value.fenced);
+}
+
+template <class Archive>
+void serialize(Archive& archive, fence_answer_message& value) {
+    archive(value.number);
+}
+
 std::string encode(peer_message const& message) {
     std::ostringstream out;
     out.write("\0\0\0\0", length_bytes);
--- a/src/persimmonpoint/engine/peer_messages.hpp
+++ b/src/persimmonpoint/engine/peer_messages.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
 #include <persimmonpoint/core/membership/news_desk.hpp>
+#include <persimmonpoint/core/recovery/fence_notice.hpp>
 #include <persimmonpoint/core/statement/upstream_request.hpp>
 #include <string>
 #include <variant>
@@ -16,7 +17,7 @@
 namespace persimmonpoint::engine {
 
 /// Raised when a message changes; hosts of other versions are not spoken to.
-inline constexpr std::uint32_t peer_protocol_version = 7;
+inline constexpr std::uint32_t peer_protocol_version = 8;
 
 /// Larger than any configuration that the store's client takes, and than any answer that
 /// a connection to a database takes.
@@ -104,6 +105,18 @@
     bool reached = false;
 };
 
+/// The primaries that the sender is about to replace: the receiver sends them no commit.
+struct fence_message {
+    std::uint64_t number = 0;
+    std::vector<fenced_primary> fenced;
+};
+
+/// The sender sends no commit that the notice of this number rules out, and none is on
+/// its way.
+struct fence_answer_message {
+    std::uint64_t number = 0;
+};
+
 using peer_message = std::variant<
     hello_message,
     order_message,
@@ -119,7 +132,9 @@
     loan_message,
     reach_query_message,
     reach_answer_message,
-    news_request_message>;
+    news_request_message,
+    fence_message,
+    fence_answer_message>;
 
 /// The message's bytes, with its length in front.
 std::string encode(peer_message const& message);
--- a/src/persimmonpoint/engine/peer_server.cpp
+++ b/src/persimmonpoint/engine/peer_server.cpp
@@ -108,6 +108,8 @@
             from.host = hello->host;
             if (hello->protocol != peer_protocol_version) {
                 this->incoming_gone(source);
+            } else if (auto const fences = this->observer.own_fences()) {
+                this->reply(source, *fences);
             }
         } else if (auto* const order = std::get_if<order_message>(&message)) {
             this->take_order(source, std::move(*order));
@@ -135,6 +137,16 @@
                         server->reply(source, reach_answer_message{number, reached});
                     }
                 });
+        } else if (auto* const fence = std::get_if<fence_message>(&message)) {
+            this->observer.on_fence(
+                from.host, *fence,
+                [weak = this->weak_from_this(), source, number = fence->number] {
+                    if (auto const server = weak.lock()) {
+                        server->reply(source, fence_answer_message{number});
+                    }
+                });
+        } else if (auto* const answer = std::get_if<fence_answer_message>(&message)) {
+            this->observer.on_fence_answer(from.host, answer->number);
         } else {
             this->news.take(std::move(message));
         }
@@ -194,9 +206,9 @@
     this->impl->look();
 }
 
-void peer_server::tell(alive_message const& state) {
+void peer_server::tell(peer_message const& message) {
     for (auto& each : this->impl->callers) {
-        each.second.link->send(state);
+        each.second.link->send(message);
     }
 }
 
--- a/src/persimmonpoint/engine/peer_server.hpp
+++ b/src/persimmonpoint/engine/peer_server.hpp
@@ -25,7 +25,7 @@
     /// Gives up the links that have been silent for too long.
     void look();
     /// Tells all hosts that are linked.
-    void tell(alive_message const& state);
+    void tell(peer_message const& message);
     /// Links with messages that are still to be sent.
     std::size_t unsent_links() const;
     void close();
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -12,6 +12,7 @@
 #include <persimmonpoint/core/routing/owner_ranking.hpp>
 #include <persimmonpoint/engine/boot_clock.hpp>
 #include <persimmonpoint/engine/caller_session.hpp>
+#include <persimmonpoint/engine/commit_guard.hpp>
 #include <persimmonpoint/engine/dispatcher.hpp>
 #include <persimmonpoint/engine/leadership_keeper.hpp>
 #include <persimmonpoint/engine/message_check.hpp>
@@ -80,6 +81,7 @@
 
 struct front_host::implementation final : mesh_observer,
                                           leadership_authority,
+                                          notice_board,
                                           store_observer {
     explicit implementation(settings::front_settings given)
         : settings(std::move(given)),
@@ -98,9 +100,10 @@
               view,
               settings.name,
               settings.drain),
+          guard(traffic_loop, time, view, *this, settings.name),
           runs{traffic_loop, time, view, orders, settings.availability_zone},
           quotas(traffic_loop, time, view, settings.name, settings.quotas),
-          keeper(runs, *this),
+          keeper(runs, *this, guard),
           mesh(traffic_loop, time, *this, self),
           sessions_context{runs, quotas, counts},
           hosts_timer(traffic_loop),
@@ -112,6 +115,8 @@
               [this](settings::front_settings const& read) { this->use_settings(read); }),
           signals(control_loop, SIGTERM, SIGINT, SIGHUP) {
         this->orders.use(this->mesh);
+        this->orders.use(this->guard);
+        this->guard.start(this->mesh);
         this->quotas.start(this->mesh);
         this->keeper.start(this->mesh);
         this->mesh.set_seeds(this->settings.seeds);
@@ -136,11 +141,16 @@
         void on_silent(std::string const& database) override {
             this->host.keeper.on_silent(database);
         }
+        bool may_send_commit(std::string const& database) override {
+            return this->host.may_send_commit(database);
+        }
         void on_commit_sent(std::string const& database, instant sent_at) override {
+            this->host.guard.commit_sent(database);
             this->host.keeper.on_commit_sent(database, sent_at);
         }
         void on_commit_ended(
             std::string const& database, instant sent_at, commit_end how) override {
+            this->host.guard.commit_ended(database);
             this->host.keeper.on_commit_ended(database, sent_at, how);
         }
         void on_commit_acknowledged(
@@ -152,6 +162,12 @@
         implementation& host;
     };
 
+    bool may_send_commit(std::string const& database) {
+        registered_database const* const entry = this->view.find_database(database);
+        return entry == nullptr || !this->view.replicates_commits(entry->group) ||
+               this->guard.judge(entry->group, database) == fence_verdict::allow;
+    }
+
     // Threads
 
     void run() {
@@ -498,6 +514,21 @@
     on_reach_query(std::string const& database, std::function<void(bool)> done) override {
         this->keeper.probe(database, std::move(done));
     }
+    void on_fence(
+        std::string const& host,
+        fence_message const& message,
+        std::function<void()> answer) override {
+        this->guard.on_notice(
+            host, fence_notice{message.number, message.fenced}, std::move(answer));
+    }
+    void on_fence_answer(std::string const& host, std::uint64_t number) override {
+        this->guard.on_answer(host, number);
+    }
+    std::optional<fence_message> own_fences() override {
+        auto const notice = this->guard.current_notice();
+        return notice ? std::optional(fence_message{notice->number, notice->fenced})
+                      : std::nullopt;
+    }
     void on_peers_changed() override {
         this->orders.refresh();
         this->quotas.hosts_changed();
@@ -576,6 +607,37 @@
             });
     }
 
+    // notice_board, called on the traffic thread
+
+    void read_notices(
+        std::function<void(std::optional<std::vector<stored_notice>>)> done) override {
+        asio::post(this->control_loop, [this, done = std::move(done)] {
+            this->store.read_notices(
+                [this, done](result<std::vector<stored_notice>> read) {
+                    std::optional<std::vector<stored_notice>> notices;
+                    if (read) {
+                        notices = std::move(read.value());
+                    }
+                    asio::post(this->traffic_loop, [done, notices = std::move(notices)] {
+                        done(notices);
+                    });
+                });
+        });
+    }
+
+    void write_notice(
+        fence_notice const& notice,
+        std::function<void(std::optional<std::uint64_t>)> done) override {
+        asio::post(this->control_loop, [this, notice, done = std::move(done)] {
+            this->store.write_notice(
+                {this->settings.name, notice}, [this, done](result<std::uint64_t> era) {
+                    std::optional<std::uint64_t> const seen =
+                        era ? std::optional(era.value()) : std::nullopt;
+                    asio::post(this->traffic_loop, [done, seen] { done(seen); });
+                });
+        });
+    }
+
     // store_observer, called on the control thread
 
     void on_stored_configuration(stored_configuration read) override {
@@ -650,6 +712,7 @@
     store_watch watch;
     evidence_relay evidence;
     dispatcher orders;
+    commit_guard guard;
     run_context runs;
     quota_keeper quotas;
     leadership_keeper keeper;
--- a/src/persimmonpoint/interfaces/fleet_store.hpp
+++ b/src/persimmonpoint/interfaces/fleet_store.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
 #include <persimmonpoint/core/error.hpp>
+#include <persimmonpoint/core/recovery/fence_notice.hpp>
 #include <persimmonpoint/core/recovery/leadership_change.hpp>
 #include <string>
 #include <string_view>
@@ -79,6 +80,11 @@
     virtual void register_host(registered_host const& host, handler<void> done) = 0;
     virtual void remove_host(std::string_view name, handler<void> done) = 0;
     virtual void read_lease(std::string_view group, handler<leadership_lease> done) = 0;
+    /// The notices of all hosts. One that can't be used is left out.
+    virtual void read_notices(handler<std::vector<stored_notice>> done) = 0;
+    /// Writes a host's notice in place of its last one. Gives the store's era.
+    virtual void
+    write_notice(stored_notice const& notice, handler<std::uint64_t> done) = 0;
     /// Ends the watches that are under way with an error.
     virtual void break_off_watches() = 0;
     /// Writes the lease if its row still has `lease.revision`, in the store's era that it
--- a/src/persimmonpoint/platform/fleet_decoder.cpp
+++ b/src/persimmonpoint/platform/fleet_decoder.cpp
@@ -253,6 +253,41 @@
     return checked(fields, std::move(out));
 }
 
+std::string encode_notice(fence_notice const& notice) {
+    json::array fenced;
+    for (fenced_primary const& each : notice.fenced) {
+        json::object entry;
+        entry["group"] = each.group;
+        entry["primary"] = each.primary;
+        fenced.push_back(std::move(entry));
+    }
+    json::object object;
+    object["number"] = notice.number;
+    object["fenced"] = std::move(fenced);
+    return json::serialize(object);
+}
+
+result<fence_notice> decode_notice(std::string_view body) {
+    auto const object = parse_object(body);
+    if (!object) {
+        return unreadable("notice is not a JSON object");
+    }
+    field_reader fields(*object);
+    fence_notice out;
+    out.number = fields.number("number");
+    for (json::value const& each : fields.list("fenced")) {
+        if (!each.is_object()) {
+            return unreadable("field fenced holds what is no object");
+        }
+        field_reader entry(each.as_object());
+        out.fenced.push_back({entry.word("group"), entry.text("primary")});
+        if (entry.fault()) {
+            return unreadable(*entry.fault());
+        }
+    }
+    return checked(fields, std::move(out));
+}
+
 std::string encode_base64(std::string_view bytes) {
     std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
     int const size = EVP_EncodeBlock(
--- a/src/persimmonpoint/platform/fleet_decoder.hpp
+++ b/src/persimmonpoint/platform/fleet_decoder.hpp
@@ -35,6 +35,9 @@
 std::string encode_lease(leadership_lease const& lease);
 result<leadership_lease> decode_lease(std::string_view body);
 
+std::string encode_notice(fence_notice const& notice);
+result<fence_notice> decode_notice(std::string_view body);
+
 std::string encode_base64(std::string_view bytes);
 std::optional<std::string> decode_base64(std::string_view text);
 
--- a/src/persimmonpoint/platform/store_client.cpp
+++ b/src/persimmonpoint/platform/store_client.cpp
@@ -28,6 +28,7 @@
 constexpr std::string_view hosts_table = "hosts";
 constexpr std::string_view leases_table = "leases";
 constexpr std::string_view lease_key = "leadership";
+constexpr std::string_view fences_table = "fences";
 
 /// A row of its own for each era: a call that was made in an earlier one can't match the
 /// version of a row of the present one by chance.
@@ -118,6 +119,8 @@
             std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
         this->host_watch =
             std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
+        this->notices =
+            std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
     }
 
     /// Reads all rows of a part, page by page.
@@ -198,7 +201,14 @@
 
     void transact(
         json::object const& body, std::function<void(result<transaction_outcome>)> done) {
-        this->calls->request(
+        transact(*this->calls, body, std::move(done));
+    }
+
+    static void transact(
+        http_client& on,
+        json::object const& body,
+        std::function<void(result<transaction_outcome>)> done) {
+        on.request(
             "POST", "/api/rows-tx", json::serialize(body),
             [done](result<http_reply> reply) {
                 if (!reply) {
@@ -224,6 +234,8 @@
     /// Read and watched in turn: a large one holds up no other call.
     std::unique_ptr<http_client> configuration;
     std::unique_ptr<http_client> host_watch;
+    /// Commits wait for readings of the notices.
+    std::unique_ptr<http_client> notices;
     unusable_rows noted;
 };
 
@@ -377,6 +389,42 @@
     this->impl->host_watch->reset();
 }
 
+void store_client::read_notices(handler<std::vector<stored_notice>> done) {
+    implementation::read(
+        *this->impl->notices, fences_table, "",
+        [done, &noted = this->impl->noted](result<row_page> page) {
+            if (!page) {
+                done(page.error());
+                return;
+            }
+            std::vector<stored_notice> out;
+            for (stored_row const& each : page.value().rows) {
+                result<fence_notice> notice = decode_notice(each.value);
+                if (notice) {
+                    out.push_back({each.key, std::move(notice.value())});
+                } else {
+                    noted.note(fences_table, each, notice.error());
+                }
+            }
+            done(std::move(out));
+        });
+}
+
+void store_client::write_notice(
+    stored_notice const& notice, handler<std::uint64_t> done) {
+    json::object row = row_name(fences_table, "", notice.host);
+    row["value"] = encode_base64(encode_notice(notice.notice));
+    implementation::transact(
+        *this->impl->notices, transaction({}, {row}, {}),
+        [done](result<transaction_outcome> outcome) {
+            if (!outcome) {
+                done(outcome.error());
+                return;
+            }
+            done(outcome.value().era);
+        });
+}
+
 void store_client::read_lease(std::string_view group, handler<leadership_lease> done) {
     implementation::read(
         *this->impl->calls, leases_table, group, [done](result<row_page> page) {
--- a/src/persimmonpoint/platform/store_client.hpp
+++ b/src/persimmonpoint/platform/store_client.hpp
@@ -30,6 +30,8 @@
     void register_host(registered_host const& host, handler<void> done) override;
     void remove_host(std::string_view name, handler<void> done) override;
     void break_off_watches() override;
+    void read_notices(handler<std::vector<stored_notice>> done) override;
+    void write_notice(stored_notice const& notice, handler<std::uint64_t> done) override;
     void read_lease(std::string_view group, handler<leadership_lease> done) override;
     void take_lease(
         std::string_view group,
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -24,6 +24,7 @@
     store_page,
     lines,
     peers,
+    notice,
     count
 };
 
@@ -106,6 +107,9 @@
     case decoder::lines:
         decode_lines(bytes);
         break;
+    case decoder::notice:
+        (void)platform::decode_notice(bytes);
+        break;
     default:
         decode_peer_messages(bytes);
     }
--- a/tests/introspective/database_owner.tests.cpp
+++ b/tests/introspective/database_owner.tests.cpp
@@ -26,6 +26,7 @@
     void on_answer(std::string const&) override {}
     void on_refused(std::string const&) override {}
     void on_silent(std::string const&) override {}
+    bool may_send_commit(std::string const&) override { return this->allows_commits; }
     void on_commit_sent(std::string const&, instant) override {}
     void on_commit_ended(std::string const&, instant, commit_end how) override {
         this->ends.push_back(how);
@@ -35,6 +36,7 @@
         ++this->acknowledged;
         this->reached = reached;
     }
+    bool allows_commits = true;
     unsigned acknowledged = 0;
     std::optional<log_position> reached; ///< Of the last one that was acknowledged.
     std::vector<commit_end> ends;
@@ -350,3 +352,40 @@
         CHECK(stage.observer.ends == std::vector{commit_end::unknown});
     }
 }
+
+TEST_CASE(
+    "A COMMIT that may not be sent rolls its transaction back and is answered as not run",
+    "[owner][fence]") {
+    owner_stage stage;
+    upstream_response const opened = stage.open("INSERT", 1);
+    REQUIRE(opened.transaction.is_set());
+    stage.observer.allows_commits = false;
+    upstream_request commit = inside(upstream_request_kind::commit, "COMMIT", opened);
+    commit.writes = true;
+    upstream_response const answer = stage.run(commit, 1);
+    CHECK(answer.outcome == upstream_outcome::not_run);
+    CHECK(answer.refusal == upstream_refusal::fenced);
+    CHECK(stage.connector.sent[0].back() == "ROLLBACK");
+    CHECK(stage.owner->open_transactions() == 0);
+    CHECK(stage.observer.ends.empty());
+
+    stage.observer.allows_commits = true;
+    CHECK(stage.run(commit, 1).refusal == upstream_refusal::transaction_lost);
+    CHECK(stage.open("INSERT", 1).transaction.is_set());
+}
+
+TEST_CASE(
+    "A write that may not be sent leaves its connection as it was", "[owner][fence]") {
+    owner_stage stage;
+    stage.observer.allows_commits = false;
+    upstream_request write;
+    write.text = "UPDATE";
+    write.writes = true;
+    upstream_response const answer = stage.run(write, 1);
+    CHECK(answer.outcome == upstream_outcome::not_run);
+    CHECK(answer.refusal == upstream_refusal::fenced);
+    stage.observer.allows_commits = true;
+    CHECK(stage.run(write, 1).succeeded());
+    CHECK(stage.connector.sent[0] == sent_texts{"UPDATE"});
+    CHECK(stage.connector.sent.size() == 1);
+}
--- a/tests/introspective/leadership_premises.tests.cpp
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -556,3 +556,19 @@
     group.run(change, now, seconds(1));
     CHECK(group.count(change_action_kind::promote) <= calls + 1);
 }
+
+TEST_CASE(
+    "No promotion is called for while other hosts may send the old primary commits",
+    "[leadership][premises][fence]") {
+    acting_group group = group_of_three();
+    group.copies["p"].alive = false;
+    group.known.fence_stands = false;
+    leadership_change change = group.begin_change(start, change_reason::primary_lost);
+    instant now = start;
+    group.run(change, now, seconds(2));
+    CHECK(group.count(change_action_kind::promote) == 0);
+    group.known.fence_stands = true;
+    group.run(change, now, seconds(2));
+    CHECK(change.is_over());
+    CHECK(group.leader != "p");
+}
--- a/tests/introspective/platform_codec.tests.cpp
+++ b/tests/introspective/platform_codec.tests.cpp
@@ -185,6 +185,36 @@
     CHECK_FALSE(decoder.next());
 }
 
+TEST_CASE("A notice of fences goes there and back, over a link and by a row", "[fence]") {
+    fence_notice const notice{1'800'000'000'000'001, {{"g", "p"}, {"g2", ""}}};
+    engine::peer_decoder decoder;
+    decoder.add(engine::encode(engine::fence_message{notice.number, notice.fenced}));
+    decoder.add(engine::encode(engine::fence_answer_message{notice.number}));
+    auto const told = decoder.next();
+    REQUIRE(told);
+    CHECK(std::get<engine::fence_message>(*told).number == notice.number);
+    CHECK(std::get<engine::fence_message>(*told).fenced == notice.fenced);
+    auto const answer = decoder.next();
+    REQUIRE(answer);
+    CHECK(std::get<engine::fence_answer_message>(*answer).number == notice.number);
+    auto const read = platform::decode_notice(platform::encode_notice(notice));
+    REQUIRE(read);
+    CHECK(read.value().number == notice.number);
+    CHECK(read.value().fenced == notice.fenced);
+}
+
+TEST_CASE("A notice of fences with a fault is refused", "[fence]") {
+    CHECK_FALSE(platform::decode_notice("[]"));
+    CHECK_FALSE(platform::decode_notice(R"({"number":1})"));
+    CHECK_FALSE(platform::decode_notice(R"({"number":1,"fenced":["g"]})"));
+    CHECK_FALSE(platform::decode_notice(R"({"number":1,"fenced":[{"group":"g"}]})"));
+    CHECK_FALSE(platform::decode_notice(R"({"number":-1,"fenced":[]})"));
+    engine::peer_decoder decoder;
+    decoder.add(engine::encode(engine::fence_message{1, {{"g g", "p"}}}));
+    CHECK_FALSE(decoder.next());
+    CHECK(decoder.broken());
+}
+
 TEST_CASE("Bytes that are no message break the link", "[peers]") {
     engine::peer_decoder huge;
     huge.add("\xff\xff\xff\xff");
--- a/tests/usage/store_lists.tests.cpp
+++ b/tests/usage/store_lists.tests.cpp
@@ -159,3 +159,59 @@
     REQUIRE(stage.run_until([&] { return stage.hosts.count("h-self") == 1; }));
     CHECK(stage.store.transactions() == 1);
 }
+
+TEST_CASE("Notices of fences go to the store and are read there", "[store][fence]") {
+    store_stage stage(0);
+    std::optional<std::uint64_t> era;
+    auto const write = [&](std::string const& host, fence_notice const& notice) {
+        era.reset();
+        stage.client.write_notice(
+            {host, notice}, [&](result<std::uint64_t> seen) { era = seen.value(); });
+        REQUIRE(stage.run_until([&] { return era.has_value(); }));
+    };
+    std::vector<stored_notice> read;
+    auto const read_all = [&] {
+        bool done = false;
+        stage.client.read_notices([&](result<std::vector<stored_notice>> found) {
+            read = std::move(found.value());
+            done = true;
+        });
+        REQUIRE(stage.run_until([&] { return done; }));
+    };
+    write("h-1", {7, {{"g", "p"}, {"g2", ""}}});
+    write("h-2", {3, {}});
+    std::uint64_t const first_era = *era;
+    read_all();
+    REQUIRE(read.size() == 2);
+    CHECK(read[0].host == "h-1");
+    CHECK(read[0].notice.number == 7);
+    CHECK(read[0].notice.fenced == std::vector<fenced_primary>{{"g", "p"}, {"g2", ""}});
+    CHECK(read[1].notice.fenced.empty());
+
+    SECTION("the next one replaces it") {
+        write("h-1", {8, {}});
+        read_all();
+        CHECK(read.size() == 2);
+        CHECK(read[0].notice.number == 8);
+    }
+    SECTION("one that can't be used hides no other") {
+        stage.store.put("fences", "h-0", "{");
+        read_all();
+        CHECK(read.size() == 2);
+    }
+    SECTION("an older copy of the store shows by its era") {
+        stage.store.keep_copy();
+        stage.store.restore();
+        write("h-1", {9, {}});
+        CHECK(*era != first_era);
+    }
+    SECTION("a store that is out of reach is no empty list") {
+        stage.store.set_fault(standin::store_fault::unavailable);
+        std::optional<bool> succeeded;
+        stage.client.read_notices([&](result<std::vector<stored_notice>> const& found) {
+            succeeded = static_cast<bool>(found);
+        });
+        REQUIRE(stage.run_until([&] { return succeeded.has_value(); }));
+        CHECK_FALSE(*succeeded);
+    }
+}
