Merge the fence before commits; it is called for once replicas are held

As merged, other hosts sent no commits to a primary from the moment a change began. A host that reaches neither the primary nor its replicas, but the store, would have kept all commits from a primary that serves, for as long as its change waits. The fence is now called for when all that must be held is held, which is when those commits can no longer be acknowledged by a replica that the host knows.

--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -100,6 +100,12 @@
     }
 }
 
+bool leadership_change::may_call_soon() const {
+    leadership_state const state = this->machine.state();
+    return this->promotion_unsettled || state == leadership_state::comparing ||
+           state == leadership_state::promoting || state == leadership_state::confirming;
+}
+
 void leadership_change::leader_learned(std::string_view id, std::uint64_t leader_term) {
     bool const is_overtaken = id != this->begun_on && leader_term > this->members.term();
     bool const is_waiting = this->machine.state() == leadership_state::securing;
@@ -798,7 +804,7 @@
         this->machine.fire(leadership_event::token_outdated);
         return;
     }
-    if (this->members.awaits_listing() || this->members.may_miss_settled()) {
+    if (this->members.awaits_listing() || this->members.lacks_premises()) {
         this->state_entered_at = now; // The candidate's time to catch up begins later.
         this->refresh_stale_reports(actions, now);
         this->poll_candidate(actions, now);
@@ -905,7 +911,7 @@
     this->hold_again(actions, now);
     this->refresh_stale_reports(actions, now);
     bool const may_call =
-        !may_lack_commits && (this->confirms_leader || !this->members.may_miss_settled());
+        !may_lack_commits && (this->confirms_leader || !this->members.lacks_premises());
     if (!this->request_in_flight && may_call &&
         (!this->last_promotion_call ||
          now - *this->last_promotion_call >= promotion_retry_interval)) {
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -140,6 +140,9 @@
     /// each event and at least every 50 ms.
     std::vector<change_action> step(instant now);
     std::string_view state_name() const { return this->machine.state_name(); }
+    /// True if all replicas are held that have to be, so that a promotion may be called
+    /// for as soon as the positions show a candidate; or was, and isn't settled.
+    bool may_call_soon() const;
     change_reason reason() const { return this->cause; }
     std::string const& candidate() const { return this->chosen_id; }
     /// The primary that is replaced; empty if none is known.
