--- a/src/persimmonpoint/core/recovery/fence_notice.hpp
+++ b/src/persimmonpoint/core/recovery/fence_notice.hpp
@@ -2,6 +2,7 @@
 #define PERSIMMONPOINT_CORE_RECOVERY_FENCE_NOTICE_HPP_INCLUDED
 
 #include <cstdint>
+#include <persimmonpoint/core/routing/log_position.hpp>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,13 @@
     std::vector<fenced_primary> fenced;
 };
 
+/// A position that an acknowledged commit reaches, as a host was answered by a database.
+struct told_commit {
+    std::string group;
+    std::string database;
+    log_position position;
+};
+
 /// A host's notice as it lies in the store.
 struct stored_notice {
     std::string host;
--- a/src/persimmonpoint/engine/mesh_observer.hpp
+++ b/src/persimmonpoint/engine/mesh_observer.hpp
@@ -26,12 +26,13 @@
     virtual void on_loan(loan_message const& message) = 0;
     virtual void
     on_reach_query(std::string const& database, std::function<void(bool)> done) = 0;
-    /// `answer` is called once the notice is complied with.
+    /// `answer` is called once the notice is complied with, with what was acknowledged.
     virtual void on_fence(
         std::string const& host,
         fence_message const& message,
-        std::function<void()> answer) = 0;
-    virtual void on_fence_answer(std::string const& host, std::uint64_t number) = 0;
+        std::function<void(std::vector<told_commit>)> answer) = 0;
+    virtual void
+    on_fence_answer(std::string const& host, fence_answer_message const& message) = 0;
     /// What a host that links up must know before anything else; nothing if no primary is
     /// fenced by this host.
     virtual std::optional<fence_message> own_fences() = 0;
--- a/src/persimmonpoint/engine/message_check.cpp
+++ b/src/persimmonpoint/engine/message_check.cpp
@@ -54,6 +54,13 @@
                 return is_plain_word(each.group) && is_empty_or_word(each.primary);
             });
     }
+    bool operator()(fence_answer_message const& message) const {
+        return std::all_of(
+            message.acknowledged.begin(), message.acknowledged.end(),
+            [](auto const& each) {
+                return is_plain_word(each.group) && is_plain_word(each.database);
+            });
+    }
     template <class Other>
     bool operator()(Other const&) const {
         return true;
--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -284,7 +284,7 @@
         } else if (auto* const fence = std::get_if<fence_message>(&message)) {
             this->take_fence(name, *fence);
         } else if (auto* const done = std::get_if<fence_answer_message>(&message)) {
-            this->observer.on_fence_answer(name, done->number);
+            this->observer.on_fence_answer(name, *done);
         } else {
             this->news.take(std::move(message));
         }
@@ -298,14 +298,17 @@
 
     void take_fence(std::string const& name, fence_message const& fence) {
         this->observer.on_fence(
-            name, fence, [weak = this->weak_from_this(), name, number = fence.number] {
+            name, fence,
+            [weak = this->weak_from_this(), name,
+             number = fence.number](std::vector<told_commit> acknowledged) {
                 auto const mesh = weak.lock();
                 if (!mesh) {
                     return;
                 }
                 auto const found = mesh->peers.find(name);
                 if (found != mesh->peers.end() && found->second.link) {
-                    found->second.link->send(fence_answer_message{number});
+                    found->second.link->send(
+                        fence_answer_message{number, std::move(acknowledged)});
                 }
             });
     }
--- a/src/persimmonpoint/engine/peer_messages.cpp
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -81,6 +81,11 @@
     archive(value.configuration, value.databases, value.hosts);
 }
 
+template <class Archive>
+void serialize(Archive& archive, told_commit& value) {
+    archive(value.group, value.database, value.position);
+}
+
 template <class Archive>
 void serialize(Archive& archive, fenced_primary& value) {
     archive(value.group, value.primary);
@@ -201,7 +206,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, fence_answer_message& value) {
-    archive(value.number);
+    archive(value.number, value.acknowledged);
 }
 
 std::string encode(peer_message const& message) {
--- a/src/persimmonpoint/engine/peer_messages.hpp
+++ b/src/persimmonpoint/engine/peer_messages.hpp
@@ -115,6 +115,8 @@
 /// its way.
 struct fence_answer_message {
     std::uint64_t number = 0;
+    /// The furthest acknowledged commits that the sender knows of in the groups.
+    std::vector<told_commit> acknowledged;
 };
 
 using peer_message = std::variant<
--- a/src/persimmonpoint/engine/peer_server.cpp
+++ b/src/persimmonpoint/engine/peer_server.cpp
@@ -140,13 +140,16 @@
         } else if (auto* const fence = std::get_if<fence_message>(&message)) {
             this->observer.on_fence(
                 from.host, *fence,
-                [weak = this->weak_from_this(), source, number = fence->number] {
+                [weak = this->weak_from_this(), source,
+                 number = fence->number](std::vector<told_commit> acknowledged) {
                     if (auto const server = weak.lock()) {
-                        server->reply(source, fence_answer_message{number});
+                        server->reply(
+                            source,
+                            fence_answer_message{number, std::move(acknowledged)});
                     }
                 });
         } else if (auto* const answer = std::get_if<fence_answer_message>(&message)) {
-            this->observer.on_fence_answer(from.host, answer->number);
+            this->observer.on_fence_answer(from.host, *answer);
         } else {
             this->news.take(std::move(message));
         }
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -517,12 +517,29 @@
     void on_fence(
         std::string const& host,
         fence_message const& message,
-        std::function<void()> answer) override {
+        std::function<void(std::vector<told_commit>)> answer) override {
         this->guard.on_notice(
-            host, fence_notice{message.number, message.fenced}, std::move(answer));
+            host, fence_notice{message.number, message.fenced},
+            [this, fenced = message.fenced, answer = std::move(answer)] {
+                answer(this->acknowledged_in(fenced));
+            });
     }
-    void on_fence_answer(std::string const& host, std::uint64_t number) override {
-        this->guard.on_answer(host, number);
+    std::vector<told_commit> acknowledged_in(std::span<fenced_primary const> fenced) {
+        std::vector<told_commit> known;
+        for (fenced_primary const& each : fenced) {
+            auto const& newest = this->view.group(each.group).acknowledged.newest();
+            if (newest && !newest->database.empty()) {
+                known.push_back({each.group, newest->database, newest->position});
+            }
+        }
+        return known;
+    }
+    void on_fence_answer(
+        std::string const& host, fence_answer_message const& message) override {
+        for (told_commit const& each : message.acknowledged) {
+            this->view.group(each.group).acknowledged.note(each.database, each.position);
+        }
+        this->guard.on_answer(host, message.number);
     }
     std::optional<fence_message> own_fences() override {
         auto const notice = this->guard.current_notice();
--- a/tests/introspective/commit_guard.tests.cpp
+++ b/tests/introspective/commit_guard.tests.cpp
@@ -51,11 +51,14 @@
     void on_fence(
         std::string const& host,
         fence_message const& message,
-        std::function<void()> answer) override {
-        this->guard.on_notice(host, {message.number, message.fenced}, std::move(answer));
+        std::function<void(std::vector<told_commit>)> answer) override {
+        this->guard.on_notice(
+            host, {message.number, message.fenced},
+            [answer = std::move(answer)] { answer({}); });
     }
-    void on_fence_answer(std::string const& host, std::uint64_t number) override {
-        this->guard.on_answer(host, number);
+    void on_fence_answer(
+        std::string const& host, fence_answer_message const& message) override {
+        this->guard.on_answer(host, message.number);
     }
     std::optional<fence_message> own_fences() override {
         auto const notice = this->guard.current_notice();
--- a/tests/introspective/platform_codec.tests.cpp
+++ b/tests/introspective/platform_codec.tests.cpp
@@ -189,7 +189,8 @@
     fence_notice const notice{1'800'000'000'000'001, {{"g", "p"}, {"g2", ""}}};
     engine::peer_decoder decoder;
     decoder.add(engine::encode(engine::fence_message{notice.number, notice.fenced}));
-    decoder.add(engine::encode(engine::fence_answer_message{notice.number}));
+    decoder.add(engine::encode(
+        engine::fence_answer_message{notice.number, {{"g", "p", {3, 41}}}}));
     auto const told = decoder.next();
     REQUIRE(told);
     CHECK(std::get<engine::fence_message>(*told).number == notice.number);
@@ -197,6 +198,9 @@
     auto const answer = decoder.next();
     REQUIRE(answer);
     CHECK(std::get<engine::fence_answer_message>(*answer).number == notice.number);
+    auto const& commits = std::get<engine::fence_answer_message>(*answer).acknowledged;
+    REQUIRE(commits.size() == 1);
+    CHECK(commits[0].position == log_position{3, 41});
     auto const read = platform::decode_notice(platform::encode_notice(notice));
     REQUIRE(read);
     CHECK(read.value().number == notice.number);
