--- a/tests/introspective/acknowledged_commits.tests.cpp
+++ b/tests/introspective/acknowledged_commits.tests.cpp
@@ -34,8 +34,7 @@
         CHECK(
             commits.required(directory_listing::incomplete, start) ==
             log_position{4, 60});
-        CHECK(
-            commits.required(directory_listing::pending, start) == log_position{4, 60});
+        CHECK(commits.required(directory_listing::pending, start) == log_position{4, 60});
         CHECK_FALSE(commits.required(directory_listing::complete, start));
     }
     SECTION("and another one's loss changes nothing") {
