--- a/tests/introspective/leadership_model.tests.cpp
+++ b/tests/introspective/leadership_model.tests.cpp
@@ -265,6 +265,25 @@
     play_seeds(seeds_judged_literally, has_lost_literally);
 }
 
+TEST_CASE(
+    "No acknowledged commit is lost in many random runs in which replicas join unseen",
+    "[.][unseen-joins-long]") {
+    play_seeds(seeds_judged_literally, has_lost, all_faults_and_unseen_joins());
+}
+
+TEST_CASE(
+    "Every change ends in many random runs in which replicas join unseen",
+    "[.][unseen-joins-long]") {
+    play_seeds(seeds_judged_literally, is_stuck, all_faults_and_unseen_joins());
+}
+
+TEST_CASE(
+    "What a primary acknowledged and a registered database has isn't lost in many random "
+    "runs in which replicas join unseen, whether or not a caller was told",
+    "[.][leadership-model-literal][unseen-joins-literal]") {
+    play_seeds(seeds_judged_literally, has_lost_literally, all_faults_and_unseen_joins());
+}
+
 TEST_CASE(
     "What a primary acknowledged and a registered database has isn't lost in many random "
     "runs in which the store is lost and logs are, whether or not a caller was told",
--- a/tests/support/random_leadership_faults.cpp
+++ b/tests/support/random_leadership_faults.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint64_t store_seeds = 1000000;
 constexpr unsigned most_unlisted = 2;
 constexpr unsigned most_empty_starts = 2;
+constexpr unsigned most_quick_joins = 3;
+constexpr auto first_join_fault = static_cast<std::ptrdiff_t>(fault_kind::quick_join);
 // As databases and the store do.
 constexpr std::uint64_t heartbeat_ms = 1200;
 constexpr std::uint64_t row_lifetime_ms = 3600;
@@ -112,7 +114,9 @@
             if (this->dice.once_in(10)) {
                 each->ask_leader();
             }
-            if (this->dice.once_in(8)) {
+            bool const reads = this->dice.once_in(8);
+            bool const is_slow = this->has(fault_kind::slow_reading);
+            if (reads && !(is_slow && !this->store_dice.once_in(10))) {
                 each->deliver([host = each.get()] { host->read_directory(); });
             }
         }
@@ -212,6 +216,18 @@
         if (may_start && this->store_fault_strikes(fault_kind::empty_start, 10)) {
             this->start_some_empty();
         }
+        bool const may_join = this->quick_joins < most_quick_joins;
+        if (may_join && this->store_fault_strikes(fault_kind::quick_join, 6)) {
+            this->join_quickly();
+        }
+    }
+
+    void join_quickly() {
+        ++this->quick_joins;
+        if (this->has(fault_kind::partial_cut) && this->store_dice.once_in(2)) {
+            this->cut_present_replicas();
+        }
+        this->group.add_empty_replica(this->store_dice.milliseconds_between(10, 300));
     }
 
     void lose_store() {
@@ -477,6 +493,7 @@
     unsigned unlisted = 0;
     unsigned partial_cuts = 0;
     unsigned empty_starts = 0;
+    unsigned quick_joins = 0;
     int ticks = 0;
     instant store_away_until{};
 };
@@ -490,7 +507,7 @@
         "owners_differ", "false_alarm", "store_away",       "lost_order",
         "late_order",    "late_answer", "lost_promotion",   "late_promotion",
         "lost_news",     "lost_store",  "unlisted_replica", "partial_cut",
-        "empty_start"};
+        "empty_start",   "quick_join",  "slow_reading"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -516,6 +533,14 @@
 fault_set all_faults_and_store_losses() {
     fault_set out;
     out.fill(true);
+    std::fill(out.begin() + first_join_fault, out.end(), false);
+    return out;
+}
+
+fault_set all_faults_and_unseen_joins() {
+    fault_set out = all_faults();
+    std::fill(out.begin() + first_join_fault, out.end(), true);
+    out[static_cast<std::size_t>(fault_kind::partial_cut)] = true;
     return out;
 }
 
--- a/tests/support/random_leadership_faults.hpp
+++ b/tests/support/random_leadership_faults.hpp
@@ -35,6 +35,8 @@
     unlisted_replica, ///< One joins while the store is lost.
     partial_cut,      ///< Replicas don't receive; one that joins then does.
     empty_start,      ///< A database starts again without its log.
+    quick_join,       ///< One joins and receives at once, the others perhaps no more.
+    slow_reading,     ///< Hosts read the directory every 0.8 s, not every 0.08 s.
     count
 };
 
@@ -79,9 +81,13 @@
 /// All up to lost_news.
 fault_set all_faults();
 
-/// Also those from lost_store on.
+/// Also those from lost_store to empty_start.
 fault_set all_faults_and_store_losses();
 
+/// All up to lost_news, and replicas that join unseen: partial_cut and those from
+/// quick_join on.
+fault_set all_faults_and_unseen_joins();
+
 } // namespace persimmonpoint::tests
 
 #endif // PERSIMMONPOINT_TESTS_SUPPORT_RANDOM_LEADERSHIP_FAULTS_HPP_INCLUDED
