--- a/src/persimmonpoint/core/membership/peer_health.cpp
+++ b/src/persimmonpoint/core/membership/peer_health.cpp
@@ -35,6 +35,8 @@
     this->current = state::lost;
     this->reconnecting = false;
     this->leaves = false;
+    // It may have been started again since its address was last refused.
+    this->is_ended = false;
     this->awaited_since.reset();
     this->since = now;
     if (!this->lost_since) {
--- a/tests/introspective/membership.tests.cpp
+++ b/tests/introspective/membership.tests.cpp
@@ -402,3 +402,15 @@
     tracker.take({2, 6}, {{"a", "1", "z"}}, all);
     CHECK(names_of(tracker) == std::set<std::string>{"a"});
 }
+
+TEST_CASE(
+    "A host whose address was refused is not known to have stopped once it is silent",
+    "[peer_health]") {
+    peer_health health;
+    health.lost(start);
+    health.ended();
+    CHECK(health.has_stopped());
+    health.connecting(start + seconds(1));
+    health.lost(start + seconds(2));
+    CHECK_FALSE(health.has_stopped());
+}
