--- a/src/persimmonpoint/core/recovery/commit_fence.cpp
+++ b/src/persimmonpoint/core/recovery/commit_fence.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-void commit_fence::take(
+bool commit_fence::take(
     std::string const& by,
     fence_notice const& notice,
     notice_source source,
@@ -33,6 +33,7 @@
     if (is_new || notice.number > found->second.notice.number) {
         found->second = known_notice{notice, source, now};
     }
+    return notice.number >= found->second.notice.number;
 }
 
 void commit_fence::reading_succeeded(instant began_at) {
--- a/src/persimmonpoint/core/recovery/commit_fence.hpp
+++ b/src/persimmonpoint/core/recovery/commit_fence.hpp
@@ -48,8 +48,9 @@
 public:
     explicit commit_fence(instant started) : awake_since(started), last_tick(started) {}
 
-    /// Takes a host's notice; one that is not newer than the last changes nothing.
-    void take(
+    /// Takes a host's notice; one that is not newer than the last changes nothing. False
+    /// if it is older.
+    bool take(
         std::string const& by,
         fence_notice const& notice,
         notice_source source,
--- a/src/persimmonpoint/core/recovery/fence_call.cpp
+++ b/src/persimmonpoint/core/recovery/fence_call.cpp
@@ -59,6 +59,11 @@
     return this->fences.find(group) != this->fences.end();
 }
 
+bool fence_call::names(std::string_view group, std::string_view primary) const {
+    auto const found = this->fences.find(group);
+    return found != this->fences.end() && found->second.primary == primary;
+}
+
 fence_notice fence_call::notice() const {
     fence_notice out{this->number, {}};
     for (auto const& [group, each] : this->fences) {
--- a/src/persimmonpoint/core/recovery/fence_call.hpp
+++ b/src/persimmonpoint/core/recovery/fence_call.hpp
@@ -43,6 +43,8 @@
     /// The change is over.
     void end(std::string_view group);
     bool is_called(std::string_view group) const;
+    /// True if a change of the group replaces this primary.
+    bool names(std::string_view group, std::string_view primary) const;
 
     /// The notice to tell all other hosts now, if it is due.
     std::optional<fence_notice> due(instant now);
--- a/src/persimmonpoint/engine/commit_guard.cpp
+++ b/src/persimmonpoint/engine/commit_guard.cpp
@@ -106,6 +106,9 @@
     // Commits of this host
 
     fence_verdict judge(std::string const& group, std::string const& database) {
+        if (this->calls.names(group, database)) {
+            return fence_verdict::refuse;
+        }
         instant const time = this->now();
         bool const all_heard = this->view.hosts.version().is_known() &&
                                this->mesh->hears_all(this->fence.hearing_age(time));
@@ -257,9 +260,9 @@
 void commit_guard::on_notice(
     std::string const& host, fence_notice notice, std::function<void()> answer) {
     instant const now = this->impl->now();
-    this->impl->fence.take(host, notice, notice_source::peer, now);
+    bool const is_taken = this->impl->fence.take(host, notice, notice_source::peer, now);
     this->impl->log_changes();
-    if (notice.fenced.empty()) {
+    if (!is_taken || notice.fenced.empty()) {
         return;
     }
     this->impl->owed.push_back(
--- a/tests/introspective/commit_fence.tests.cpp
+++ b/tests/introspective/commit_fence.tests.cpp
@@ -169,3 +169,13 @@
     CHECK_FALSE(ended[0].begins);
     CHECK(ended[0].refused == 2);
 }
+
+TEST_CASE(
+    "A notice that is older than the last one known isn't complied with", "[fence]") {
+    fence_stage stage;
+    CHECK(stage.fence.take("h", notice_of(2, {}), notice_source::peer, stage.now));
+    CHECK(stage.fence.take("h", notice_of(2, {}), notice_source::peer, stage.now));
+    CHECK_FALSE(stage.fence.take(
+        "h", notice_of(1, {{"g", "p"}}), notice_source::peer, stage.now));
+    CHECK(stage.judge(true) == fence_verdict::allow);
+}
--- a/tests/introspective/fence_call.tests.cpp
+++ b/tests/introspective/fence_call.tests.cpp
@@ -209,3 +209,13 @@
     stage.tell({});
     CHECK(stage.judge() == fence_standing::acknowledged);
 }
+
+TEST_CASE("A host's own change keeps its own commits from the old primary", "[fence]") {
+    fence_call call(1);
+    call.begin("g", "p", start);
+    CHECK(call.names("g", "p"));
+    CHECK_FALSE(call.names("g", "promoted"));
+    CHECK_FALSE(call.names("g2", "p"));
+    call.end("g");
+    CHECK_FALSE(call.names("g", "p"));
+}
