--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -102,6 +102,9 @@
 
 bool leadership_change::may_call_soon() const {
     leadership_state const state = this->machine.state();
+    if (this->confirms_leader) {
+        return false;
+    }
     return this->promotion_unsettled || state == leadership_state::comparing ||
            state == leadership_state::promoting || state == leadership_state::confirming;
 }
@@ -859,7 +862,12 @@
         this->machine.fire(leadership_event::positions_covered);
         return;
     }
-    if (now - this->state_entered_at > leader_timeout) {
+    bool const is_late = now - this->state_entered_at > leader_timeout;
+    if (is_late && leader->leads() && leader->answers(now, primary_silence)) {
+        this->machine.fire(leadership_event::candidate_lost);
+        return;
+    }
+    if (is_late) {
         // It's lost too, and is the one to replace now.
         this->confirms_leader = false;
         this->begun_on = this->members.primary();
@@ -907,6 +915,9 @@
         this->machine.fire(leadership_event::candidate_lost);
         return;
     }
+    if (may_still_choose && this->renews_lease()) {
+        return;
+    }
     this->watch_primary(actions, now);
     this->hold_again(actions, now);
     this->refresh_stale_reports(actions, now);
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -129,7 +129,7 @@
     instant change_started{};
     instant next_change{};
     instant next_planned_change{}; ///< The same for a primary that leaves.
-    instant token_granted{};       ///< The one that the present change goes by.
+    instant token_asked{};         ///< When the present change asked for its token.
     instant lease_until{}; ///< Until then no other host may change the group's leader.
     instant leave_alone_until{};
     bool asking = false;
@@ -596,8 +596,8 @@
     void fetch_token(std::string const& name, token_freshness need) {
         this->authority.request_token(
             name, need,
-            [weak = this->weak_from_this(), name,
-             number = this->change_number(name)](std::optional<std::uint64_t> token) {
+            [weak = this->weak_from_this(), name, number = this->change_number(name),
+             asked_at = this->now()](std::optional<std::uint64_t> token) {
                 auto const keeper = weak.lock();
                 leadership_change* const change =
                     keeper ? keeper->change_of(name, number) : nullptr;
@@ -606,7 +606,7 @@
                 }
                 if (token) {
                     keeper->groups[name].tokens.granted(*token);
-                    keeper->groups[name].token_granted = keeper->now();
+                    keeper->groups[name].token_asked = asked_at;
                     change->token_granted(*token);
                     keeper->step(name, keeper->groups[name]);
                 } else {
@@ -681,7 +681,7 @@
 
     commit_knowledge known_commits(std::string const& name, watched_group const& group) {
         commit_knowledge commits;
-        commits.lease_is_fresh = this->now() - group.token_granted <
+        commits.lease_is_fresh = this->now() - group.token_asked <
                                  std::chrono::milliseconds(lease_duration_ms);
         if (!this->context.view.replicates_commits(name)) {
             return commits;
@@ -690,6 +690,8 @@
         acknowledged_commits& known = routing.acknowledged;
         if (known.newest() && routing.find(known.newest()->database) == nullptr) {
             known.lapsed(known.newest()->database, this->now());
+        } else if (known.newest()) {
+            known.came_back(known.newest()->database);
         }
         std::optional<instant> const stopped = group.change->primary_stopped_at();
         instant const since = stopped.value_or(group.change_started);
@@ -742,6 +744,11 @@
     /// it.
     bool needs_fence(std::string const& name) {
         watched_group& group = this->groups[name];
+        bool const can_stand = this->context.view.readings.in_reach_since() ||
+                               this->guard.hosts_unlinked() == 0;
+        if (!can_stand) {
+            return false;
+        }
         if (group.change->may_call_soon()) {
             group.last_near_call = this->now();
         }
