--- a/tests/introspective/leadership_model.tests.cpp
+++ b/tests/introspective/leadership_model.tests.cpp
@@ -62,7 +62,7 @@
     }
 
     void move_commits() {
-        if (this->writes) {
+        if (this->writes && this->fleet.sends_commits()) {
             this->group.write();
         }
         for (auto const& each : this->group.databases()) {
@@ -87,6 +87,22 @@
         this->play(milliseconds(1010));
     }
 
+    /// h0, to which d0 is silent, replaces it; a replica joins that h0 doesn't know.
+    void replace_silent_primary() {
+        this->group.at("d0").unreachable_from = {"h0"};
+        REQUIRE(this->host(0).begin(change_reason::primary_lost));
+        while (this->group.trace().back().find("accepted") == std::string::npos &&
+               this->group.now() < instant(seconds(1010))) {
+            this->play(milliseconds(10));
+        }
+        this->group.cut_off_present_replicas();
+        this->group.add_empty_replica(milliseconds(20));
+        this->group.set_store_away(false);
+        this->group.at("d3").registered = false;
+        this->group.at("d3").registration_lag = milliseconds(1200);
+        this->play(seconds(8));
+    }
+
     void lapse_all() {
         for (auto const& each : this->group.databases()) {
             this->group.lapse(each.first);
@@ -155,17 +171,18 @@
 void play_seeds(
     std::uint64_t last_seed,
     std::function<bool(random_run_result const&)> const& is_wrong,
-    fault_set const& allowed = all_faults()) {
+    fault_set const& allowed = all_faults(),
+    bool has_fence = false) {
     std::vector<std::uint64_t> const none;
     std::vector<std::uint64_t> endless;
     std::vector<std::uint64_t> wrong;
     std::string first;
     for (std::uint64_t seed = 1; seed <= last_seed; ++seed) {
-        if (!ends([&] { run_with_random_faults(seed, allowed); })) {
+        if (!ends([&] { run_with_random_faults(seed, allowed, has_fence); })) {
             endless.push_back(seed);
             continue;
         }
-        random_run_result const run = run_with_random_faults(seed, allowed);
+        random_run_result const run = run_with_random_faults(seed, allowed, has_fence);
         if (is_wrong(run)) {
             wrong.push_back(seed);
             first = first.empty() ? told(seed, run) : first;
@@ -258,6 +275,27 @@
     play_seeds(seeds_with_lost_store, has_lost, all_faults_and_store_losses());
 }
 
+TEST_CASE(
+    "What a primary acknowledged and a registered database has isn't lost in many random "
+    "runs with the fence before commits",
+    "[.][leadership-model-literal][fence-literal]") {
+    play_seeds(seeds_judged_literally, has_lost_literally, all_faults(), true);
+}
+
+TEST_CASE(
+    "What a primary acknowledged and a registered database has isn't lost in many random "
+    "runs with the fence before commits, in which replicas join unseen",
+    "[.][leadership-model-literal][fence-literal]") {
+    play_seeds(
+        seeds_judged_literally, has_lost_literally, all_faults_and_unseen_joins(), true);
+}
+
+TEST_CASE(
+    "Every change ends in many random runs with the fence before commits",
+    "[.][fence-long]") {
+    play_seeds(seeds_judged_literally, is_stuck, all_faults_and_unseen_joins(), true);
+}
+
 TEST_CASE(
     "What a primary acknowledged and a registered database has isn't lost in many random "
     "runs, whether or not a caller was told",
@@ -684,24 +722,44 @@
     "replaces it, are not lost",
     "[leadership][leadership-model][silent-to-one]") {
     scene it;
-    it.group.at("d0").unreachable_from = {"h0"};
-    REQUIRE(it.host(0).begin(change_reason::primary_lost));
-    while (it.group.trace().back().find("accepted") == std::string::npos &&
-           it.group.now() < instant(seconds(1010))) {
-        it.play(milliseconds(10));
-    }
-    it.group.cut_off_present_replicas();
-    it.group.add_empty_replica(milliseconds(20));
-    it.group.set_store_away(false);
-    it.group.at("d3").registered = false;
-    it.group.at("d3").registration_lag = milliseconds(1200);
-    it.play(seconds(8));
+    it.replace_silent_primary();
     INFO(it.story());
     REQUIRE(it.group.promotions() == 1);
     REQUIRE(it.host(1).commits_in_doubt() > 0);
     CHECK(it.group.losses().empty());
 }
 
+TEST_CASE(
+    "What a primary that is silent to the host which replaces it would acknowledge "
+    "behind "
+    "the comparison is kept off it by the fence, whether or not a caller is told",
+    "[leadership][leadership-model][silent-to-one][fence]") {
+    scene it;
+    it.fleet.has_fence = GENERATE(true, false);
+    it.play(seconds(1));
+    it.replace_silent_primary();
+    INFO(it.story());
+    REQUIRE(it.group.promotions() == 1);
+    CHECK(it.group.losses().empty());
+    CHECK(it.group.literal_losses().lost.empty() == it.fleet.has_fence);
+}
+
+TEST_CASE(
+    "Commits are sent again once a change that fenced them is over",
+    "[leadership][leadership-model][fence]") {
+    scene it;
+    it.fleet.has_fence = true;
+    it.play(seconds(1));
+    it.group.at("d0").unreachable_from = {"h0"};
+    REQUIRE(it.host(0).begin(change_reason::primary_lost));
+    it.play(seconds(6));
+    REQUIRE(it.group.promotions() == 1);
+    std::size_t const before = it.group.acknowledged_count();
+    it.play(seconds(1));
+    INFO(it.story());
+    CHECK(it.group.acknowledged_count() > before + 90);
+}
+
 TEST_CASE(
     "A former primary that has become a replica is compared by a host that takes it for "
     "the primary",
--- a/tests/support/leadership_hosts_model.cpp
+++ b/tests/support/leadership_hosts_model.cpp
@@ -20,6 +20,9 @@
 constexpr duration commit_stall_timeout = milliseconds(600);
 
 constexpr duration statement_timeout = seconds(2);
+constexpr duration serves_lately = milliseconds(600);
+constexpr duration fence_patience = seconds(1);
+constexpr duration link_delay = milliseconds(10);
 /// To a host of the model's start, all databases have been running for long.
 constexpr std::uint64_t long_after_starts_ms = 3'600'000;
 
@@ -45,6 +48,14 @@
     return true;
 }
 
+bool fault_plan::board_answers(std::string const&) {
+    return true;
+}
+
+bool fault_plan::linked(std::string const&, std::string const&) {
+    return true;
+}
+
 bool fault_plan::reads_first() {
     return true;
 }
@@ -67,6 +78,46 @@
     });
 }
 
+bool modelled_fleet::sends_commits() {
+    if (!this->has_fence) {
+        return true;
+    }
+    bool any_reaches = false;
+    bool any_sends = false;
+    for (auto const& each : this->hosts) {
+        if (each->acts() && each->reaches(this->group.primary())) {
+            fence_verdict const verdict = each->guard().judge(this->group.primary());
+            any_reaches = true;
+            any_sends = any_sends || verdict == fence_verdict::allow;
+        }
+    }
+    return any_sends || !any_reaches;
+}
+
+void modelled_fleet::send(
+    std::string const& from,
+    std::string const& to,
+    std::function<void(modelled_host&)> action) {
+    if (this->faults.linked(from, to)) {
+        this->deliver_later(to, link_delay, std::move(action));
+    }
+}
+
+void modelled_fleet::deliver_later(
+    std::string const& to, duration delay, std::function<void(modelled_host&)> action) {
+    for (auto const& each : this->hosts) {
+        if (each->name() == to && each->is_alive()) {
+            each->deliver_after(
+                delay, [one = each.get(), action = std::move(action)] { action(*one); });
+            return;
+        }
+    }
+}
+
+bool modelled_fleet::board_answers(std::string const& host) const {
+    return !this->group.is_store_away() && this->faults.board_answers(host);
+}
+
 void modelled_fleet::hand_out_commits() {
     for (answered_commit const& each : this->group.take_answered()) {
         std::vector<modelled_host*> able;
@@ -89,7 +140,10 @@
 }
 
 modelled_host::modelled_host(modelled_fleet& fleet, std::string name)
-    : fleet(fleet), own_name(std::move(name)), departures(fleet.group.now()) {
+    : fleet(fleet),
+      own_name(std::move(name)),
+      own_guard(std::make_unique<modelled_fence>(fleet, this->own_name)),
+      departures(fleet.group.now()) {
     this->read_directory();
     this->routing.confirm_leader(fleet.group.primary(), fleet.group.term());
 }
@@ -243,6 +297,9 @@
         return;
     }
     this->retired.reset();
+    if (this->fleet.has_fence) {
+        this->own_guard->tick();
+    }
     this->pass_on_commits();
     if (this->change) {
         this->step();
@@ -415,12 +472,46 @@
     commits.lists_settled =
         !this->readings.in_reach_since() ||
         (this->readings.last() && time - *this->readings.last() <= listing_max_age);
+    commits.fence_stands = !this->fleet.has_fence || this->fence_stands();
     commits.listing = this->readings.judge(since, time);
     commits.acknowledged = this->acknowledged.required(commits.listing, time);
     commits.unacknowledged = this->manages ? this->fleet.group.unacknowledged_count() : 0;
     return commits;
 }
 
+/// As leadership_keeper does.
+bool modelled_host::fence_stands() {
+    instant const time = this->fleet.group.now();
+    bool const is_stopped = this->change->primary_stopped_at().has_value();
+    bool const is_planned = this->change->reason() == change_reason::primary_leaving &&
+                            !is_stopped && time - this->last_answer < serves_lately;
+    if (this->change->may_call_soon()) {
+        this->last_near_call = time;
+    }
+    bool const is_needed =
+        this->last_near_call && time - *this->last_near_call < fence_patience;
+    if (is_planned || !is_needed) {
+        this->own_guard->end();
+        return is_planned;
+    }
+    this->own_guard->call(this->change->old_primary());
+    if (is_stopped) {
+        return true;
+    }
+    std::optional<instant> const since = this->own_guard->stands_since();
+    if (!since) {
+        return false;
+    }
+    auto const is_read = [this, since] {
+        return !this->readings.in_reach_since() ||
+               (this->readings.last() && *this->readings.last() >= *since);
+    };
+    if (!is_read()) {
+        this->read_directory();
+    }
+    return is_read();
+}
+
 departure modelled_host::departure_known() const {
     instant const time = this->fleet.group.now();
     return this->departures.judge(
@@ -455,6 +546,7 @@
     ++this->change_number;
     this->tokens.change_began();
     this->change_began = time;
+    this->last_near_call.reset();
     this->change = std::make_unique<leadership_change>(
         this->primary, present, leader ? leader->term : 0, reason, time,
         this->departure_known());
@@ -624,6 +716,7 @@
         promoted ? "change is over, " + action.database + " leads"
                  : "change is abandoned");
     this->retired = std::move(this->change);
+    this->own_guard->end();
     this->next_change = this->fleet.group.now() + between_changes;
     this->suspicion.reset();
     this->managed_since = instant();
@@ -681,6 +774,12 @@
         this->departures = departure_memory(this->fleet.group.now());
         this->acknowledged = acknowledged_commits();
         this->gate = acknowledgement_gate();
+        this->own_guard = std::make_unique<modelled_fence>(this->fleet, this->own_name);
+        for (auto const& each : this->fleet.hosts) {
+            if (each.get() != this && each->acts()) {
+                each->guard().link_up(this->own_name);
+            }
+        }
         this->readings = directory_readings();
         this->tracker = directory_tracker();
         this->read_directory();
--- a/tests/support/leadership_hosts_model.hpp
+++ b/tests/support/leadership_hosts_model.hpp
@@ -16,6 +16,7 @@
 #include <persimmonpoint/core/routing/group_routing.hpp>
 #include <span>
 #include <string>
+#include <support/modelled_fence.hpp>
 #include <support/replicated_group_model.hpp>
 #include <vector>
 
@@ -45,6 +46,10 @@
     /// Without it the other host never hears of a new leader.
     virtual std::optional<duration> news(std::string const& from, std::string const& to);
     virtual bool store_answers(std::string const& host);
+    /// False while the store's fence notices are out of the host's reach.
+    virtual bool board_answers(std::string const& host);
+    /// False while nothing passes between the two hosts.
+    virtual bool linked(std::string const& one, std::string const& other);
     /// True if a host that wakes up reads what has arrived before it acts.
     virtual bool reads_first();
 };
@@ -58,6 +63,10 @@
     std::vector<std::unique_ptr<modelled_host>> hosts;
     /// Hosts keep a row that is missing for a while, as directory_tracker does.
     bool keeps_missing_rows = false;
+    /// Hosts send no commit to a primary that one of them is about to replace. Without it
+    /// the model shows what the rest of the logic holds.
+    bool has_fence = false;
+    std::map<std::string, fence_notice> notices{}; ///< In the store, by host.
 
     void add_host(std::string const& name);
     modelled_host& host(std::size_t index) { return *this->hosts.at(index); }
@@ -65,6 +74,19 @@
     /// True if another host gets answers from the database.
     bool others_reach(std::string const& host, std::string const& database) const;
     void tick();
+    /// True if some host that reaches the primary may send it a commit.
+    bool sends_commits();
+    /// Runs `action` on `to` a moment later, unless the two aren't linked.
+    void send(
+        std::string const& from,
+        std::string const& to,
+        std::function<void(modelled_host&)> action);
+    /// Runs `action` on the host after `delay`, unless it is killed before.
+    void deliver_later(
+        std::string const& to,
+        duration delay,
+        std::function<void(modelled_host&)> action);
+    bool board_answers(std::string const& host) const;
     /// Each commit that was acknowledged is a statement of some host.
     void hand_out_commits();
 };
@@ -102,6 +124,8 @@
     bool acts() const { return this->alive && !this->frozen; }
     /// True if its change waits for a log that may come back.
     bool awaits_lapsed_log() const;
+    modelled_fence& guard() { return *this->own_guard; }
+    void deliver_after(duration delay, std::function<void()> action);
     /// Commits of which callers were told that they are in doubt.
     std::size_t commits_in_doubt() const { return this->in_doubt; }
     /// A commit that this host had sent was acknowledged.
@@ -140,10 +164,11 @@
     void wake();
     void pass_on_commits();
     void note(std::string const& event);
-    void deliver_after(duration delay, std::function<void()> action);
+    bool fence_stands();
 
     modelled_fleet& fleet;
     std::string own_name;
+    std::unique_ptr<modelled_fence> own_guard;
     group_routing routing;
     std::unique_ptr<leadership_change> change;
     std::unique_ptr<leadership_change> retired;
@@ -161,7 +186,8 @@
     directory_readings readings;
     directory_tracker tracker;
     instant change_began{};
-    unsigned change_number = 0; ///< Of the present change, or the last.
+    std::optional<instant> last_near_call; ///< When the change could call soon.
+    unsigned change_number = 0;            ///< Of the present change, or the last.
     instant next_change{};
     instant leave_alone_until{};
     std::string last_state;
--- a/tests/support/random_leadership_faults.cpp
+++ b/tests/support/random_leadership_faults.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <support/random_leadership_faults.hpp>
+#include <utility>
 
 namespace persimmonpoint::tests {
 
@@ -14,6 +15,7 @@
 constexpr int ticks_per_look = 3;
 constexpr std::size_t fewest_databases = 3;
 constexpr std::uint64_t store_seeds = 1000000;
+constexpr std::uint64_t link_seeds = 2000000;
 constexpr unsigned most_unlisted = 2;
 constexpr unsigned most_empty_starts = 2;
 constexpr unsigned most_quick_joins = 3;
@@ -25,12 +27,15 @@
 
 class random_leadership_run final : private fault_plan {
 public:
-    random_leadership_run(std::uint64_t seed, fault_set const& allowed)
+    random_leadership_run(std::uint64_t seed, fault_set const& allowed, bool has_fence)
         : dice(seed),
           store_dice(seed + store_seeds),
+          link_dice(seed + link_seeds),
           group(this->dice.once_in(4) ? fewest_databases + 1 : fewest_databases),
           fleet{this->group, *this, {}} {
         this->choose_faults(allowed);
+        this->fleet.has_fence = has_fence;
+        this->cuts_links = has_fence && this->link_dice.once_in(2);
         std::size_t const hosts = this->dice.between(2, 3);
         for (std::size_t i = 0; i < hosts; ++i) {
             this->fleet.add_host("h" + std::to_string(i));
@@ -43,8 +48,10 @@
     random_run_result run() {
         this->play(time_with_faults);
         this->end_faults();
+        // One that waits as the faults end may find so late that it waits in vain.
+        bool const waits = this->awaits_lapsed_log();
         this->play(time_to_recover);
-        if (this->awaits_lapsed_log()) {
+        if (waits || this->awaits_lapsed_log()) {
             this->play(lapsed_log_patience);
         }
         return this->result();
@@ -109,7 +116,7 @@
             reached = reached || (each->is_alive() && !each->is_frozen() &&
                                   each->reaches(this->group.primary()));
         }
-        if (reached && this->dice.once_in(3)) {
+        if (reached && this->dice.once_in(3) && this->fleet.sends_commits()) {
             this->group.write();
         }
         for (auto const& each : this->group.databases()) {
@@ -200,6 +207,11 @@
                                       : change_reason::commits_stalled);
         }
         this->pass_ownership();
+        constexpr std::uint64_t ticks_between_cuts = 600;
+        if (this->cuts_links && this->faults_go_on &&
+            this->link_dice.once_in(ticks_between_cuts)) {
+            this->cut_links();
+        }
     }
 
     /// Some host that can act owns the primary.
@@ -313,6 +325,44 @@
         }
     }
 
+    void cut_links() {
+        modelled_host& host =
+            this->fleet.host(this->link_dice.between(0, this->fleet.hosts.size() - 1));
+        std::string const name = host.name();
+        if (!this->unlinked.empty()) {
+            return;
+        }
+        this->unlinked = name;
+        this->group.note(name + " is linked to no other host");
+        this->group.after(
+            this->link_dice.milliseconds_between(300, 6000), [this] { this->link_up(); });
+    }
+
+    void link_up() {
+        std::string const name = std::exchange(this->unlinked, "");
+        if (name.empty()) {
+            return;
+        }
+        this->group.note(name + " is linked again");
+        for (auto const& one : this->fleet.hosts) {
+            for (auto const& other : this->fleet.hosts) {
+                bool const was_cut =
+                    one != other && (one->name() == name || other->name() == name);
+                if (was_cut && one->acts()) {
+                    one->guard().link_up(other->name());
+                }
+            }
+        }
+    }
+
+    bool linked(std::string const& one, std::string const& other) override {
+        return this->unlinked != one && this->unlinked != other;
+    }
+
+    bool board_answers(std::string const&) override {
+        return this->group.now() >= this->store_away_until;
+    }
+
     modelled_host& some_host() {
         return this->fleet.host(this->dice.between(0, this->fleet.hosts.size() - 1));
     }
@@ -391,6 +441,7 @@
         this->group.set_primary_cut(false);
         this->group.mend_cuts();
         this->find_store();
+        this->link_up();
         for (auto const& each : this->group.databases()) {
             this->group.at(each.first).deaf = false;
             this->group.at(each.first).unreachable_from.clear();
@@ -487,15 +538,19 @@
                               to_string(static_cast<fault_kind>(i));
             }
         }
+        out.faults += this->cuts_links ? " link_cut" : "";
         return out;
     }
 
     seeded_dice dice;
     seeded_dice store_dice; ///< For faults from lost_store on.
+    seeded_dice link_dice;  ///< For cuts between hosts.
     replicated_group group;
     modelled_fleet fleet;
     fault_set chosen{};
     std::uint64_t rarity = 1;
+    bool cuts_links = false;
+    std::string unlinked; ///< Host that is linked to no other.
     bool faults_go_on = true;
     unsigned deaths = 0;
     unsigned leavers = 0;
@@ -529,8 +584,9 @@
     return milliseconds(this->between(low, high));
 }
 
-random_run_result run_with_random_faults(std::uint64_t seed, fault_set const& allowed) {
-    random_leadership_run run(seed, allowed);
+random_run_result
+run_with_random_faults(std::uint64_t seed, fault_set const& allowed, bool has_fence) {
+    random_leadership_run run(seed, allowed, has_fence);
     return run.run();
 }
 
--- a/tests/support/random_leadership_faults.hpp
+++ b/tests/support/random_leadership_faults.hpp
@@ -76,7 +76,10 @@
 
 /// Plays a group of databases and a few hosts for half a minute with faults, and until
 /// 20 s after them. Each seed has its own selection of `allowed`.
-random_run_result run_with_random_faults(std::uint64_t seed, fault_set const& allowed);
+/// @param has_fence Whether hosts fence the commits of a primary that one replaces; then
+/// links between hosts are cut, too.
+random_run_result run_with_random_faults(
+    std::uint64_t seed, fault_set const& allowed, bool has_fence = false);
 
 /// All up to lost_news.
 fault_set all_faults();
