--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -510,9 +510,11 @@
 bool leadership_change::leaves_silent_out(instant now) const {
     bool const is_primary_compared =
         this->primary_answers(now) || this->members.is_primary_stopped();
-    bool const is_planned = this->cause == change_reason::primary_leaving &&
-                            is_primary_compared &&
-                            now - this->begun_at >= silent_replica_patience;
+    change_member const* const primary = this->members.primary_member();
+    bool const is_urgent = primary != nullptr && ends_soon(*primary, now);
+    bool const is_planned =
+        this->cause == change_reason::primary_leaving && is_primary_compared &&
+        (is_urgent || now - this->begun_at >= silent_replica_patience);
     return is_planned || this->is_last_chance(now);
 }
 
