--- a/tests/introspective/acknowledged_commits.tests.cpp
+++ b/tests/introspective/acknowledged_commits.tests.cpp
@@ -52,6 +52,7 @@
     commits.note("db-1", {4, 60});
     commits.lapsed("db-2", start);
     CHECK_FALSE(commits.is_holder_missing());
+    commits.came_back("db-2");
     commits.lapsed("db-1", start);
     CHECK(commits.is_holder_missing());
     instant const late = start + lapsed_log_patience - milliseconds(1);
@@ -78,6 +79,19 @@
     }
 }
 
+TEST_CASE(
+    "A database whose row lapsed is waited for though the one that acknowledged has left",
+    "[leadership][commits]") {
+    acknowledged_commits commits;
+    commits.note("db-1", {4, 60});
+    commits.log_lost("db-1");
+    commits.lapsed("db-2", start);
+    instant const late = start + lapsed_log_patience - milliseconds(1);
+    CHECK(commits.required(directory_listing::complete, late) == log_position{4, 60});
+    CHECK_FALSE(
+        commits.required(directory_listing::complete, start + lapsed_log_patience));
+}
+
 TEST_CASE(
     "A commit's position is bounded by the log's ends before and after it",
     "[leadership][commits]") {
