--- a/tests/introspective/leadership_premises.tests.cpp
+++ b/tests/introspective/leadership_premises.tests.cpp
@@ -595,3 +595,17 @@
     CHECK(change.is_over());
     CHECK(group.leader != "p");
 }
+
+TEST_CASE(
+    "A leaving primary isn't kept beyond its end for a replica that is silent",
+    "[leadership][premises]") {
+    acting_group group = group_of_three();
+    group.copies["r0"].alive = false;
+    group.leaving = "p";
+    group.ends_at = start + seconds(2);
+    leadership_change change = group.begin_change(start, change_reason::primary_leaving);
+    instant now = start;
+    group.run(change, now, milliseconds(1500));
+    CHECK(group.leader == "r1");
+    CHECK_FALSE(group.lost_commit);
+}
--- a/tests/support/acting_group.cpp
+++ b/tests/support/acting_group.cpp
@@ -44,7 +44,8 @@
     std::vector<group_replica> all;
     for (auto const& each : this->copies) {
         if (this->lapsed != each.first && this->unlisted.count(each.first) == 0) {
-            all.push_back({each.first, this->leaving == each.first, 0, this->ends_at});
+            bool const leaves = this->leaving == each.first;
+            all.push_back({each.first, leaves, 0, leaves ? this->ends_at : std::nullopt});
         }
     }
     return all;
