--- a/src/persimmonpoint/core/digest.cpp
+++ b/src/persimmonpoint/core/digest.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Hexadecimal digits of a digest in a log.
+constexpr std::size_t log_digest_digits = 16;
+
 std::string to_hex(std::span<unsigned char const> bytes) {
     constexpr std::string_view digits = "0123456789abcdef";
     std::string text;
@@ -43,6 +46,10 @@
     return to_hex(std::span(digest).first(length));
 }
 
+std::string log_digest(std::string_view text) {
+    return sha256(text).substr(0, log_digest_digits);
+}
+
 bool equal_in_constant_time(std::string_view left, std::string_view right) {
     return left.size() == right.size() &&
            CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -1,4 +1,5 @@
 #include <boost/asio/steady_timer.hpp>
+#include <persimmonpoint/core/digest.hpp>
 #include <persimmonpoint/core/session/client_session_state.hpp>
 #include <persimmonpoint/engine/caller_session.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
@@ -225,6 +226,8 @@
         order.id = what.id;
         order.text = decision.text;
         order.prepared = decision.prepared;
+        this->current_shape =
+            decision.prepared ? log_digest(decision.prepared->shape) : std::string();
         order.writes = decision.writes;
         order.values = this->state.values();
         order.priority = this->route.priority;
@@ -384,6 +387,7 @@
              {"route", this->route.name},
              {"group", this->route.group},
              {"kind", kind},
+             {"shape", this->current_shape},
              {"database", outcome.database},
              {"on_primary", this->ran_on_primary(outcome)},
              {"owner", outcome.owner},
@@ -527,6 +531,7 @@
     bool dismissed = false; ///< The caller was told that the session ends.
     bool was_idle_too_long = false;
     std::string current_id;
+    std::string current_shape; ///< Digest, for logs; empty if nothing prepared runs.
     instant received{};
 };
 
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -3,11 +3,13 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <optional>
+#include <persimmonpoint/core/digest.hpp>
 #include <persimmonpoint/core/limits/commit_share.hpp>
 #include <persimmonpoint/core/limits/waiting_line.hpp>
 #include <persimmonpoint/core/recovery/acknowledged_commits.hpp>
 #include <persimmonpoint/engine/database_owner.hpp>
 #include <persimmonpoint/engine/order_commands.hpp>
+#include <persimmonpoint/observe/event_log.hpp>
 #include <utility>
 #include <vector>
 
@@ -358,6 +360,9 @@
                 this->commits.started(on.commit_sent_at);
                 this->observer.on_commit_sent(this->database.id, on.commit_sent_at);
             }
+            if (next.command.action == upstream_action::execute_prepared) {
+                this->log_setup("prepared_statement_sent", on, next.command);
+            }
         }
         on.connection->execute(
             next.command,
@@ -417,9 +422,26 @@
             });
     }
 
+    /// With `statement_done` it tells which shape ran for a statement, and where.
+    void log_setup(
+        std::string_view event, lane const& on, upstream_command const& command) const {
+        upstream_request const& order = on.current->order;
+        bool const has_shape = command.action != upstream_action::reset;
+        observe::log_event(
+            observe::log_level::info, event,
+            {{"id", order.id},
+             {"database", this->database.id},
+             {"team", order.team},
+             {"connection", on.view.id},
+             {"prepared_on_it", on.view.prepared.size()},
+             {"shape", has_shape ? log_digest(command.prepared.shape) : std::string()},
+             {"writes", command.prepared.writes}});
+    }
+
     void note_setup(lane& on, upstream_command const& command) {
         switch (command.action) {
         case upstream_action::reset:
+            this->log_setup("connection_reset", on, command);
             on.view.values.clear();
             on.view.prepared.clear();
             break;
@@ -427,6 +449,7 @@
             on.view.values[command.name] = command.text;
             break;
         case upstream_action::prepare:
+            this->log_setup("statement_prepared", on, command);
             on.view.prepared.insert(command.prepared);
             break;
         default:
--- a/tests/introspective/database_owner.tests.cpp
+++ b/tests/introspective/database_owner.tests.cpp
@@ -1,9 +1,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
+#include <iostream>
 #include <map>
 #include <optional>
+#include <persimmonpoint/core/digest.hpp>
 #include <persimmonpoint/engine/database_owner.hpp>
+#include <persimmonpoint/observe/event_log.hpp>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -169,6 +173,30 @@
     std::unique_ptr<database_owner> owner;
 };
 
+/// The event log's lines while it lives.
+class captured_log {
+public:
+    captured_log() : before(std::cout.rdbuf(this->written.rdbuf())) {
+        observe::start_event_log("host");
+    }
+    ~captured_log() { this->end(); }
+    captured_log(captured_log const&) = delete;
+    captured_log& operator=(captured_log const&) = delete;
+
+    /// Ends the log and gives back what was written.
+    std::string end() {
+        if (this->before != nullptr) {
+            observe::stop_event_log();
+            std::cout.rdbuf(std::exchange(this->before, nullptr));
+        }
+        return this->written.str();
+    }
+
+private:
+    std::ostringstream written;
+    std::streambuf* before;
+};
+
 upstream_request
 inside(upstream_request_kind kind, std::string text, upstream_response const& opened) {
     upstream_request request;
@@ -389,3 +417,41 @@
     CHECK(stage.connector.sent[0] == sent_texts{"UPDATE"});
     CHECK(stage.connector.sent.size() == 1);
 }
+
+// Guards against logs that don't tell which shape ran for a statement, on which
+// connection.
+TEST_CASE(
+    "A prepared statement's id, connection and shape are in the log, its text is not",
+    "[owner][prepared][logs]") {
+    owner_stage stage;
+    captured_log log;
+    upstream_request execute;
+    execute.text = "some-item";
+    execute.prepared = prepared_shape{"some words", false};
+    stage.run(execute, first_link);
+    execute.values = {{"zone", "north"}};
+    stage.run(execute, first_link);
+    execute.values = {};
+    stage.run(execute, first_link);
+
+    std::string const lines = log.end();
+    std::string const shape = "\"shape\":\"" + log_digest("some words") + "\"";
+    auto const count = [&lines](std::string const& text) {
+        std::size_t found = 0;
+        for (std::size_t at = lines.find(text); at != std::string::npos;
+             at = lines.find(text, at + 1)) {
+            ++found;
+        }
+        return found;
+    };
+    INFO(lines);
+    // The last one runs without the value, which takes a reset.
+    CHECK(count("\"event\":\"statement_prepared\"") == 2);
+    CHECK(count("\"event\":\"prepared_statement_sent\"") == 3);
+    CHECK(count("\"event\":\"connection_reset\"") == 1);
+    CHECK(count(shape) == 5);
+    CHECK(count("\"id\":\"id\"") == 6);
+    CHECK(count("\"connection\":1") == 6);
+    CHECK(count("some words") == 0);
+    CHECK(count("some-item") == 0);
+}
