--- a/src/persimmonpoint/platform/line_codec.cpp
+++ b/src/persimmonpoint/platform/line_codec.cpp
@@ -82,6 +82,9 @@
         parsed.verb = access == "READ" ? statement_verb::prepare_read
                                        : statement_verb::prepare_write;
     } else if (word == "EXECUTE") {
+        if (rest.empty()) {
+            return std::nullopt;
+        }
         parsed.verb = statement_verb::execute;
     }
     parsed.argument = rest;
