--- a/src/persimmonpoint/core/recovery/retry_policy.cpp
+++ b/src/persimmonpoint/core/recovery/retry_policy.cpp
@@ -59,8 +59,11 @@
         return retry_decision{};
     }
     bool const hides_a_run = this->may_have_run && proves_not_run(answer.error);
+    // The caller's name is known to its session; the database lost a name of ours.
+    bool const is_ours = answer.error == statement_error::unknown_statement;
     return this->retry_or_refuse(
-        database, hides_a_run ? this->refusal() : answer.error, answer.error_text, now);
+        database, hides_a_run || is_ours ? this->refusal() : answer.error,
+        answer.error_text, now);
 }
 
 retry_decision retry_policy::retry_or_refuse(
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -390,7 +390,11 @@
             return;
         }
         order_step const& done = on.steps[on.next_step];
-        if (done.is_main) {
+        bool const forgotten = done.command.action == upstream_action::execute_prepared &&
+                               answer.error == statement_error::unknown_statement;
+        if (forgotten) {
+            this->session_forgotten(on, std::move(answer));
+        } else if (done.is_main) {
             this->main_answered(on, std::move(answer));
         } else if (answer.error != statement_error::none) {
             this->setup_failed(on, std::move(answer));
@@ -529,6 +533,25 @@
         this->pump();
     }
 
+    /// The database doesn't know a name that it has prepared on this connection, so that
+    /// the session values may be gone as well. Nothing ran.
+    void session_forgotten(lane& on, upstream_answer answer) {
+        this->log_setup("prepared_statement_unknown", on, on.steps[on.next_step].command);
+        this->commit_ended(on, commit_end::not_run);
+        bool const in_transaction = on.transaction.is_set();
+        pending_order pending = this->take_current(on);
+        this->drop(on.view.id);
+        upstream_response out = not_run(upstream_refusal::transaction_lost);
+        if (!in_transaction) {
+            out.refusal = upstream_refusal::none;
+            out.outcome = upstream_outcome::answered;
+            out.error = answer.error;
+            out.error_text = std::move(answer.error_text);
+        }
+        this->reply(pending, std::move(out));
+        this->pump();
+    }
+
     void commit_ended(lane& on, commit_end how) {
         if (std::exchange(on.counts_as_commit, false) && on.main_sent) {
             this->commits.ended(this->time.now());
--- a/tests/introspective/caller_state.tests.cpp
+++ b/tests/introspective/caller_state.tests.cpp
@@ -186,6 +186,19 @@
         retry_step::retry_later);
 }
 
+// Guards against a caller that hears UNKNOWN for a name whose preparing was acknowledged.
+TEST_CASE("A name that a database forgot is no error of the caller", "[attempts]") {
+    retry_policy plan(subject(true, false, true));
+    retry_decision decision;
+    for (int i = 0; i < 100 && decision.step != retry_step::refuse; ++i) {
+        decision =
+            plan.answered(answered(statement_error::unknown_statement), "db", start);
+        CHECK(decision.step != retry_step::deliver);
+    }
+    CHECK(decision.step == retry_step::refuse);
+    CHECK(decision.error == statement_error::busy);
+}
+
 TEST_CASE("A failed write goes to the caller as the database said it", "[attempts]") {
     retry_policy plan(subject(true, false, true));
     CHECK(
--- a/tests/introspective/database_owner.tests.cpp
+++ b/tests/introspective/database_owner.tests.cpp
@@ -54,6 +54,7 @@
     std::optional<log_position> log_end;
     statement_error error = statement_error::none;
     bool loses_answers = false;
+    bool forgets_names = false; ///< Answers each EXECUTE that it knows no such name.
 };
 
 /// Answers each command as its database does, and keeps the state of its transaction.
@@ -82,6 +83,10 @@
         answer.position = this->world.log_end;
         answer.error = this->world.error;
         answer.lost = this->world.loses_answers;
+        if (this->world.forgets_names &&
+            command.action == upstream_action::execute_prepared) {
+            answer.error = statement_error::unknown_statement;
+        }
         boost::asio::post(this->loop, [handler, answer] { handler(answer); });
     }
 
@@ -457,3 +462,35 @@
     CHECK(count("some words") == 0);
     CHECK(count("some-item") == 0);
 }
+
+// Guards against a caller that hears UNKNOWN for a name whose preparing was acknowledged.
+TEST_CASE(
+    "A connection whose database forgot a prepared name isn't used again",
+    "[owner][prepared]") {
+    owner_stage stage;
+    upstream_request execute;
+    execute.text = "item";
+    execute.prepared = prepared_shape{"q", false};
+
+    SECTION("a single statement can be had elsewhere") {
+        stage.connector.database.forgets_names = true;
+        auto const answer = stage.run(execute, first_link);
+        CHECK(answer.outcome == upstream_outcome::answered);
+        CHECK(answer.error == statement_error::unknown_statement);
+        CHECK(stage.owner->connections() == 0);
+    }
+    SECTION("a transaction is rolled back") {
+        auto const opened = stage.open("WRITE a 1", first_link);
+        stage.connector.database.forgets_names = true;
+        execute.kind = upstream_request_kind::in_transaction;
+        execute.transaction = opened.transaction;
+        auto const answer = stage.run(execute, first_link);
+        CHECK(answer.outcome == upstream_outcome::not_run);
+        CHECK(answer.refusal == upstream_refusal::transaction_lost);
+        CHECK(stage.owner->connections() == 0);
+    }
+    stage.connector.database.forgets_names = false;
+    auto const later = stage.open("WRITE b 2", second_link);
+    CHECK(later.outcome == upstream_outcome::answered);
+    CHECK(stage.connector.sent[1] == sent_texts{"BEGIN", "WRITE b 2"});
+}
