--- a/src/persimmonpoint/engine/message_check.cpp
+++ b/src/persimmonpoint/engine/message_check.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <persimmonpoint/core/catalog/entry_rules.hpp>
+#include <persimmonpoint/core/statement/field_rules.hpp>
 #include <persimmonpoint/engine/message_check.hpp>
 #include <persimmonpoint/net/tcp_options.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
@@ -11,27 +12,27 @@
 /// Longest time that a lender may tell a borrower to wait.
 constexpr std::int64_t max_loan_wait_us = 3'600'000'000;
 
-/// Ends of lines would make further messages of a statement's text.
-bool is_one_line(std::string_view text) {
-    constexpr std::string_view line_ends("\r\n\0", 3);
-    return text.find_first_of(line_ends) == std::string_view::npos;
-}
-
 bool is_empty_or_word(std::string_view text) {
     return text.empty() || is_plain_word(text);
 }
 
 bool are_values(session_values const& values) {
     return std::all_of(values.begin(), values.end(), [](auto const& each) {
-        return is_one_line(each.first) && is_one_line(each.second);
+        return is_inner_field(each.first) && is_last_field(each.second);
     });
 }
 
 bool is_order(upstream_request const& order) {
     return is_empty_or_word(order.group) && is_empty_or_word(order.database) &&
-           is_empty_or_word(order.team) && is_one_line(order.id) &&
-           is_one_line(order.text) && are_values(order.values) &&
-           (!order.prepared || is_one_line(order.prepared->shape));
+           is_empty_or_word(order.team) &&
+           (order.id.empty() || is_inner_field(order.id)) && is_last_field(order.text) &&
+           are_values(order.values) &&
+           (!order.prepared || is_last_field(order.prepared->shape));
+}
+
+bool is_answer(upstream_response const& answer) {
+    return is_one_line(answer.error_text) && is_one_line(answer.signature) &&
+           std::all_of(answer.rows.begin(), answer.rows.end(), is_one_line);
 }
 
 /// One overload for each kind of message whose fields are bounded.
@@ -42,6 +43,9 @@
     bool operator()(order_message const& message) const {
         return is_order(message.order);
     }
+    bool operator()(answer_message const& message) const {
+        return is_answer(message.answer);
+    }
     bool operator()(loan_message const& message) const {
         return message.wait_us >= 0 && message.wait_us <= max_loan_wait_us;
     }
--- a/src/persimmonpoint/engine/message_check.hpp
+++ b/src/persimmonpoint/engine/message_check.hpp
@@ -6,7 +6,8 @@
 namespace persimmonpoint::engine {
 
 /// True if every field of the message holds a value that a host may send: names are
-/// words, a statement holds no end of line, waiting times are within their bounds.
+/// words, fields of a statement hold nothing that ends them (core/statement/field_rules),
+/// waiting times are within their bounds.
 bool is_well_formed(peer_message const& message);
 
 /// Removes entries that can't be used, for example those that a host of an earlier build
--- a/src/persimmonpoint/platform/line_reader.hpp
+++ b/src/persimmonpoint/platform/line_reader.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <persimmonpoint/core/statement/field_rules.hpp>
 #include <persimmonpoint/platform/line_codec.hpp>
 #include <string>
 #include <string_view>
@@ -42,7 +43,7 @@
 
 /// True if a line holds a character that could end or start another message.
 inline bool has_stray_control(std::string_view line) {
-    return line.find_first_of(std::string_view("\r\n\0", 3)) != std::string_view::npos;
+    return !is_last_field(line);
 }
 
 } // namespace persimmonpoint::platform
--- a/tests/introspective/odd_entries.tests.cpp
+++ b/tests/introspective/odd_entries.tests.cpp
@@ -272,6 +272,23 @@
         order.text = "READ a\r\nQUERY 2 WRITE b 1";
         CHECK_FALSE(reads(engine::encode(engine::order_message{1, order})));
     }
+    SECTION("an order whose id is two fields") {
+        upstream_request order;
+        order.id = "1 AFTER";
+        order.text = "READ a";
+        CHECK_FALSE(reads(engine::encode(engine::order_message{1, order})));
+    }
+    SECTION("an order with a session value whose name is two fields") {
+        upstream_request order;
+        order.text = "READ a";
+        order.values["zone north"] = "x";
+        CHECK_FALSE(reads(engine::encode(engine::order_message{1, order})));
+    }
+    SECTION("an answer whose row holds a second line") {
+        upstream_response answer;
+        answer.rows = {"a\r\nCOMPLETE s"};
+        CHECK_FALSE(reads(engine::encode(engine::answer_message{1, answer})));
+    }
     SECTION("a host without a name") {
         CHECK_FALSE(reads(engine::encode(engine::hello_message{})));
     }
