--- a/src/persimmonpoint/core/routing/prepared_names.cpp
+++ b/src/persimmonpoint/core/routing/prepared_names.cpp
@@ -16,10 +16,6 @@
     ++this->last_number;
 }
 
-void prepared_names::erase(prepared_shape const& shape) {
-    this->names.erase(shape);
-}
-
 void prepared_names::clear() {
     this->names.clear();
 }
--- a/src/persimmonpoint/core/routing/prepared_names.hpp
+++ b/src/persimmonpoint/core/routing/prepared_names.hpp
@@ -29,8 +29,6 @@
     prepared_name next() const { return {this->last_number + 1}; }
     /// Records that the database has prepared the shape under next().
     void add_next(prepared_shape shape);
-    /// The database no longer knows the shape's name.
-    void erase(prepared_shape const& shape);
     /// The database no longer knows any name.
     void clear();
 
--- a/src/persimmonpoint/engine/order_commands.cpp
+++ b/src/persimmonpoint/engine/order_commands.cpp
@@ -65,6 +65,13 @@
         steps.push_back({control_command(order), true});
         return steps;
     }
+    if (order.kind == upstream_request_kind::rollback) {
+        upstream_command rollback;
+        rollback.action = upstream_action::rollback;
+        rollback.id = order.id;
+        steps.push_back({rollback, true});
+        return steps;
+    }
     std::vector<setup_step> const setup = plan_setup(order, lane);
     bool const prepares =
         std::any_of(setup.begin(), setup.end(), [](setup_step const& each) {
@@ -88,9 +95,6 @@
     upstream_command main;
     main.action =
         order.prepared ? upstream_action::execute_prepared : upstream_action::forward;
-    if (order.kind == upstream_request_kind::rollback) {
-        main.action = upstream_action::rollback;
-    }
     main.id = order.id;
     main.text = order.text;
     main.prepared = order.prepared.value_or(prepared_shape{});
--- a/tests/introspective/database_owner.tests.cpp
+++ b/tests/introspective/database_owner.tests.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
@@ -55,6 +56,7 @@
     statement_error error = statement_error::none;
     bool loses_answers = false;
     bool forgets_names = false; ///< Answers each EXECUTE that it knows no such name.
+    bool refuses_names = false; ///< Answers each PREPARE that it can't be taken.
 };
 
 /// Answers each command as its database does, and keeps the state of its transaction.
@@ -87,12 +89,19 @@
             command.action == upstream_action::execute_prepared) {
             answer.error = statement_error::unknown_statement;
         }
+        if (this->world.refuses_names && command.action == upstream_action::prepare) {
+            answer.error = statement_error::failed;
+        }
         boost::asio::post(this->loop, [handler, answer] { handler(answer); });
     }
 
     void close() override {}
 
 private:
+    static std::string name_of(upstream_command const& command) {
+        return std::to_string(command.statement.number);
+    }
+
     static std::string text_of(upstream_command const& command) {
         switch (command.action) {
         case upstream_action::begin:
@@ -100,6 +109,14 @@
             return "BEGIN";
         case upstream_action::rollback:
             return "ROLLBACK";
+        case upstream_action::reset:
+            return "RESET";
+        case upstream_action::set:
+            return "SET " + command.name + " " + command.text;
+        case upstream_action::prepare:
+            return "PREPARE " + name_of(command) + " " + command.prepared.shape;
+        case upstream_action::execute_prepared:
+            return "EXECUTE " + name_of(command) + " " + command.text;
         default:
             return command.text;
         }
@@ -490,7 +507,71 @@
         CHECK(stage.owner->connections() == 0);
     }
     stage.connector.database.forgets_names = false;
-    auto const later = stage.open("WRITE b 2", second_link);
-    CHECK(later.outcome == upstream_outcome::answered);
-    CHECK(stage.connector.sent[1] == sent_texts{"BEGIN", "WRITE b 2"});
+    upstream_request again;
+    again.text = "item";
+    again.prepared = execute.prepared;
+    again.values = {{"zone", "north"}};
+    CHECK(stage.run(again, second_link).succeeded());
+    CHECK(
+        stage.connector.sent[1] ==
+        sent_texts{"SET zone north", "PREPARE 1 q", "EXECUTE 1 item"});
+}
+
+TEST_CASE(
+    "A connection whose database refused a preparation isn't used again",
+    "[owner][prepared]") {
+    owner_stage stage;
+    stage.connector.database.refuses_names = true;
+    upstream_request execute;
+    execute.text = "item";
+    execute.prepared = prepared_shape{"q", false};
+    CHECK(stage.run(execute, first_link).outcome == upstream_outcome::not_run);
+    CHECK(stage.connector.sent[0] == sent_texts{"PREPARE 1 q"});
+    CHECK(stage.owner->connections() == 0);
+}
+
+TEST_CASE(
+    "A connection with many prepared shapes drops them, and uses no name twice",
+    "[owner][prepared]") {
+    constexpr int shapes = 205;
+    owner_stage stage;
+    upstream_request execute;
+    execute.text = "item";
+    for (int i = 1; i <= shapes; ++i) {
+        execute.prepared = prepared_shape{"q" + std::to_string(i), false};
+        REQUIRE(stage.run(execute, first_link).succeeded());
+    }
+    sent_texts const& sent = stage.connector.sent[0];
+    auto const times = [&sent](std::string const& text) {
+        return std::count(sent.begin(), sent.end(), text);
+    };
+    CHECK(times("RESET") == 1);
+    for (int i = 1; i <= shapes; ++i) {
+        std::string const number = std::to_string(i);
+        CHECK(times("PREPARE " + number + " q" + number) == 1);
+        CHECK(times("EXECUTE " + number + " item") == 1);
+    }
+    // Dropped by the RESET, so prepared again under a name of its own.
+    execute.prepared = prepared_shape{"q1", false};
+    REQUIRE(stage.run(execute, first_link).succeeded());
+    CHECK(sent.back() == "EXECUTE " + std::to_string(shapes + 1) + " item");
+}
+
+// Guards against a RESET in the middle of a transaction that is to be rolled back.
+TEST_CASE("A rollback is all that ends a transaction", "[owner][prepared]") {
+    owner_stage stage;
+    upstream_request first;
+    first.kind = upstream_request_kind::open_transaction;
+    first.text = "item";
+    first.prepared = prepared_shape{"q", false};
+    first.values = {{"zone", "north"}};
+    auto const opened = stage.run(first, first_link);
+    REQUIRE(opened.transaction.is_set());
+
+    stage.run(inside(upstream_request_kind::rollback, "", opened), first_link);
+
+    CHECK(
+        stage.connector.sent[0] ==
+        sent_texts{
+            "SET zone north", "PREPARE 1 q", "BEGIN", "EXECUTE 1 item", "ROLLBACK"});
 }
--- a/tests/introspective/prepared_names.tests.cpp
+++ b/tests/introspective/prepared_names.tests.cpp
@@ -37,9 +37,10 @@
     names.add_next({"q1", true});
     CHECK(names.find({"q1", false}) == prepared_name{1});
     CHECK(names.find({"q1", true}) == prepared_name{2});
-    names.erase({"q1", false});
+    CHECK(names.size() == 2);
+    names.clear();
     CHECK_FALSE(names.find({"q1", false}));
-    CHECK(names.size() == 1);
+    CHECK_FALSE(names.find({"q1", true}));
 }
 
 TEST_CASE("A name that was dropped is never given to another shape", "[prepared]") {
@@ -49,7 +50,6 @@
     CHECK(names.size() == 0);
     names.add_next({"q2", false});
     CHECK(names.find({"q2", false}) == prepared_name{2});
-    names.erase({"q2", false});
     CHECK(names.next() == prepared_name{3});
 }
 
