--- a/src/persimmonpoint/observe/event_log.cpp
+++ b/src/persimmonpoint/observe/event_log.cpp
@@ -24,6 +24,8 @@
 namespace log_sinks = boost::log::sinks;
 
 constexpr std::size_t most_queued_lines = 4000;
+/// Of one field; more severe events list databases and hosts.
+constexpr std::size_t most_text_bytes = 4096;
 /// Lines of level info and below in one second; more severe ones are always queued.
 constexpr std::int64_t most_lines_a_second = 1500;
 
@@ -85,8 +87,13 @@
     return ++lines <= most_lines_a_second;
 }
 
+/// Ids and names of callers are as long as a message may be, so they are cut.
 void append_text(std::string& line, std::string_view text) {
-    line += boost::json::serialize(boost::json::string(text));
+    boost::json::string shown(text.substr(0, most_text_bytes));
+    if (text.size() > most_text_bytes) {
+        shown += "... (" + std::to_string(text.size()) + " bytes)";
+    }
+    line += boost::json::serialize(shown);
 }
 
 void append_value(std::string& line, log_field const& field) {
--- a/tests/introspective/database_owner.tests.cpp
+++ b/tests/introspective/database_owner.tests.cpp
@@ -2,14 +2,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
-#include <iostream>
 #include <map>
 #include <optional>
 #include <persimmonpoint/core/digest.hpp>
 #include <persimmonpoint/engine/database_owner.hpp>
-#include <persimmonpoint/observe/event_log.hpp>
-#include <sstream>
 #include <string>
+#include <support/captured_log.hpp>
 #include <utility>
 #include <vector>
 
@@ -195,30 +193,6 @@
     std::unique_ptr<database_owner> owner;
 };
 
-/// The event log's lines while it lives.
-class captured_log {
-public:
-    captured_log() : before(std::cout.rdbuf(this->written.rdbuf())) {
-        observe::start_event_log("host");
-    }
-    ~captured_log() { this->end(); }
-    captured_log(captured_log const&) = delete;
-    captured_log& operator=(captured_log const&) = delete;
-
-    /// Ends the log and gives back what was written.
-    std::string end() {
-        if (this->before != nullptr) {
-            observe::stop_event_log();
-            std::cout.rdbuf(std::exchange(this->before, nullptr));
-        }
-        return this->written.str();
-    }
-
-private:
-    std::ostringstream written;
-    std::streambuf* before;
-};
-
 upstream_request
 inside(upstream_request_kind kind, std::string text, upstream_response const& opened) {
     upstream_request request;
@@ -446,7 +420,7 @@
     "A prepared statement's id, connection and shape are in the log, its text is not",
     "[owner][prepared][logs]") {
     owner_stage stage;
-    captured_log log;
+    tests::captured_log log;
     upstream_request execute;
     execute.text = "some-item";
     execute.prepared = prepared_shape{"some words", false};
