--- a/src/persimmonpoint/platform/line_connection.cpp
+++ b/src/persimmonpoint/platform/line_connection.cpp
@@ -7,6 +7,7 @@
 #include <persimmonpoint/observe/event_log.hpp>
 #include <persimmonpoint/platform/line_connection.hpp>
 #include <persimmonpoint/platform/line_reader.hpp>
+#include <string>
 #include <utility>
 
 namespace persimmonpoint::platform {
@@ -22,6 +23,8 @@
 constexpr std::size_t read_bytes = 4096;
 /// Rows of one answer; a longer one is cut off, as it could not be passed on.
 constexpr std::size_t most_answer_bytes = 16 * 1024 * 1024;
+/// What a row takes in memory beside its text.
+constexpr std::size_t row_overhead_bytes = sizeof(std::string);
 
 class line_connection final : public upstream_connection,
                               public std::enable_shared_from_this<line_connection> {
@@ -144,7 +147,7 @@
     }
 
     void take_row(std::string_view row) {
-        this->answer_bytes += row.size();
+        this->answer_bytes += row.size() + row_overhead_bytes;
         if (this->answer_bytes > most_answer_bytes) {
             observe::log_event(
                 observe::log_level::error, "answer_too_large",
@@ -241,7 +244,7 @@
     net::read_loop incoming;
     line_reader lines;
     upstream_answer answer;
-    std::size_t answer_bytes = 0; ///< Of the rows of the present answer.
+    std::size_t answer_bytes = 0; ///< Memory of the present answer's rows.
     bool complete = false;
 };
 
