--- a/src/persimmonpoint/platform/line_listener.cpp
+++ b/src/persimmonpoint/platform/line_listener.cpp
@@ -17,6 +17,8 @@
 constexpr auto unacknowledged_limit = std::chrono::milliseconds(5000);
 constexpr auto accept_pause = std::chrono::milliseconds(20);
 constexpr std::size_t read_bytes = 2048;
+/// A caller with more answers than this to take is given no further ones.
+constexpr std::size_t most_unsent_bytes = 1024 * 1024;
 /// Time for a caller to close after it was told that its session ends.
 constexpr auto dismissal_limit = std::chrono::milliseconds(1000);
 
@@ -87,14 +89,18 @@
                 if (!self->take_lines_guarded()) {
                     return;
                 }
-                if (!self->lines.is_over_long()) {
-                    self->read();
-                } else if (!self->busy) {
-                    self->break_off("message is too long", statement_error::too_large);
-                }
+                self->go_on_reading();
             });
     }
 
+    void go_on_reading() {
+        if (!this->lines.is_over_long()) {
+            this->read();
+        } else if (!this->busy && !this->waits_for_caller) {
+            this->break_off("message is too long", statement_error::too_large);
+        }
+    }
+
     /// False if an unexpected error ended the session.
     bool take_lines_guarded() {
         bool const taken =
@@ -107,6 +113,10 @@
 
     void take_lines() {
         while (!this->busy && !this->closed && this->observer) {
+            this->waits_for_caller = this->outgoing.unsent() > most_unsent_bytes;
+            if (this->waits_for_caller) {
+                return;
+            }
             auto const line = this->lines.next();
             if (!line) {
                 return;
@@ -167,12 +177,16 @@
             return;
         }
         asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
-            if (self->take_lines_guarded() && !self->busy) {
-                self->read();
-            }
+            self->take_next();
         });
     }
 
+    void take_next() {
+        if (this->take_lines_guarded() && !this->busy && !this->waits_for_caller) {
+            this->read();
+        }
+    }
+
     void break_off(std::string_view text, statement_error error) {
         this->send_error(error, text);
         this->close_after_write = true;
@@ -198,6 +212,8 @@
             this->gone();
         } else if (this->close_after_write) {
             this->shut();
+        } else if (this->waits_for_caller) {
+            this->take_next();
         }
     }
 
@@ -232,6 +248,7 @@
     bool reading = false;
     bool closed = false;
     bool close_after_write = false;
+    bool waits_for_caller = false; ///< To take what was sent to it.
 };
 
 } // namespace
--- a/tests/introspective/line_listener.tests.cpp
+++ b/tests/introspective/line_listener.tests.cpp
@@ -32,6 +32,30 @@
     bool throws;
 };
 
+/// Answers each statement at once with a large row.
+class generous_session final : public caller_observer {
+public:
+    static constexpr std::size_t row_bytes = 256 * 1024;
+
+    generous_session(std::shared_ptr<caller_channel> channel, std::size_t& statements)
+        : channel(std::move(channel)), statements(statements) {}
+
+    void on_start(std::string_view, std::string_view) override {
+        this->channel->accept();
+    }
+    void on_statement(statement const&) override {
+        ++this->statements;
+        caller_answer answer;
+        answer.rows = {std::string(row_bytes, 'x')};
+        this->channel->answer(answer);
+    }
+    void on_closed() override { this->channel.reset(); }
+
+private:
+    std::shared_ptr<caller_channel> channel;
+    std::size_t& statements;
+};
+
 std::string read_to_end(int socket) {
     std::string all;
     char bytes[256];
@@ -98,3 +122,40 @@
     ::close(callers[0]);
     ::close(callers[1]);
 }
+
+// Guards against callers who fill a host's memory with answers that they don't read.
+TEST_CASE("A caller that reads no answers gets no further ones", "[front][input]") {
+    constexpr std::size_t sent = 200;
+    constexpr std::size_t most_pending = 100;
+    boost::asio::io_context loop;
+    std::uint16_t const port = tests::free_port();
+    std::size_t statements = 0;
+    platform::line_listener listener(
+        loop, {boost::asio::ip::address_v4::loopback(), port},
+        [&statements](std::shared_ptr<caller_channel> channel) {
+            return std::make_shared<generous_session>(std::move(channel), statements);
+        });
+    int const caller = connect_callers(port, 1).front();
+    std::string requests;
+    for (std::size_t i = 0; i < sent; ++i) {
+        requests += "QUERY " + std::to_string(i) + " READ a\r\n";
+    }
+    REQUIRE(
+        ::send(caller, requests.data(), requests.size(), MSG_NOSIGNAL) ==
+        static_cast<ssize_t>(requests.size()));
+    listener.stop();
+    while (loop.poll() > 0) {}
+    CHECK(statements > 0);
+    CHECK(statements < most_pending);
+
+    std::size_t received = 0;
+    std::string bytes(generous_session::row_bytes, ' ');
+    while (received < sent * generous_session::row_bytes) {
+        ssize_t const size = ::recv(caller, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        received += size > 0 ? static_cast<std::size_t>(size) : 0;
+        loop.poll();
+    }
+    CHECK(statements == sent);
+    ::close(caller);
+    loop.run();
+}
