--- a/src/persimmonpoint/standin/line_group.cpp
+++ b/src/persimmonpoint/standin/line_group.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <list>
+#include <optional>
 #include <persimmonpoint/net/read_loop.hpp>
 #include <persimmonpoint/net/send_queue.hpp>
 #include <persimmonpoint/platform/line_codec.hpp>
@@ -160,6 +161,7 @@
     order_hook on_order;
     std::map<std::string, std::size_t> teams;
     std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> runs;
+    std::vector<ran_statement> ran;
     std::uint64_t signatures = 0;
 };
 
@@ -223,7 +225,7 @@
         } else if (word == "QUERY" && this->home.delay.count() > 0) {
             this->query_later(std::string(rest));
         } else if (word == "QUERY") {
-            take_word(rest);
+            this->id = take_word(rest);
             this->query(rest);
         } else {
             this->shut();
@@ -241,7 +243,7 @@
             }
             self->busy = false;
             std::string_view text = rest;
-            take_word(text);
+            self->id = take_word(text);
             self->query(text);
             self->take_lines();
         });
@@ -279,22 +281,71 @@
             this->end();
             this->complete("-");
         } else if (word == "COMMIT") {
-            this->commit();
+            this->commit_as_asked(rest);
         } else if (word == "SET") {
-            std::string const name(take_word(arguments));
-            this->values[name] = arguments;
-            this->complete("-");
+            this->set(arguments);
         } else if (word == "RESET") {
-            this->values.clear();
+            this->values = std::make_shared<line_group::session_values>();
             this->prepared.clear();
             this->complete("-");
         } else if (word == "PREPARE") {
-            std::string const name(take_word(arguments));
-            this->prepared[name] = std::string(take_word(arguments));
-            this->complete("-");
+            this->prepare(arguments);
+        } else if (word == "DEALLOCATE") {
+            this->deallocate(arguments);
+        } else if (word == "EXECUTE") {
+            this->execute(rest, arguments);
+        } else if (word == "READ" || word == "WRITE") {
+            this->run({this->id, std::string(rest)}, word == "WRITE", arguments);
         } else {
-            this->run(word, arguments);
+            this->fail("MALFORMED");
+        }
+    }
+
+    /// What ran before keeps the values that were in force.
+    void set(std::string_view arguments) {
+        auto changed = std::make_shared<line_group::session_values>(*this->values);
+        std::string const name(take_word(arguments));
+        (*changed)[name] = arguments;
+        this->values = std::move(changed);
+        this->complete("-");
+    }
+
+    void prepare(std::string_view arguments) {
+        std::string const name(take_word(arguments));
+        std::string_view const access = take_word(arguments);
+        if (access != "READ" && access != "WRITE") {
+            this->fail("MALFORMED");
+            return;
         }
+        this->prepared[name] = {access == "WRITE", std::string(arguments)};
+        this->complete("-");
+    }
+
+    void deallocate(std::string_view name) {
+        if (this->prepared.erase(std::string(name)) == 0) {
+            this->fail("UNKNOWN");
+            return;
+        }
+        this->complete("-");
+    }
+
+    void execute(std::string_view text, std::string_view arguments) {
+        auto const found = this->prepared.find(std::string(take_word(arguments)));
+        if (found == this->prepared.end()) {
+            this->fail("UNKNOWN");
+            return;
+        }
+        line_group::ran_statement statement{this->id, std::string(text)};
+        statement.prepared = found->second;
+        statement.arguments = arguments;
+        this->run(std::move(statement), found->second.writes, arguments);
+    }
+
+    void note_run(line_group::ran_statement statement) {
+        statement.database = this->home.id;
+        statement.team = this->team;
+        statement.values = this->values;
+        this->group.ran.push_back(std::move(statement));
     }
 
     void control(std::string const& word, std::string_view arguments) {
@@ -365,26 +416,18 @@
         this->complete("-");
     }
 
-    void run(std::string word, std::string_view arguments) {
-        if (word == "EXECUTE") {
-            std::string const name(take_word(arguments));
-            auto const found = this->prepared.find(name);
-            if (found == this->prepared.end()) {
-                this->fail("UNKNOWN");
-                return;
-            }
-            word = found->second;
-        }
-        bool const lost_lead =
-            !this->leads() && (word == "WRITE" || (this->open && this->plain));
+    void
+    run(line_group::ran_statement statement, bool writes, std::string_view arguments) {
+        bool const lost_lead = !this->leads() && (writes || (this->open && this->plain));
         if (lost_lead) {
             this->broken = this->open;
             this->fail("READONLY");
             return;
         }
         this->group.runs[this->team].push_back(std::chrono::steady_clock::now());
+        this->note_run(std::move(statement));
         std::string const item(take_word(arguments));
-        if (word == "READ") {
+        if (!writes) {
             this->read_item(item);
             return;
         }
@@ -396,6 +439,14 @@
         }
     }
 
+    void commit_as_asked(std::string_view text) {
+        bool const refused = !this->writes.empty() && !this->leads();
+        if (!refused) {
+            this->note_run({this->id, std::string(text)});
+        }
+        this->commit();
+    }
+
     void read_item(std::string const& item) {
         std::string data = "-";
         if (std::string const* const found = newest(this->home.log, item)) {
@@ -409,7 +460,7 @@
             return;
         }
         std::string text = "values";
-        for (auto const& [name, value] : this->values) {
+        for (auto const& [name, value] : *this->values) {
             text.append(" ").append(name).append("=").append(value);
         }
         this->send("ROW " + data + "\r\nROW " + text + "\r\n");
@@ -490,8 +541,10 @@
     platform::line_reader lines;
     net::send_queue outgoing;
     std::string team;
-    std::map<std::string, std::string> values;
-    std::map<std::string, std::string> prepared;
+    std::string id; ///< Of the statement that is run.
+    std::shared_ptr<line_group::session_values const> values =
+        std::make_shared<line_group::session_values>();
+    std::map<std::string, line_group::prepared_statement> prepared;
     std::vector<std::pair<std::string, std::string>> writes;
     bool open = false;
     bool plain = false;
@@ -797,6 +850,10 @@
                : found->second;
 }
 
+std::vector<line_group::ran_statement> const& line_group::ran() const {
+    return this->impl->ran;
+}
+
 std::map<std::string, std::size_t> line_group::teams() const {
     return this->impl->teams;
 }
--- a/src/persimmonpoint/standin/line_group.hpp
+++ b/src/persimmonpoint/standin/line_group.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
 ///
 /// A READ answers two rows: the item's data, and the values of the session that it ran
 /// in. Used from its loop's thread.
+///
+/// What can't be read as a statement is answered with MALFORMED.
 class line_group {
 public:
     line_group(boost::asio::io_context& loop, std::string name, std::size_t databases);
@@ -115,6 +118,27 @@
     /// Teams named on connections, with the number of these.
     std::map<std::string, std::size_t> teams() const;
 
+    using session_values = std::map<std::string, std::string>;
+    /// What a prepared statement's name stands for.
+    struct prepared_statement {
+        bool writes = false;
+        std::string shape;
+    };
+    /// A read, a write, an EXECUTE or a COMMIT that one of the databases ran.
+    struct ran_statement {
+        std::string id;
+        std::string text; ///< As it came, without an AFTER before it.
+        std::string database{};
+        std::string team{};
+        std::optional<prepared_statement> prepared{}; ///< Of an EXECUTE.
+        /// Of an EXECUTE, all that follows the blank behind the name.
+        std::string arguments{};
+        /// In force when it ran; shared by what ran with the same. Never null.
+        std::shared_ptr<session_values const> values{};
+    };
+    /// Since the start, in order. It isn't bounded: it is meant for runs of a minute.
+    std::vector<ran_statement> const& ran() const;
+
     /// Shared with the sessions; defined in the source only.
     struct implementation;
 
--- a/tests/introspective/line_group.tests.cpp
+++ b/tests/introspective/line_group.tests.cpp
@@ -57,6 +57,12 @@
         return found;
     }
 
+    std::vector<standin::line_group::ran_statement> ran() {
+        std::vector<standin::line_group::ran_statement> found;
+        this->with_group([&](auto& group) { found = group.ran(); });
+        return found;
+    }
+
     /// On a connection of its own, with little patience.
     line_caller::reply ask_briefly(std::size_t database, std::string const& text) const {
         line_caller caller(this->port(database), std::chrono::milliseconds(200));
@@ -217,3 +223,103 @@
         CHECK(stage.ask(1, "STATUS").rows.front() == "replica 1 1.1 0 0 0 1");
     }
 }
+
+TEST_CASE(
+    "The stand-in runs a name under the whole shape and access that it was prepared with",
+    "[prepared]") {
+    group_stage stage;
+    REQUIRE(stage.ask(0, "PREPARE p1 WRITE  q1 WRITE AFTER 1.1\t ").error.empty());
+    REQUIRE(stage.ask(0, "PREPARE p2 READ q1").error.empty());
+    REQUIRE(stage.ask(0, "EXECUTE p1 WRITE  data of \xff blanks ").error.empty());
+    auto const read = stage.ask(0, "EXECUTE p2 WRITE");
+    REQUIRE(read.rows.size() == 2);
+    CHECK(read.rows.front() == " data of \xff blanks ");
+
+    auto const ran = stage.ran();
+    REQUIRE(ran.size() == 2);
+    CHECK(ran[0].id == "q3");
+    CHECK(ran[0].text == "EXECUTE p1 WRITE  data of \xff blanks ");
+    CHECK(ran[0].arguments == "WRITE  data of \xff blanks ");
+    CHECK(ran[0].database == "db-0");
+    CHECK(ran[0].team == "team");
+    REQUIRE(ran[0].prepared.has_value());
+    CHECK(ran[0].prepared->writes);
+    CHECK(ran[0].prepared->shape == " q1 WRITE AFTER 1.1\t ");
+    REQUIRE(ran[1].prepared.has_value());
+    CHECK_FALSE(ran[1].prepared->writes);
+    CHECK(ran[1].prepared->shape == "q1");
+}
+
+TEST_CASE(
+    "The stand-in answers UNKNOWN to a name that isn't prepared any longer and runs "
+    "nothing",
+    "[prepared]") {
+    group_stage stage;
+    REQUIRE(stage.ask(0, "PREPARE p1 READ q1").error.empty());
+    SECTION("as it never was") {
+        CHECK(stage.ask(0, "EXECUTE p2 a").error == "UNKNOWN");
+    }
+    SECTION("as it was deallocated") {
+        REQUIRE(stage.ask(0, "DEALLOCATE p1").error.empty());
+        CHECK(stage.ask(0, "EXECUTE p1 a").error == "UNKNOWN");
+        CHECK(stage.ask(0, "DEALLOCATE p1").error == "UNKNOWN");
+    }
+    SECTION("as the connection was reset") {
+        REQUIRE(stage.ask(0, "RESET").error.empty());
+        CHECK(stage.ask(0, "EXECUTE p1 a").error == "UNKNOWN");
+    }
+    SECTION("as another connection prepared it") {
+        CHECK(stage.ask_briefly(0, "EXECUTE p1 a").error == "UNKNOWN");
+    }
+    CHECK(stage.ran().empty());
+}
+
+TEST_CASE("The stand-in refuses what is no statement, and runs nothing", "[prepared]") {
+    group_stage stage;
+    CHECK(stage.ask(0, "PREPARE p1 EITHER q1").error == "MALFORMED");
+    CHECK(stage.ask(0, "EXECUTE p1 a").error == "UNKNOWN");
+    CHECK(stage.ask(0, "REMOVE a b").error == "MALFORMED");
+    CHECK(stage.ran().empty());
+    stage.with_group([](auto& group) { CHECK(group.writes().empty()); });
+}
+
+TEST_CASE(
+    "The stand-in records what ran with its id and the values that were in force",
+    "[prepared]") {
+    group_stage stage;
+    REQUIRE(stage.ask(0, "SET lang a b ").error.empty());
+    REQUIRE(stage.ask(0, "BEGIN").error.empty());
+    REQUIRE(stage.ask(0, "WRITE a 1").error.empty());
+    REQUIRE(stage.ask(0, "SET lang c").error.empty());
+    REQUIRE(stage.ask(0, "AFTER 1.0 READ a").error.empty());
+    REQUIRE(stage.ask(0, "COMMIT").error.empty());
+    REQUIRE(stage.ask(0, "RESET").error.empty());
+    REQUIRE(stage.ask(0, "READ a").error.empty());
+    CHECK(stage.ask(1, "WRITE a 2").error == "READONLY");
+    CHECK(stage.ask(0, "AFTER 9.9 READ a").error == "LAGGING");
+
+    using values = standin::line_group::session_values;
+    auto const ran = stage.ran();
+    REQUIRE(ran.size() == 4);
+    CHECK(ran[0].id == "q3");
+    CHECK(ran[0].text == "WRITE a 1");
+    CHECK(*ran[0].values == values{{"lang", "a b "}});
+    CHECK(ran[1].id == "q5");
+    CHECK(ran[1].text == "READ a");
+    CHECK(*ran[1].values == values{{"lang", "c"}});
+    CHECK(ran[2].id == "q6");
+    CHECK(ran[2].text == "COMMIT");
+    CHECK(*ran[2].values == values{{"lang", "c"}});
+    CHECK(ran[3].text == "READ a");
+    CHECK(ran[3].values->empty());
+    CHECK_FALSE(ran[3].prepared.has_value());
+}
+
+TEST_CASE("The stand-in records no COMMIT that a replica refuses", "[prepared]") {
+    group_stage stage;
+    REQUIRE(stage.ask(0, "BEGIN").error.empty());
+    REQUIRE(stage.ask(0, "WRITE a 1").error.empty());
+    stage.with_group([](auto& group) { group.promote("db-1"); });
+    CHECK(stage.ask(0, "COMMIT").error == "READONLY");
+    CHECK(stage.ran().size() == 1);
+}
