--- a/tests/support/line_caller.cpp
+++ b/tests/support/line_caller.cpp
@@ -24,8 +24,9 @@
     return made;
 }
 
-line_caller::line_caller(std::uint16_t port, std::chrono::milliseconds patience)
-    : socket(connect_to(port, patience)) {}
+line_caller::line_caller(
+    std::uint16_t port, std::chrono::milliseconds patience, std::string id_prefix)
+    : socket(connect_to(port, patience)), id_prefix(std::move(id_prefix)) {}
 
 line_caller::~line_caller() {
     this->close();
@@ -106,7 +107,13 @@
 }
 
 line_caller::reply line_caller::query(std::string const& text) {
-    return this->raw("QUERY q" + std::to_string(++this->last_id) + " " + text + "\r\n");
+    std::string const id = this->next_id();
+    ++this->last_id;
+    return this->raw("QUERY " + id + " " + text + "\r\n");
+}
+
+std::string line_caller::next_id() const {
+    return this->id_prefix + std::to_string(this->last_id + 1);
 }
 
 } // namespace persimmonpoint::tests
--- a/tests/support/line_caller.hpp
+++ b/tests/support/line_caller.hpp
@@ -20,16 +20,20 @@
         bool closed = false; ///< The connection ended instead of an answer.
     };
 
-    /// An answer that takes longer than `patience` counts as closed.
+    /// An answer that takes longer than `patience` counts as closed. The ids of its
+    /// statements are `id_prefix` and a number.
     explicit line_caller(
         std::uint16_t port,
-        std::chrono::milliseconds patience = std::chrono::seconds(10));
+        std::chrono::milliseconds patience = std::chrono::seconds(10),
+        std::string id_prefix = "q");
     ~line_caller();
     line_caller(line_caller const&) = delete;
     line_caller& operator=(line_caller const&) = delete;
 
     reply start(std::string const& database, std::string const& key);
     reply query(std::string const& text);
+    /// Id of the next query.
+    std::string next_id() const;
     /// Sends bytes as they are and reads one answer.
     reply raw(std::string const& bytes);
     bool connected() const { return this->socket >= 0; }
@@ -43,6 +47,7 @@
     std::string read_line(bool& closed);
 
     int socket = -1;
+    std::string id_prefix;
     std::string buffer;
     std::uint64_t last_id = 0;
 };
