--- a/tests/introspective/soak_record.tests.cpp
+++ b/tests/introspective/soak_record.tests.cpp
@@ -49,6 +49,33 @@
     evidence.lossy_promotions = {{"db-1", 2, 1, {{"db-0", 1, true}}}};
 }
 
+using persimmonpoint::standin::line_group;
+
+line_group::ran_statement
+ran(std::string const& id, std::string const& text, line_group::session_values values) {
+    line_group::ran_statement out{id, text};
+    out.database = "db-0";
+    out.team = "hatchery";
+    out.values = std::make_shared<line_group::session_values const>(std::move(values));
+    return out;
+}
+
+/// An EXECUTE, a write and a COMMIT, each run as it was sent.
+soak_evidence three_runs() {
+    soak_evidence evidence = two_writes();
+    line_group::prepared_statement const shape{true, " q1 WRITE "};
+    line_group::session_values const values{{"lang", "a b "}};
+    evidence.sent = {
+        {"s1.1", "EXECUTE s  item data ", shape, values},
+        {"s1.2", "WRITE item data", {}, values},
+        {"s1.3", "COMMIT", {}, values}};
+    evidence.ran = {
+        ran("s1.1", "EXECUTE p7  item data ", values),
+        ran("s1.2", "WRITE item data", values), ran("s1.3", "COMMIT", values)};
+    evidence.ran[0].prepared = shape;
+    return evidence;
+}
+
 } // namespace
 
 TEST_CASE("The soak's checks let a right history pass", "[soak]") {
@@ -209,6 +236,104 @@
     CHECK(check_soak(evidence).empty());
 }
 
+TEST_CASE("The soak's checks catch a statement that ran otherwise than sent", "[soak]") {
+    soak_evidence evidence = three_runs();
+    std::string const not_sent = "a database ran what nobody sent";
+    std::string const other_shape = "ran another shape than its caller prepared";
+    std::string const other_values = "ran with other session values";
+    SECTION("an id that nobody sent") {
+        evidence.ran[1].id = "s1.9";
+        check_finds(evidence, not_sent);
+    }
+    SECTION("a write of the system's own") {
+        evidence.ran[1].id = "-";
+        check_finds(evidence, not_sent);
+    }
+    SECTION("an EXECUTE of the system's own") {
+        evidence.ran[0].id = "-";
+        check_finds(evidence, not_sent);
+    }
+    SECTION("a COMMIT of the system's own") {
+        evidence.ran[2].id = "-";
+        check_finds(evidence, not_sent);
+    }
+    SECTION("a write of other data") {
+        evidence.ran[1].text = "WRITE item other";
+        check_finds(evidence, not_sent);
+    }
+    SECTION("a write with a blank more") {
+        evidence.ran[1].text = "WRITE item data ";
+        check_finds(evidence, not_sent);
+    }
+    SECTION("a COMMIT in place of a write") {
+        evidence.ran[1].text = "COMMIT";
+        check_finds(evidence, not_sent);
+    }
+    SECTION("words between the name and the item of an EXECUTE") {
+        evidence.ran[0].text = "EXECUTE w_q1 WRITE  item data ";
+        check_finds(evidence, not_sent);
+    }
+    SECTION("an EXECUTE with a blank less at the item's beginning") {
+        evidence.ran[0].text = "EXECUTE p7 item data ";
+        check_finds(evidence, not_sent);
+    }
+    SECTION("an EXECUTE with a blank less at the end") {
+        evidence.ran[0].text = "EXECUTE p7  item data";
+        check_finds(evidence, not_sent);
+    }
+    SECTION("an EXECUTE in place of a write") {
+        evidence.ran[1].text = "EXECUTE p7 item data";
+        check_finds(evidence, not_sent);
+    }
+    SECTION("another shape") {
+        evidence.ran[0].prepared->shape = " q1 WRITE";
+        check_finds(evidence, other_shape);
+    }
+    SECTION("another access") {
+        evidence.ran[0].prepared->writes = false;
+        check_finds(evidence, other_shape);
+    }
+    SECTION("a name that its caller had not prepared") {
+        evidence.sent[0].prepared.reset();
+        check_finds(evidence, other_shape);
+    }
+    SECTION("another value") {
+        evidence.ran[1] = ran("s1.2", "WRITE item data", {{"lang", "a b"}});
+        check_finds(evidence, other_values);
+    }
+    SECTION("a value that another session set") {
+        evidence.ran[0].values = std::make_shared<line_group::session_values const>(
+            line_group::session_values{{"lang", "a b "}, {"zone", "x"}});
+        check_finds(evidence, other_values);
+    }
+    SECTION("a COMMIT without the values") {
+        evidence.ran[2] = ran("s1.3", "COMMIT", {});
+        check_finds(evidence, other_values);
+    }
+    SECTION("an id that two callers used") {
+        evidence.sent.push_back(evidence.sent.back());
+        check_finds(evidence, "two statements with the id");
+    }
+}
+
+TEST_CASE("A soak finds nothing wrong with what ran as it was sent", "[soak]") {
+    soak_evidence evidence = three_runs();
+    SECTION("once each") {}
+    SECTION("more than once") {
+        evidence.ran.push_back(evidence.ran[0]);
+    }
+    SECTION("not at all") {
+        evidence.ran.clear();
+    }
+    SECTION("beside a read of the system's own") {
+        evidence.ran.push_back(ran("-", "READ item", {}));
+    }
+    SECTION("though its caller heard nothing") {
+        evidence.operations[1].outcome = soak_outcome::unknown;
+    }
+    CHECK(check_soak(evidence).empty());
+}
+
 TEST_CASE("A soak's plan is the same for the same seed", "[soak]") {
     auto const plan = GENERATE(plan_soak, plan_leadership_soak, plan_unseen_soak);
     auto const first = plan(7, seconds(20), 3, 3);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cxxopts.hpp>
 #include <iostream>
 #include <soak/soak_caller.hpp>
@@ -81,14 +82,18 @@
 }
 
 /// Reads and writes on each host and route until they are served.
-std::vector<std::string> check_recovery(soak_stage const& stage) {
+std::vector<std::string>
+check_recovery(soak_stage const& stage, statement_record& record) {
     std::vector<std::string> found;
+    std::size_t attempts = 0;
     soak_time const start = now();
     for (std::size_t host = 0; host < stage.host_count(); ++host) {
         for (char const* const database : {"alerts", "browse", "tallies"}) {
             bool served = false;
             while (!served && now() - start < recovery_bound) {
-                line_caller caller(stage.caller_port(host), milliseconds(3000));
+                recorded_caller caller(
+                    stage.caller_port(host), "r" + std::to_string(++attempts) + ".",
+                    record, milliseconds(3000));
                 served = caller.start(database, lasting_key).error.empty() &&
                          caller.query("READ c0-0").signature.size() > 1 &&
                          caller.query("WRITE last x").signature.size() > 1;
@@ -139,6 +144,14 @@
     return sums;
 }
 
+std::size_t count_prepared(
+    std::vector<persimmonpoint::standin::line_group::ran_statement> const& ran) {
+    return static_cast<std::size_t>(
+        std::count_if(ran.begin(), ran.end(), [](auto const& each) {
+            return each.prepared.has_value();
+        }));
+}
+
 void print(planned_fault const& fault) {
     std::cout << "  at " << fault.at.count() << " ms for " << fault.length.count()
               << " ms: " << to_string(fault.kind) << " " << fault.target;
@@ -179,7 +192,7 @@
     }
     soak_evidence evidence;
     evidence.disturbances = play(stage, plan, options.length);
-    auto violations = check_recovery(stage);
+    auto violations = check_recovery(stage, record.statements());
     if (options.of_leadership()) {
         for (std::string& each : check_holds(stage)) {
             violations.push_back(std::move(each));
@@ -191,6 +204,7 @@
     }
     stage.collect(evidence);
     evidence.operations = record.operations();
+    evidence.sent = record.statements().all();
     for (std::string& each : check_soak(evidence)) {
         violations.push_back(std::move(each));
     }
@@ -206,8 +220,13 @@
     tally const sums = count(evidence.operations);
     std::cout << "seed " << options.seed << ": " << evidence.operations.size()
               << " operations, " << sums.succeeded << " succeeded, " << sums.refused
-              << " refused, " << sums.unknown << " unknown, " << plan.size()
-              << " faults: " << (violations.empty() ? "held" : "FAILED") << std::endl;
+              << " refused, " << sums.unknown << " unknown, " << evidence.ran.size()
+              << " statements ran (" << count_prepared(evidence.ran) << " prepared), "
+              << plan.size() << " faults: "
+              << (violations.empty()
+                      ? "held"
+                      : "FAILED, " + std::to_string(violations.size()) + " violations")
+              << std::endl;
     if (!violations.empty()) {
         for (soak_disturbance const& each : evidence.disturbances) {
             print(each.fault);
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -1,7 +1,9 @@
+#include <algorithm>
 #include <array>
 #include <map>
 #include <soak/soak_caller.hpp>
 #include <soak/soak_stage.hpp>
+#include <support/odd_text.hpp>
 #include <thread>
 
 namespace persimmonpoint::tests {
@@ -14,7 +16,12 @@
 constexpr milliseconds patience(4000);
 constexpr milliseconds pause_after_failure(40);
 constexpr milliseconds flood_pause(5);
-constexpr std::int64_t items_of_a_caller = 4;
+/// Ends of the names of each caller's items. The first one is read by others, too.
+constexpr std::array<char const*, 4> item_ends = {{"", ".WRITE", "\t\x01'", "\x80\xff"}};
+/// Callers' own names of prepared statements: alike for all of them.
+constexpr std::array<char const*, 4> prepared_names = {{"s1", "p1", "w_q1", "WRITE"}};
+/// Of ten statements that the session has prepared a shape for.
+constexpr std::int64_t most_prepared = 4;
 
 struct kind {
     char const* database;
@@ -25,6 +32,10 @@
      {"browse", soak_freshness::of_an_age},
      {"tallies", soak_freshness::own}}};
 
+std::string item_name(std::size_t caller, std::size_t item) {
+    return "c" + std::to_string(caller) + "-" + std::to_string(item) + item_ends[item];
+}
+
 bool promises_not_run(std::string const& code) {
     return code == "BUSY" || code == "ABORTED" || code == "LAGGING" ||
            code == "READONLY" || code == "MISROUTED" || code == "OVERLOADED";
@@ -45,13 +56,12 @@
 } // namespace
 
 struct soak_caller::session {
-    std::unique_ptr<line_caller> line;
+    std::unique_ptr<recorded_caller> line;
     soak_freshness freshness = soak_freshness::all;
     std::string key;
     std::size_t number = 0;
     std::size_t host = 0;
     std::int64_t operations_left = 0;
-    std::map<std::string, std::string> values; ///< Acknowledged to this session.
 };
 
 soak_caller::soak_caller(soak_field given, std::size_t number, std::uint64_t seed)
@@ -62,8 +72,40 @@
 }
 
 std::string soak_caller::own_item() {
-    return "c" + std::to_string(this->number) + "-" +
-           std::to_string(this->draw(0, items_of_a_caller - 1));
+    return item_name(
+        this->number, static_cast<std::size_t>(this->draw(0, item_ends.size() - 1)));
+}
+
+/// Its only part that no other has stands between blanks, or at an end.
+std::string soak_caller::unique_data(std::string const& item) {
+    std::string data = item + "." + std::to_string(++this->writes);
+    if (this->draw(0, 1) == 0) {
+        data = odd_text(this->random) + " " + data;
+    }
+    return this->draw(0, 1) == 0 ? data + " " + odd_text(this->random) : data;
+}
+
+line_caller::reply soak_caller::ask(session& on, std::string const& text) {
+    auto reply = on.line->query(text);
+    if (reply.error == "UNKNOWN") {
+        this->field.record.report(
+            "session " + std::to_string(on.number) +
+            " heard UNKNOWN of a name that was acknowledged: " + text);
+    }
+    return reply;
+}
+
+std::string
+soak_caller::text_of(session const& on, bool writes, std::string const& arguments) {
+    bool const prepared = this->draw(0, 9) < most_prepared;
+    auto const& names = on.line->prepared();
+    auto const found = std::find_if(names.begin(), names.end(), [&](auto const& each) {
+        return each.second.writes == writes;
+    });
+    if (prepared && found != names.end()) {
+        return "EXECUTE " + found->first + " " + arguments;
+    }
+    return (writes ? "WRITE " : "READ ") + arguments;
 }
 
 std::unique_ptr<soak_caller::session> soak_caller::open() {
@@ -75,7 +117,9 @@
     made->key = this->draw(0, 3) == 0 ? passing_key : lasting_key;
     made->number = ++this->field.last_session;
     made->operations_left = this->draw(0, 2) == 0 ? 1 : this->draw(5, 60);
-    made->line = std::make_unique<line_caller>(this->field.hosts[made->host], patience);
+    made->line = std::make_unique<recorded_caller>(
+        this->field.hosts[made->host], "s" + std::to_string(made->number) + ".",
+        this->field.record.statements(), patience);
     auto const reply = made->line->start(chosen.database, made->key);
     return reply.closed || !reply.error.empty() ? nullptr : std::move(made);
 }
@@ -104,6 +148,12 @@
     if (choice < 35) {
         return this->write_transaction(on);
     }
+    if (choice < 41) {
+        return this->prepare(on);
+    }
+    if (choice < 43) {
+        return this->deallocate(on);
+    }
     return this->read(on);
 }
 
@@ -116,7 +166,7 @@
     operation.host = on.host;
     if (writes) {
         operation.item = this->own_item();
-        operation.data = operation.item + "." + std::to_string(++this->writes);
+        operation.data = this->unique_data(operation.item);
     }
     operation.begun = std::chrono::steady_clock::now();
     return operation;
@@ -130,16 +180,16 @@
 
 bool soak_caller::read(session& on) {
     soak_operation operation = this->make(on, false);
-    operation.item = "c" +
-                     std::to_string(this->draw(
-                         0, static_cast<std::int64_t>(this->field.callers) - 1)) +
-                     "-" + std::to_string(this->draw(0, items_of_a_caller - 1));
-    auto const reply = on.line->query("READ " + operation.item);
+    auto const caller = static_cast<std::size_t>(
+        this->draw(0, static_cast<std::int64_t>(this->field.callers) - 1));
+    operation.item =
+        item_name(caller, static_cast<std::size_t>(this->draw(0, item_ends.size() - 1)));
+    auto const reply = this->ask(on, this->text_of(on, false, operation.item));
     bool const good = !reply.closed && reply.error.empty();
     if (good && reply.rows.size() == 2) {
         operation.data = reply.rows[0];
         std::string expected = "values";
-        for (auto const& [name, value] : on.values) {
+        for (auto const& [name, value] : on.line->values()) {
             expected.append(" ").append(name).append("=").append(value);
         }
         if (reply.rows[1] != expected) {
@@ -156,7 +206,8 @@
 
 bool soak_caller::write(session& on) {
     soak_operation const operation = this->make(on, true);
-    auto const reply = on.line->query("WRITE " + operation.item + " " + operation.data);
+    auto const reply =
+        this->ask(on, this->text_of(on, true, operation.item + " " + operation.data));
     this->finish(operation, reply);
     return !reply.closed && reply.error.empty();
 }
@@ -167,7 +218,8 @@
         return false;
     }
     soak_operation operation = this->make(on, true);
-    auto reply = on.line->query("WRITE " + operation.item + " " + operation.data);
+    auto reply =
+        this->ask(on, this->text_of(on, true, operation.item + " " + operation.data));
     if (reply.closed || !reply.error.empty()) {
         // Its COMMIT was never sent, so nothing may be kept.
         this->finish(operation, reply);
@@ -181,7 +233,7 @@
         this->field.record.add(operation);
         return false;
     }
-    auto const inside = on.line->query("READ " + operation.item);
+    auto const inside = this->ask(on, this->text_of(on, false, operation.item));
     bool const seen = inside.closed || !inside.error.empty() ||
                       (!inside.rows.empty() && inside.rows[0] == operation.data);
     if (!seen) {
@@ -208,20 +260,37 @@
 
 bool soak_caller::set_value(session& on) {
     std::string const name = this->draw(0, 1) == 0 ? "lang" : "zone";
-    std::string const value =
-        std::to_string(on.number) + "." + std::to_string(this->draw(0, 99));
+    std::string const value = std::to_string(on.number) + "." + odd_text(this->random);
     auto const reply = on.line->query("SET " + name + " " + value);
-    if (reply.closed || !reply.error.empty()) {
-        return false;
+    return !reply.closed && reply.error.empty();
+}
+
+/// Under a name that may stand for another shape of the session.
+bool soak_caller::prepare(session& on) {
+    std::string const name = prepared_names[static_cast<std::size_t>(
+        this->draw(0, prepared_names.size() - 1))];
+    std::string const access = this->draw(0, 1) == 0 ? "READ" : "WRITE";
+    auto const reply =
+        on.line->query("PREPARE " + name + " " + access + " " + odd_text(this->random));
+    return !reply.closed && reply.error.empty();
+}
+
+bool soak_caller::deallocate(session& on) {
+    auto const& names = on.line->prepared();
+    if (names.empty()) {
+        return true;
     }
-    on.values[name] = value;
-    return true;
+    auto const reply = this->ask(on, "DEALLOCATE " + names.begin()->first);
+    return !reply.closed && reply.error.empty();
 }
 
 void flood(soak_field field, std::string const& key) {
     std::size_t host = 0;
     while (!field.over) {
-        line_caller caller(field.hosts[++host % field.hosts.size()], patience);
+        recorded_caller caller(
+            field.hosts[++host % field.hosts.size()],
+            "s" + std::to_string(++field.last_session) + ".", field.record.statements(),
+            patience);
         auto reply = caller.start("browse", key);
         while (!field.over && !reply.closed && reply.error != "DENIED") {
             reply = caller.query("READ c0-0");
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -22,7 +22,8 @@
 };
 
 /// One caller: opens sessions on any host, keeps them for a while, reads what all callers
-/// write, and writes to items of its own.
+/// write, and writes to items of its own. It prepares some of its statements. Items,
+/// data, shapes and values are such as are easily taken for other parts of a message.
 class soak_caller {
 public:
     soak_caller(soak_field field, std::size_t number, std::uint64_t seed);
@@ -40,6 +41,14 @@
     bool write(session& on);
     bool write_transaction(session& on);
     bool set_value(session& on);
+    bool prepare(session& on);
+    bool deallocate(session& on);
+    /// The session's answer to a statement, whose name is reported if it isn't known.
+    line_caller::reply ask(session& on, std::string const& text);
+    /// Text of a read or write: an EXECUTE if the session has prepared one and it is
+    /// drawn.
+    std::string text_of(session const& on, bool writes, std::string const& arguments);
+    std::string unique_data(std::string const& item);
     soak_operation make(session const& on, bool writes);
     void finish(soak_operation operation, line_caller::reply const& reply);
     std::string own_item();
--- a/tests/soak/soak_record.cpp
+++ b/tests/soak/soak_record.cpp
@@ -58,6 +58,8 @@
                 this->found.push_back("a database was told of \"" + each + "\"");
             }
         }
+        auto const runs = check_runs(this->evidence.sent, this->evidence.ran);
+        this->found.insert(this->found.end(), runs.begin(), runs.end());
         return this->found;
     }
 
--- a/tests/soak/soak_record.hpp
+++ b/tests/soak/soak_record.hpp
@@ -12,6 +12,7 @@
 #include <set>
 #include <soak/soak_plan.hpp>
 #include <string>
+#include <support/statement_record.hpp>
 #include <vector>
 
 namespace persimmonpoint::tests {
@@ -72,6 +73,8 @@
     std::set<std::string> teams_known;
     std::map<std::string, soak_time> withdrawn_keys;
     std::vector<soak_quota> quotas;
+    std::vector<sent_statement> sent; ///< By all callers.
+    std::vector<standin::line_group::ran_statement> ran;
 };
 
 /// One line for each violation, with the operation that shows it.
@@ -85,11 +88,14 @@
     void report(std::string violation);
     std::vector<soak_operation> operations() const;
     std::vector<std::string> violations() const;
+    /// Where callers record what they send.
+    statement_record& statements() { return this->sent; }
 
 private:
     mutable std::mutex guard;
     std::vector<soak_operation> all;
     std::vector<std::string> found;
+    statement_record sent;
 };
 
 } // namespace persimmonpoint::tests
--- a/tests/soak/soak_stage.cpp
+++ b/tests/soak/soak_stage.cpp
@@ -695,6 +695,7 @@
         evidence.log = this->group->writes();
         evidence.dropped = this->group->dropped_writes();
         evidence.lossy_promotions = this->group->lossy_promotions();
+        evidence.ran = this->group->ran();
         evidence.runs[metered.team] = this->group->runs_of(metered.team);
         for (auto const& each : this->group->teams()) {
             evidence.teams_seen.insert(each.first);
