--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -1,5 +1,6 @@
 // libFuzzer target: the first byte chooses a decoder, the rest is what it is given. A
 // decoder may refuse anything, but must not throw, nor give out a value out of bounds.
+// What callers send must be run by a database as it was sent.
 
 #include <cstddef>
 #include <cstdint>
@@ -11,6 +12,7 @@
 #include <persimmonpoint/platform/line_reader.hpp>
 #include <persimmonpoint/platform/store_answers.hpp>
 #include <string_view>
+#include <support/command_round_trip.hpp>
 
 using namespace persimmonpoint;
 
@@ -25,9 +27,13 @@
     lines,
     peers,
     notice,
+    commands,
     count
 };
 
+/// Sessions that share connections, so that each can disturb the others.
+constexpr std::size_t session_count = 3;
+
 /// Ends the run, which libFuzzer reports with the input.
 void require(bool condition) {
     if (!condition) {
@@ -81,6 +87,34 @@
     }
 }
 
+/// A line is a byte, an id and a statement; the byte chooses the session and its route.
+tests::caller_statement read_statement(std::string_view line) {
+    constexpr unsigned char has_floor = 4;
+    constexpr unsigned char reads_at_leader = 8;
+    tests::caller_statement from;
+    auto const choice = static_cast<unsigned char>(line.front());
+    std::string_view rest = line.substr(1);
+    from.session = choice % session_count;
+    from.id = platform::take_word(rest);
+    from.text = rest;
+    from.reads_at_leader = (choice & reads_at_leader) != 0;
+    if ((choice & has_floor) != 0) {
+        from.floor = log_position{choice, from.text.size()};
+    }
+    return from;
+}
+
+void carry_commands(std::string_view bytes) {
+    platform::line_reader reader;
+    reader.add(bytes);
+    tests::command_round_trip path(session_count);
+    while (auto const line = reader.next()) {
+        if (!line->empty()) {
+            require(path.carry(read_statement(*line)).empty());
+        }
+    }
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const* data, std::size_t size) {
@@ -110,6 +144,9 @@
     case decoder::notice:
         (void)platform::decode_notice(bytes);
         break;
+    case decoder::commands:
+        carry_commands(bytes);
+        break;
     default:
         decode_peer_messages(bytes);
     }
--- a/tests/support/command_round_trip.cpp
+++ b/tests/support/command_round_trip.cpp
@@ -1,6 +1,6 @@
+#include <persimmonpoint/core/statement/field_rules.hpp>
 #include <persimmonpoint/engine/order_commands.hpp>
 #include <persimmonpoint/platform/line_codec.hpp>
-#include <persimmonpoint/platform/line_reader.hpp>
 #include <support/command_round_trip.hpp>
 
 namespace persimmonpoint::tests {
@@ -25,8 +25,9 @@
     }
 }
 
+/// As platform/line_listener lets an id pass.
 bool is_statement_id(std::string_view id) {
-    return !id.empty() && id != "-" && id.find(' ') == std::string_view::npos;
+    return is_inner_field(id) && id != "-";
 }
 
 bool is_single_read(statement_decision const& decision) {
@@ -84,7 +85,7 @@
 } // namespace
 
 std::string command_round_trip::carry(caller_statement const& from) {
-    if (platform::has_stray_control(from.text) || !is_statement_id(from.id)) {
+    if (!is_last_field(from.text) || !is_statement_id(from.id)) {
         return {};
     }
     auto const what = platform::parse_statement(from.id, from.text);
