--- a/src/persimmonpoint/core/session/client_session_state.cpp
+++ b/src/persimmonpoint/core/session/client_session_state.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <persimmonpoint/core/quoted_text.hpp>
 #include <persimmonpoint/core/session/client_session_state.hpp>
 
 namespace persimmonpoint {
@@ -20,9 +21,25 @@
     return decision;
 }
 
+statement_decision too_large_decision() {
+    return error_decision(
+        statement_error::too_large, "no message to a database has room for it");
+}
+
+statement_decision not_prepared_decision(std::string_view name) {
+    return error_decision(
+        statement_error::unknown_statement,
+        "nothing is prepared as " + quoted_start(name));
+}
+
 } // namespace
 
 statement_decision client_session_state::decide(statement const& command) {
+    bool const is_refused =
+        command.fit == upstream_fit::never && this->current != transaction_state::failed;
+    if (is_refused) {
+        return too_large_decision();
+    }
     switch (this->current) {
     case transaction_state::idle:
         return this->decide_idle(command);
@@ -118,16 +135,12 @@
         return success_decision();
     case statement_verb::deallocate:
         if (this->prepared.erase(command.name) == 0) {
-            return error_decision(
-                statement_error::unknown_statement,
-                "nothing is prepared as " + command.name);
+            return not_prepared_decision(command.name);
         }
         return success_decision();
     case statement_verb::execute:
         if (this->prepared.count(command.name) == 0) {
-            return error_decision(
-                statement_error::unknown_statement,
-                "nothing is prepared as " + command.name);
+            return not_prepared_decision(command.name);
         }
         return std::nullopt;
     default:
@@ -140,6 +153,12 @@
     statement_decision decision;
     decision.step = step;
     decision.writes = this->is_write(command);
+    // Inside a transaction the position stands before its BEGIN.
+    bool const may_have_floor =
+        step == statement_action::execute_single && !decision.writes;
+    if (may_have_floor && command.fit == upstream_fit::without_floor) {
+        return too_large_decision();
+    }
     if (command.verb == statement_verb::execute) {
         decision.prepared = this->prepared.find(command.name)->second;
         decision.text = command.argument;
--- a/src/persimmonpoint/core/session/client_session_state.hpp
+++ b/src/persimmonpoint/core/session/client_session_state.hpp
@@ -42,7 +42,8 @@
 public:
     /// Decides how to handle a statement and updates the session state. If the statement
     /// is to be executed, its outcome must be reported through the functions below before
-    /// the next call.
+    /// the next call. What doesn't fit into a message to a database is refused, and
+    /// changes nothing.
     statement_decision decide(statement const& command);
 
     /// Records that the transaction is open on a database.
--- a/src/persimmonpoint/core/statement/statement.hpp
+++ b/src/persimmonpoint/core/statement/statement.hpp
@@ -24,6 +24,14 @@
     deallocate
 };
 
+/// Whether a statement fits into a message to a database, which may need more bytes than
+/// the client's message did.
+enum class upstream_fit {
+    always,
+    without_floor, ///< Not together with a position that the database must have reached.
+    never
+};
+
 /// One decoded client statement.
 struct statement {
     std::string id;   ///< Client-chosen id, used in logs and sent upstream.
@@ -31,6 +39,7 @@
     statement_verb verb = statement_verb::read;
     std::string name;     ///< Name of the session value or prepared statement.
     std::string argument; ///< Value for SET, shape for PREPARE, arguments for EXECUTE.
+    upstream_fit fit = upstream_fit::always;
 };
 
 /// Why a statement failed, as reported by the database or by the proxy.
--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -1,5 +1,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <persimmonpoint/core/digest.hpp>
+#include <persimmonpoint/core/quoted_text.hpp>
 #include <persimmonpoint/core/session/client_session_state.hpp>
 #include <persimmonpoint/engine/caller_session.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
@@ -68,8 +69,8 @@
 
     std::string refusal_text(statement_error refusal) const {
         return refusal == statement_error::no_database
-                   ? "no route has the database name " + this->database
-                   : "the key is not known for " + this->database;
+                   ? "no route has the database name " + quoted_start(this->database)
+                   : "the key is not known for " + quoted_start(this->database);
     }
 
     // Statements
@@ -77,7 +78,7 @@
     void take(statement const& what) {
         this->idle_timer.cancel();
         ++this->context.counts.statements;
-        this->current_id = what.id;
+        this->current_id = quoted_start(what.id);
         this->received = this->context.runs.time.now();
         if (this->was_idle_too_long && this->tell_of_idle_end(what)) {
             return;
@@ -530,7 +531,7 @@
     bool closed = false;
     bool dismissed = false; ///< The caller was told that the session ends.
     bool was_idle_too_long = false;
-    std::string current_id;
+    std::string current_id;    ///< For logs.
     std::string current_shape; ///< Digest, for logs; empty if nothing prepared runs.
     instant received{};
 };
--- a/src/persimmonpoint/observe/event_log.cpp
+++ b/src/persimmonpoint/observe/event_log.cpp
@@ -14,6 +14,7 @@
 #include <iostream>
 #include <memory>
 #include <mutex>
+#include <persimmonpoint/core/quoted_text.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
 #include <sstream>
 
@@ -24,6 +25,8 @@
 namespace log_sinks = boost::log::sinks;
 
 constexpr std::size_t most_queued_lines = 4000;
+/// Bytes of a field's text that are written; ids, names and reasons come from outside.
+constexpr std::size_t most_text_bytes = 1000;
 /// Lines of level info and below in one second; more severe ones are always queued.
 constexpr std::int64_t most_lines_a_second = 1500;
 
@@ -94,7 +97,7 @@
         [&line](auto const& value) {
             using type = std::decay_t<decltype(value)>;
             if constexpr (std::is_same_v<type, std::string_view>) {
-                append_text(line, value);
+                append_text(line, quoted_start(value, most_text_bytes));
             } else if constexpr (std::is_same_v<type, bool>) {
                 line += value ? "true" : "false";
             } else {
--- a/src/persimmonpoint/platform/line_codec.cpp
+++ b/src/persimmonpoint/platform/line_codec.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 #include <persimmonpoint/platform/line_codec.hpp>
 #include <utility>
 #include <vector>
@@ -12,6 +13,14 @@
 constexpr std::string_view end_of_line = "\r\n";
 /// Id of a statement that no caller sent.
 constexpr std::string_view no_id = "-";
+/// Room in a message for an ERROR's words and the blanks around them.
+constexpr std::size_t error_words_bytes = 32;
+constexpr std::size_t most_error_text_bytes = most_message_bytes - error_words_bytes;
+/// A client's statement needs at most so many bytes more in a message to a database.
+constexpr std::size_t most_growth_bytes = 128;
+constexpr std::uint64_t largest_number = std::numeric_limits<std::uint64_t>::max();
+constexpr prepared_name longest_name{largest_number};
+constexpr log_position longest_position{largest_number, largest_number};
 
 struct error_name {
     statement_error error;
@@ -122,16 +131,59 @@
     }
 }
 
-} // namespace
+/// The longest command, but for its floor, that a database may have to be sent for the
+/// statement.
+upstream_command longest_command(statement const& parsed) {
+    upstream_command command;
+    command.statement = longest_name;
+    command.id = parsed.id;
+    command.text = parsed.text;
+    switch (parsed.verb) {
+    case statement_verb::execute:
+        command.action = upstream_action::execute_prepared;
+        command.text = parsed.argument;
+        return command;
+    case statement_verb::set:
+        command.action = upstream_action::set;
+        command.id.clear();
+        command.name = parsed.name;
+        command.text = parsed.argument;
+        return command;
+    case statement_verb::prepare_read:
+    case statement_verb::prepare_write:
+        command.action = upstream_action::prepare;
+        command.id.clear();
+        command.prepared = {
+            parsed.argument, parsed.verb == statement_verb::prepare_write};
+        return command;
+    default:
+        return command;
+    }
+}
 
-std::string_view take_word(std::string_view& line) {
-    std::size_t const end = std::min(line.find(' '), line.size());
-    std::string_view const word = line.substr(0, end);
-    line.remove_prefix(std::min(end + 1, line.size()));
-    return word;
+bool fits_message(upstream_command const& command) {
+    return format_command(command).size() - end_of_line.size() <= most_message_bytes;
 }
 
-std::optional<statement> parse_statement(std::string_view id, std::string_view text) {
+upstream_fit fit_of(statement const& parsed) {
+    // Nearly all statements: nothing needs to be written to know it.
+    if (parsed.id.size() + parsed.text.size() + most_growth_bytes <= most_message_bytes) {
+        return upstream_fit::always;
+    }
+    upstream_command command = longest_command(parsed);
+    if (!fits_message(command)) {
+        return upstream_fit::never;
+    }
+    bool const may_have_floor =
+        parsed.verb == statement_verb::read || parsed.verb == statement_verb::execute;
+    if (!may_have_floor) {
+        return upstream_fit::always;
+    }
+    command.floor = longest_position;
+    return fits_message(command) ? upstream_fit::always : upstream_fit::without_floor;
+}
+
+std::optional<statement> parse_text(std::string_view id, std::string_view text) {
     std::string_view rest = text;
     std::string_view const word = take_word(rest);
     if (word == "BEGIN") {
@@ -159,6 +211,23 @@
     return std::nullopt;
 }
 
+} // namespace
+
+std::string_view take_word(std::string_view& line) {
+    std::size_t const end = std::min(line.find(' '), line.size());
+    std::string_view const word = line.substr(0, end);
+    line.remove_prefix(std::min(end + 1, line.size()));
+    return word;
+}
+
+std::optional<statement> parse_statement(std::string_view id, std::string_view text) {
+    auto parsed = parse_text(id, text);
+    if (parsed) {
+        parsed->fit = fit_of(*parsed);
+    }
+    return parsed;
+}
+
 statement_error parse_error(std::string_view word) {
     for (error_name const& each : error_names) {
         if (each.word == word) {
@@ -235,7 +304,9 @@
         lines.append(answer.signature.empty() ? "-" : answer.signature);
     } else {
         lines.append("ERROR ").append(error_word(answer.error)).append(" ");
-        lines.append(answer.error_text.empty() ? "-" : answer.error_text);
+        lines.append(
+            answer.error_text.empty() ? "-" : answer.error_text, 0,
+            most_error_text_bytes);
     }
     lines.append(end_of_line);
     lines.append(format_ready(answer.state, answer.position));
--- a/src/persimmonpoint/platform/line_listener.cpp
+++ b/src/persimmonpoint/platform/line_listener.cpp
@@ -87,14 +87,18 @@
                 if (!self->take_lines_guarded()) {
                     return;
                 }
-                if (!self->lines.is_over_long()) {
-                    self->read();
-                } else if (!self->busy) {
-                    self->break_off("message is too long", statement_error::too_large);
-                }
+                self->read_on();
             });
     }
 
+    void read_on() {
+        if (!this->lines.is_over_long()) {
+            this->read();
+        } else if (!this->busy) {
+            this->break_off("message is too long", statement_error::too_large);
+        }
+    }
+
     /// False if an unexpected error ended the session.
     bool take_lines_guarded() {
         bool const taken =
@@ -168,7 +172,7 @@
         }
         asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
             if (self->take_lines_guarded() && !self->busy) {
-                self->read();
+                self->read_on();
             }
         });
     }
--- a/src/persimmonpoint/platform/line_reader.hpp
+++ b/src/persimmonpoint/platform/line_reader.hpp
@@ -15,7 +15,7 @@
     void add(std::string_view bytes) { this->buffer.append(bytes); }
 
     /// The next whole line without its end; valid until the next call. Nothing if none is
-    /// whole yet.
+    /// whole yet, or if it is longer than a message may be.
     std::optional<std::string_view> next() {
         this->buffer.erase(0, this->used);
         this->used = 0;
@@ -24,14 +24,19 @@
             this->searched = this->buffer.empty() ? 0 : this->buffer.size() - 1;
             return std::nullopt;
         }
+        if (end > most_message_bytes) {
+            this->searched = end;
+            return std::nullopt;
+        }
         this->searched = 0;
         this->used = end + 2;
         return std::string_view(this->buffer).substr(0, end);
     }
 
-    /// True if no line can be so long.
+    /// Of what next() gave no line for: true if no message can be so long. The first byte
+    /// of its end may be there.
     bool is_over_long() const {
-        return this->buffer.size() - this->used > most_message_bytes;
+        return this->buffer.size() - this->used > most_message_bytes + 1;
     }
 
 private:
--- a/tests/introspective/caller_session.tests.cpp
+++ b/tests/introspective/caller_session.tests.cpp
@@ -161,3 +161,14 @@
     stage.session->end_request();
     CHECK_FALSE(stage.session->owes_answer());
 }
+
+TEST_CASE(
+    "A refusal tells only the start of a long name of a database", "[session][bounds]") {
+    session_stage stage;
+    std::string const wanted(1'000'000, 'd');
+    auto const other = std::make_shared<caller_session>(
+        stage.context, stage.channel, [](caller_session*) {});
+    REQUIRE_CALL(*stage.channel, refuse(statement_error::no_database, _))
+        .WITH(_2.size() < 1000);
+    other->on_start(wanted, "");
+}
