--- a/src/persimmonpoint/core/session/client_session_state.cpp
+++ b/src/persimmonpoint/core/session/client_session_state.cpp
@@ -32,8 +32,16 @@
         "nothing is prepared as " + quoted_start(name));
 }
 
+/// What is counted for a name and the text that it stands for.
+std::size_t entry_bytes(std::string_view name, std::string_view text) {
+    return session_entry_bytes + name.size() + text.size();
+}
+
 } // namespace
 
+client_session_state::client_session_state(std::shared_ptr<memory_budget> memory)
+    : memory(std::move(memory), {session_allowance_bytes, max_session_bytes}) {}
+
 statement_decision client_session_state::decide(statement const& command) {
     bool const is_refused =
         command.fit == upstream_fit::never && this->current != transaction_state::failed;
@@ -115,29 +123,14 @@
 
 std::optional<statement_decision>
 client_session_state::decide_session_command(statement const& command) {
-    bool const limit_reached =
-        this->session.size() + this->prepared.size() >= max_session_names;
     switch (command.verb) {
     case statement_verb::set:
-        if (limit_reached && this->session.count(command.name) == 0) {
-            return error_decision(statement_error::too_large, "too many session values");
-        }
-        this->session[command.name] = command.argument;
-        return success_decision();
+        return this->set_value(command);
     case statement_verb::prepare_read:
     case statement_verb::prepare_write:
-        if (limit_reached && this->prepared.count(command.name) == 0) {
-            return error_decision(
-                statement_error::too_large, "too many prepared statements");
-        }
-        this->prepared[command.name] = prepared_shape{
-            command.argument, command.verb == statement_verb::prepare_write};
-        return success_decision();
+        return this->prepare(command);
     case statement_verb::deallocate:
-        if (this->prepared.erase(command.name) == 0) {
-            return not_prepared_decision(command.name);
-        }
-        return success_decision();
+        return this->deallocate(command);
     case statement_verb::execute:
         if (this->prepared.count(command.name) == 0) {
             return not_prepared_decision(command.name);
@@ -148,6 +141,67 @@
     }
 }
 
+statement_decision client_session_state::set_value(statement const& command) {
+    auto const found = this->session.find(command.name);
+    std::size_t const before =
+        found == this->session.end() ? 0 : entry_bytes(found->first, found->second);
+    auto const refusal =
+        this->replace_entry(before, entry_bytes(command.name, command.argument));
+    if (refusal) {
+        return *refusal;
+    }
+    this->session.insert_or_assign(command.name, command.argument);
+    return success_decision();
+}
+
+statement_decision client_session_state::prepare(statement const& command) {
+    auto const found = this->prepared.find(command.name);
+    std::size_t const before = found == this->prepared.end()
+                                   ? 0
+                                   : entry_bytes(found->first, found->second.shape);
+    auto const refusal =
+        this->replace_entry(before, entry_bytes(command.name, command.argument));
+    if (refusal) {
+        return *refusal;
+    }
+    this->prepared.insert_or_assign(
+        command.name,
+        prepared_shape{command.argument, command.verb == statement_verb::prepare_write});
+    return success_decision();
+}
+
+statement_decision client_session_state::deallocate(statement const& command) {
+    auto const found = this->prepared.find(command.name);
+    if (found == this->prepared.end()) {
+        return not_prepared_decision(command.name);
+    }
+    this->memory.resize(
+        this->memory.bytes() - entry_bytes(found->first, found->second.shape));
+    this->prepared.erase(found);
+    return success_decision();
+}
+
+/// Counts an entry of `after` bytes in place of one of `before`, which is 0 for a new
+/// name; a refusal if there is no room.
+std::optional<statement_decision>
+client_session_state::replace_entry(std::size_t before, std::size_t after) {
+    bool const is_new = before == 0;
+    if (is_new && this->session.size() + this->prepared.size() >= max_session_names) {
+        return error_decision(
+            statement_error::too_large, "the session has too many names");
+    }
+    switch (this->memory.resize(this->memory.bytes() - before + after)) {
+    case memory_answer::over_limit:
+        return error_decision(
+            statement_error::too_large, "the session's values and shapes are too large");
+    case memory_answer::out_of_budget:
+        return error_decision(
+            statement_error::busy, "the host has no memory left for large sessions");
+    default:
+        return std::nullopt;
+    }
+}
+
 statement_decision client_session_state::execute_decision(
     statement const& command, statement_action step) const {
     statement_decision decision;
--- a/src/persimmonpoint/core/session/client_session_state.hpp
+++ b/src/persimmonpoint/core/session/client_session_state.hpp
@@ -3,8 +3,10 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <persimmonpoint/core/catalog/fleet_configuration.hpp>
+#include <persimmonpoint/core/limits/memory_budget.hpp>
 #include <persimmonpoint/core/routing/log_position.hpp>
 #include <persimmonpoint/core/statement/statement.hpp>
 #include <persimmonpoint/core/statement/upstream_request.hpp>
@@ -33,6 +35,14 @@
     std::string text; ///< The statement to execute, or the arguments of `prepared`.
 };
 
+/// Bytes of a session's names, values and shapes. One largest message fits, and all of
+/// them fit into an order to another host.
+inline constexpr std::size_t max_session_bytes = 4 * 1024 * 1024;
+/// So many bytes no session is refused because of others.
+inline constexpr std::size_t session_allowance_bytes = 4 * 1024;
+/// Counted for each name beside its bytes: what a container needs for it, roughly.
+inline constexpr std::size_t session_entry_bytes = 128;
+
 /// Transaction state, session values and prepared statements of one client session.
 ///
 /// BEGIN is deferred: the client gets its reply immediately, and the transaction is
@@ -40,6 +50,10 @@
 /// occupies no upstream connection.
 class client_session_state {
 public:
+    /// @param memory Shared by the sessions of a host.
+    explicit client_session_state(
+        std::shared_ptr<memory_budget> memory = std::make_shared<memory_budget>());
+
     /// Decides how to handle a statement and updates the session state. If the statement
     /// is to be executed, its outcome must be reported through the functions below before
     /// the next call. What doesn't fit into a message to a database is refused, and
@@ -63,6 +77,8 @@
     transaction_id const& transaction() const { return this->open_transaction; }
     std::string const& database() const { return this->open_database; }
     session_values const& values() const { return this->session; }
+    /// Bytes that are counted for the values and prepared statements.
+    std::size_t held_bytes() const { return this->memory.bytes(); }
     /// Highest log position acknowledged to this session in the group, if any.
     std::optional<log_position> last_commit_position(std::string_view group) const;
     /// True if the statement writes, either directly or by executing a prepared write.
@@ -73,6 +89,11 @@
     statement_decision decide_open(statement const& command);
     statement_decision decide_failed(statement const& command);
     std::optional<statement_decision> decide_session_command(statement const& command);
+    statement_decision set_value(statement const& command);
+    statement_decision prepare(statement const& command);
+    statement_decision deallocate(statement const& command);
+    std::optional<statement_decision>
+    replace_entry(std::size_t before, std::size_t after);
     statement_decision
     execute_decision(statement const& command, statement_action step) const;
 
@@ -82,6 +103,7 @@
     std::string open_database;
     session_values session;
     std::map<std::string, prepared_shape, std::less<>> prepared;
+    memory_share memory;
     std::map<std::string, log_position, std::less<>> commits;
 };
 
--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -25,7 +25,8 @@
         : context(context),
           channel(std::move(channel)),
           on_ended(std::move(on_ended)),
-          idle_timer(context.runs.loop) {}
+          idle_timer(context.runs.loop),
+          state(context.memory) {}
 
     fleet_configuration const& configuration() const {
         return *this->context.runs.view.configuration;
--- a/src/persimmonpoint/engine/caller_session.hpp
+++ b/src/persimmonpoint/engine/caller_session.hpp
@@ -2,6 +2,7 @@
 #define PERSIMMONPOINT_ENGINE_CALLER_SESSION_HPP_INCLUDED
 
 #include <memory>
+#include <persimmonpoint/core/limits/memory_budget.hpp>
 #include <persimmonpoint/engine/quota_keeper.hpp>
 #include <persimmonpoint/engine/statement_run.hpp>
 #include <persimmonpoint/engine/traffic_counts.hpp>
@@ -18,6 +19,8 @@
     /// operations.
     bool keeps_sessions = true;
     bool accepts_work = true; ///< False once the host is about to exit.
+    /// For what clients set and prepare. A session may outlive its host.
+    std::shared_ptr<memory_budget> memory = std::make_shared<memory_budget>();
 };
 
 /// One caller's session.
--- a/src/persimmonpoint/platform/line_reader.hpp
+++ b/src/persimmonpoint/platform/line_reader.hpp
@@ -19,6 +19,9 @@
     std::optional<std::string_view> next() {
         this->buffer.erase(0, this->used);
         this->used = 0;
+        if (this->buffer.empty() && this->buffer.capacity() > most_kept_bytes) {
+            this->buffer.shrink_to_fit();
+        }
         std::size_t const end = this->buffer.find("\r\n", this->searched);
         if (end == std::string::npos) {
             this->searched = this->buffer.empty() ? 0 : this->buffer.size() - 1;
@@ -39,7 +42,13 @@
         return this->buffer.size() - this->used > most_message_bytes + 1;
     }
 
+    /// Memory that the reader holds.
+    std::size_t held_bytes() const { return this->buffer.capacity(); }
+
 private:
+    /// After a long line, the memory for the next one is given back beyond this.
+    static constexpr std::size_t most_kept_bytes = 16 * 1024;
+
     std::string buffer;
     std::size_t used = 0;     ///< Bytes of the line that was given out last.
     std::size_t searched = 0; ///< No end of line begins before this place.
