--- a/src/persimmonpoint/observe/event_log.cpp
+++ b/src/persimmonpoint/observe/event_log.cpp
@@ -25,7 +25,7 @@
 
 constexpr std::size_t most_queued_lines = 4000;
 /// Of one field; more severe events list databases and hosts.
-constexpr std::size_t most_text_bytes = 4096;
+constexpr std::size_t most_text_bytes = 2048;
 /// Lines of level info and below in one second; more severe ones are always queued.
 constexpr std::int64_t most_lines_a_second = 1500;
 
--- a/src/persimmonpoint/platform/line_listener.cpp
+++ b/src/persimmonpoint/platform/line_listener.cpp
@@ -89,11 +89,11 @@
                 if (!self->take_lines_guarded()) {
                     return;
                 }
-                self->go_on_reading();
+                self->read_on();
             });
     }
 
-    void go_on_reading() {
+    void read_on() {
         if (!this->lines.is_over_long()) {
             this->read();
         } else if (!this->busy && !this->waits_for_caller) {
@@ -183,7 +183,7 @@
 
     void take_next() {
         if (this->take_lines_guarded() && !this->busy && !this->waits_for_caller) {
-            this->read();
+            this->read_on();
         }
     }
 
