--- a/src/persimmonpoint/traffic/session_parameters.cpp
+++ b/src/persimmonpoint/traffic/session_parameters.cpp
@@ -1,4 +1,5 @@
 #include <charconv>
+#include <persimmonpoint/postgres/sql_text.hpp>
 #include <persimmonpoint/traffic/session_parameters.hpp>
 
 namespace persimmonpoint::traffic {
@@ -18,6 +19,10 @@
     return std::to_string(ms.count()) + "ms";
 }
 
+error unrecognized(std::string_view name) {
+    return error{"42704", "unrecognized parameter \"" + std::string(name) + "\""};
+}
+
 bool is_true(std::string_view text) {
     return text == "on" || text == "true" || text == "yes" || text == "1";
 }
@@ -29,6 +34,9 @@
 } // namespace
 
 result<void> session_parameters::set(std::string_view name, std::string_view value) {
+    if (!postgres::is_parameter_name(name)) {
+        return unrecognized(name);
+    }
     if (!name.starts_with(own_prefix)) {
         this->others[std::string(name)] = value;
         return boost::outcome_v2::success();
@@ -55,7 +63,7 @@
         this->may_repeat = is_true(value);
         return boost::outcome_v2::success();
     }
-    return error{"42704", "unrecognized parameter \"" + std::string(name) + "\""};
+    return unrecognized(name);
 }
 
 void session_parameters::reset(std::string_view name) {
--- a/src/persimmonpoint/traffic/session_parameters.hpp
+++ b/src/persimmonpoint/traffic/session_parameters.hpp
@@ -16,7 +16,8 @@
 /// database, which are set again on each connection that serves the session.
 class session_parameters {
 public:
-    /// Fails with 22023 if the value doesn't fit one of the system's own parameters.
+    /// Fails with 42704 if no parameter can have the name, and with 22023 if the value
+    /// doesn't fit one of the system's own parameters.
     /// The session position is checked elsewhere, since it takes the secret.
     result<void> set(std::string_view name, std::string_view value);
     /// Back to the default; "all" resets everything but the position.
--- a/src/persimmonpoint/traffic/statement_executor.cpp
+++ b/src/persimmonpoint/traffic/statement_executor.cpp
@@ -1,5 +1,6 @@
 #include <persimmonpoint/core/digest.hpp>
 #include <persimmonpoint/core/routing/session_token.hpp>
+#include <persimmonpoint/postgres/sql_text.hpp>
 #include <persimmonpoint/traffic/admission.hpp>
 #include <persimmonpoint/traffic/statement_executor.hpp>
 #include <utility>
@@ -26,17 +27,6 @@
     return reply;
 }
 
-std::string sql_literal(std::string_view value) {
-    std::string text = "'";
-    for (char const c : value) {
-        text.push_back(c);
-        if (c == '\'') {
-            text.push_back(c);
-        }
-    }
-    return text + "'";
-}
-
 /// Covers the text and every parameter, so that no two requests share a digest.
 std::string digest_of(std::string_view before, upstream_query const& query) {
     std::string message(before);
@@ -270,7 +260,7 @@
         job.forward = std::move(request.forward);
         if (!this->has_lease()) {
             for (auto const& [name, value] : this->parameters.upstream()) {
-                job.session_sql.push_back("SET " + name + " = " + sql_literal(value));
+                job.session_sql.push_back(postgres::set_command(name, value));
             }
         }
         if (job.facts.has_request_id) {
--- a/tests/usage/bad_input.tests.cpp
+++ b/tests/usage/bad_input.tests.cpp
@@ -96,6 +96,23 @@
         caller.send(open_startup() + "p" + big_endian(6) + "x\0"s);
         CHECK_THAT(caller.read_to_end(), Catch::Contains("was not asked for"));
     }
+    SECTION("a startup parameter whose name would be part of SQL") {
+        raw_caller caller(port);
+        using namespace std::string_literals;
+        caller.send(
+            startup("user\0anyone\0database\0notices\0ROLE postgres --\0on\0"s) + "X" +
+            big_endian(4));
+        CHECK_THAT(caller.read_to_end(), Catch::Contains("42704"));
+    }
+    SECTION("an option whose name would be part of SQL") {
+        raw_caller caller(port);
+        using namespace std::string_literals;
+        caller.send(
+            startup("user\0anyone\0database\0notices\0options\0"
+                    "-c ROLE\\ postgres\\ --=on\0"s) +
+            "X" + big_endian(4));
+        CHECK_THAT(caller.read_to_end(), Catch::Contains("42704"));
+    }
     SECTION("half a startup, then nothing") {
         raw_caller caller(port);
         caller.send(open_startup().substr(0, 12));
