--- a/src/persimmonpoint/traffic/prepared_statements.cpp
+++ b/src/persimmonpoint/traffic/prepared_statements.cpp
@@ -31,6 +31,25 @@
     return formats.front();
 }
 
+bool is_text(postgres::bind_message const& message, std::size_t index) {
+    auto const& formats = message.parameter_formats;
+    if (formats.empty()) {
+        return true;
+    }
+    return formats[formats.size() == 1 ? 0 : index] == 0;
+}
+
+/// libpq would end a text at its first NUL, and the database would run a part of it.
+bool has_cut_text(postgres::bind_message const& message) {
+    for (std::size_t i = 0; i < message.parameters.size(); ++i) {
+        auto const& value = message.parameters[i];
+        if (value && is_text(message, i) && value->find('\0') != std::string_view::npos) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 result<void> prepared_statements::parse(
@@ -71,6 +90,9 @@
     if (!format) {
         return format.error();
     }
+    if (has_cut_text(message)) {
+        return error{"22021", "a text parameter holds a byte 0x00"};
+    }
     if (this->portals.size() >= max_kept && !message.portal.empty()) {
         return too_many("portals");
     }
