--- a/src/persimmonpoint/observe/log.cpp
+++ b/src/persimmonpoint/observe/log.cpp
@@ -10,6 +10,7 @@
 #include <iostream>
 #include <mutex>
 #include <persimmonpoint/observe/log.hpp>
+#include <persimmonpoint/observe/one_line.hpp>
 
 namespace persimmonpoint::observe {
 
@@ -73,7 +74,7 @@
     std::call_once(console, set_up_console);
     thread_local boost::log::sources::severity_logger<trivial::severity_level> logger;
     BOOST_LOG_SEV(logger, to_severity(level))
-        << prefixes[static_cast<std::size_t>(part)] << ": " << sentence;
+        << prefixes[static_cast<std::size_t>(part)] << ": " << one_line(sentence);
 }
 
 } // namespace persimmonpoint::observe
