--- a/src/persimmonpoint/engine/traffic_counts.cpp
+++ b/src/persimmonpoint/engine/traffic_counts.cpp
@@ -15,6 +15,22 @@
     out.append(std::to_string(value)).append("\n");
 }
 
+/// A label's value in the text format of Prometheus.
+std::string label_value(std::string_view text) {
+    std::string escaped;
+    for (char const each : text) {
+        if (each == '\n') {
+            escaped += "\\n";
+            continue;
+        }
+        if (each == '\\' || each == '"') {
+            escaped += '\\';
+        }
+        escaped += each;
+    }
+    return escaped;
+}
+
 } // namespace
 
 std::string format_metrics(traffic_counts const& counts, host_gauges const& gauges) {
@@ -42,7 +58,8 @@
     line(out, "log_lines_dropped_total", gauges.log_lines_dropped);
     for (auto const& [route, histogram] : counts.latencies) {
         histogram.write(
-            out, "persimmonpoint_statement_seconds", "route=\"" + route + "\"");
+            out, "persimmonpoint_statement_seconds",
+            "route=\"" + label_value(route) + "\"");
     }
     return out;
 }
