--- a/src/persimmonpoint/core/limits/waiting_line.hpp
+++ b/src/persimmonpoint/core/limits/waiting_line.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <persimmonpoint/core/time.hpp>
 #include <tuple>
@@ -22,17 +23,26 @@
 template <class Item>
 class waiting_line {
 public:
-    /// `most`: items that may wait.
-    explicit waiting_line(std::size_t most) : most(most) {}
+    /// `most`: items that may wait. `most_bytes`: their sizes together.
+    explicit waiting_line(
+        std::size_t most,
+        std::size_t most_bytes = std::numeric_limits<std::size_t>::max())
+        : most(most), most_bytes(most_bytes) {}
 
     bool full() const { return this->entries.size() >= this->most; }
+    /// True if one more item of so many bytes may wait.
+    bool has_room(std::size_t bytes) const {
+        return !this->full() && bytes <= this->most_bytes - this->waiting_bytes;
+    }
     bool empty() const { return this->entries.empty(); }
     std::size_t size() const { return this->entries.size(); }
 
-    void push(line_place const& place, Item item) {
+    /// The line has room for the bytes.
+    void push(line_place const& place, Item item, std::size_t bytes = 0) {
         this->entries.emplace(
             key(!place.urgent, place.priority, ++this->arrivals),
-            entry{std::move(item), place.start_by});
+            entry{std::move(item), place.start_by, bytes});
+        this->waiting_bytes += bytes;
     }
 
     /// Offers each item in turn. `choose` returns where it can be started, or nothing
@@ -46,6 +56,7 @@
                 continue;
             }
             Item item = std::move(each->second.item);
+            this->waiting_bytes -= each->second.bytes;
             each = this->entries.erase(each);
             start(place, std::move(item));
         }
@@ -73,6 +84,7 @@
     struct entry {
         Item item;
         instant start_by;
+        std::size_t bytes;
     };
 
     template <class Predicate>
@@ -81,6 +93,7 @@
         for (auto each = this->entries.begin(); each != this->entries.end();) {
             if (predicate(each->second)) {
                 out.push_back(std::move(each->second.item));
+                this->waiting_bytes -= each->second.bytes;
                 each = this->entries.erase(each);
             } else {
                 ++each;
@@ -90,6 +103,8 @@
     }
 
     std::size_t most;
+    std::size_t most_bytes;
+    std::size_t waiting_bytes = 0;
     std::uint64_t arrivals = 0;
     std::map<key, entry> entries;
 };
--- a/src/persimmonpoint/core/routing/connection_choice.cpp
+++ b/src/persimmonpoint/core/routing/connection_choice.cpp
@@ -5,9 +5,19 @@
 
 namespace {
 
-/// A connection with more prepared statements than this is reset before its next use
-/// outside a transaction, which drops them.
+/// A connection with more prepared statements, or more bytes of their shapes, than this
+/// is reset before its next use outside a transaction, which drops them. Any one shape
+/// fits.
 constexpr std::size_t max_prepared_statements = 200;
+constexpr std::size_t max_prepared_bytes = 1024 * 1024;
+/// The same for a connection in a transaction, which can't be reset.
+constexpr std::size_t max_transaction_statements = 1000;
+constexpr std::size_t max_transaction_bytes = 4 * 1024 * 1024;
+
+bool has_too_many(prepared_names const& prepared) {
+    return prepared.size() > max_prepared_statements ||
+           prepared.bytes() > max_prepared_bytes;
+}
 
 /// True if session values are set on the connection that the request doesn't set.
 bool has_extra_values(session_values const& current, session_values const& wanted) {
@@ -103,13 +113,22 @@
     return surplus;
 }
 
+bool fits_transaction(
+    upstream_request const& order, pooled_connection const& connection) {
+    prepared_names const& prepared = connection.prepared;
+    if (!order.prepared || prepared.find(*order.prepared)) {
+        return true;
+    }
+    return prepared.size() < max_transaction_statements &&
+           prepared.bytes() + order.prepared->shape.size() <= max_transaction_bytes;
+}
+
 std::vector<setup_step>
 plan_setup(upstream_request const& order, pooled_connection const& connection) {
     std::vector<setup_step> steps;
     bool const in_transaction =
         connection.state == pooled_connection_state::in_transaction;
-    bool const drop_prepared =
-        !in_transaction && connection.prepared.size() > max_prepared_statements;
+    bool const drop_prepared = !in_transaction && has_too_many(connection.prepared);
     bool const reset = drop_prepared || has_extra_values(connection.values, order.values);
     if (reset) {
         steps.push_back({setup_kind::reset, {}, {}});
--- a/src/persimmonpoint/core/routing/connection_choice.hpp
+++ b/src/persimmonpoint/core/routing/connection_choice.hpp
@@ -69,6 +69,11 @@
     connection_limits const& limits,
     instant now);
 
+/// False if the order belongs to a transaction and would prepare more on its connection
+/// than may be prepared before the transaction ends. Outside of transactions a connection
+/// is reset instead.
+bool fits_transaction(upstream_request const& order, pooled_connection const& connection);
+
 enum class setup_kind { reset, set, prepare };
 /// One command that prepares a connection's session.
 struct setup_step {
--- a/src/persimmonpoint/core/routing/prepared_names.cpp
+++ b/src/persimmonpoint/core/routing/prepared_names.cpp
@@ -12,16 +12,20 @@
 }
 
 void prepared_names::add_next(prepared_shape shape) {
-    this->names.insert_or_assign(std::move(shape), this->next());
+    std::size_t const bytes = shape.shape.size();
+    bool const is_new =
+        this->names.insert_or_assign(std::move(shape), this->next()).second;
+    this->shape_bytes += is_new ? bytes : 0;
     ++this->last_number;
 }
 
 void prepared_names::erase(prepared_shape const& shape) {
-    this->names.erase(shape);
+    this->shape_bytes -= this->names.erase(shape) * shape.shape.size();
 }
 
 void prepared_names::clear() {
     this->names.clear();
+    this->shape_bytes = 0;
 }
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/core/routing/prepared_names.hpp
+++ b/src/persimmonpoint/core/routing/prepared_names.hpp
@@ -35,10 +35,13 @@
     void clear();
 
     std::size_t size() const { return this->names.size(); }
+    /// Bytes of the shapes.
+    std::size_t bytes() const { return this->shape_bytes; }
 
 private:
     std::map<prepared_shape, prepared_name> names;
     std::uint64_t last_number = 0;
+    std::size_t shape_bytes = 0;
 };
 
 } // namespace persimmonpoint
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -7,6 +7,7 @@
 #include <persimmonpoint/core/limits/commit_share.hpp>
 #include <persimmonpoint/core/limits/waiting_line.hpp>
 #include <persimmonpoint/core/recovery/acknowledged_commits.hpp>
+#include <persimmonpoint/core/statement/request_size.hpp>
 #include <persimmonpoint/engine/database_owner.hpp>
 #include <persimmonpoint/engine/order_commands.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
@@ -25,6 +26,8 @@
 constexpr duration longest_transaction_pause = std::chrono::seconds(12);
 /// Orders that may wait; one more is refused.
 constexpr std::size_t most_waiting = 400;
+/// Their bytes together; several of the largest orders fit.
+constexpr std::size_t most_waiting_bytes = 16 * 1024 * 1024;
 /// After a failed connection attempt, the next one waits this long.
 constexpr duration reopen_pause = std::chrono::milliseconds(60);
 /// After a database took no further connection, none beyond those at hand is tried.
@@ -100,6 +103,7 @@
                                   : budget;
         line_place const place{
             is_control(order.kind), order.priority, now + std::min(wait, budget)};
+        std::size_t const bytes = size_in_bytes(order);
         pending_order pending{std::move(order), source, std::move(handler), now + budget};
         if (this->closed || this->is_past_work_end(pending.order)) {
             this->reply(pending, not_run(upstream_refusal::unreachable));
@@ -107,10 +111,10 @@
         }
         if (pending.order.transaction.is_set()) {
             this->run_in_transaction(std::move(pending));
-        } else if (this->waiting.full()) {
+        } else if (!this->waiting.has_room(bytes)) {
             this->reply(pending, not_run(upstream_refusal::queue_full));
         } else {
-            this->waiting.push(place, std::move(pending));
+            this->waiting.push(place, std::move(pending), bytes);
             this->pump();
         }
         this->watch_deadlines();
@@ -134,7 +138,8 @@
             return;
         }
         bool const is_end = pending.order.kind == upstream_request_kind::rollback;
-        if (this->ends_transactions && !is_end) {
+        bool const has_room = fits_transaction(pending.order, found->second.view);
+        if (!has_room || (this->ends_transactions && !is_end)) {
             this->roll_back(found->second);
             this->reply(pending, not_run(upstream_refusal::transaction_lost));
             return;
@@ -697,7 +702,7 @@
     asio::io_context& loop;
     connection_limits limits;
     std::optional<instant> work_end;
-    waiting_line<pending_order> waiting{most_waiting};
+    waiting_line<pending_order> waiting{most_waiting, most_waiting_bytes};
     commit_share commits;
     std::optional<log_position> log_end; ///< The furthest that the database told.
     std::map<std::uint64_t, lane> lanes;
--- a/tests/introspective/database_owner.tests.cpp
+++ b/tests/introspective/database_owner.tests.cpp
@@ -457,3 +457,40 @@
     CHECK(count("some words") == 0);
     CHECK(count("some-item") == 0);
 }
+
+TEST_CASE("Orders that wait for a database are bounded in bytes", "[owner][bounds]") {
+    owner_stage stage;
+    upstream_request request;
+    request.group = "group";
+    request.database = "db";
+    request.team = "team";
+    request.text = std::string(1'000'000, 'x');
+    std::size_t refused = 0;
+    for (int i = 0; i < 100; ++i) {
+        stage.owner->submit(request, first_link, [&refused](upstream_response given) {
+            refused += given.refusal == upstream_refusal::queue_full ? 1 : 0;
+        });
+    }
+    CHECK(refused >= 80);
+    CHECK(refused < 100);
+    stage.settle();
+    request.text = "READ a";
+    CHECK(stage.run(request, first_link).succeeded());
+}
+
+TEST_CASE(
+    "A transaction that prepares too many bytes is rolled back and said to be lost",
+    "[owner][transactions][bounds]") {
+    owner_stage stage;
+    auto const opened = stage.open("WRITE a 1", first_link);
+    upstream_response last;
+    for (char const each : {'a', 'b', 'c', 'd', 'e'}) {
+        auto request = inside(upstream_request_kind::in_transaction, "item", opened);
+        request.prepared = prepared_shape{std::string(1'000'000, each), false};
+        last = stage.run(request, first_link);
+    }
+    CHECK(last.outcome == upstream_outcome::not_run);
+    CHECK(last.refusal == upstream_refusal::transaction_lost);
+    CHECK(stage.connector.sent[0].back() == "ROLLBACK");
+    CHECK(stage.owner->open_transactions() == 0);
+}
--- a/tests/introspective/waiting_line.tests.cpp
+++ b/tests/introspective/waiting_line.tests.cpp
@@ -88,3 +88,28 @@
     CHECK(waiting.take_all() == std::vector<std::string>{"c"});
     CHECK(waiting.empty());
 }
+
+TEST_CASE(
+    "A line takes no more bytes than it may, and those that left it are free again",
+    "[limits][waiting][bounds]") {
+    line waiting(10, 100);
+    waiting.push({false, 1, at(50)}, "first", 60);
+    CHECK(waiting.has_room(40));
+    CHECK_FALSE(waiting.has_room(41));
+    waiting.push({false, 1, at(100)}, "second", 40);
+    CHECK_FALSE(waiting.has_room(1));
+    CHECK(waiting.has_room(0));
+    SECTION("expired") {
+        waiting.take_expired(at(60));
+        CHECK(waiting.has_room(60));
+        CHECK_FALSE(waiting.has_room(61));
+    }
+    SECTION("started") {
+        start_all(waiting);
+        CHECK(waiting.has_room(100));
+    }
+    SECTION("taken") {
+        waiting.take_all();
+        CHECK(waiting.has_room(100));
+    }
+}
