--- a/tests/usage/prepared_statements.tests.cpp
+++ b/tests/usage/prepared_statements.tests.cpp
@@ -295,3 +295,14 @@
     }
     CHECK(stage.check() == ran);
 }
+
+TEST_CASE(
+    "An EXECUTE without an item is refused, or runs with the text of its caller",
+    "[front][prepared]") {
+    recorded_stage stage;
+    auto const caller = stage.caller("a");
+    succeed(*caller, "PREPARE s READ q1");
+    CHECK_FALSE(caller->query("EXECUTE s").closed);
+    CHECK_FALSE(caller->query("EXECUTE s ").closed);
+    stage.check();
+}
