--- a/tests/introspective/session_memory.tests.cpp
+++ b/tests/introspective/session_memory.tests.cpp
@@ -154,7 +154,9 @@
 
 TEST_CASE("A long line's memory is given back once it was read", "[bounds][line]") {
     platform::line_reader reader;
-    reader.add(std::string(large_bytes, 'x') + "\r\n");
+    std::string line(large_bytes, 'x');
+    line += "\r\n";
+    reader.add(line);
     REQUIRE(reader.next());
     CHECK_FALSE(reader.next());
     CHECK(reader.held_bytes() < 100'000);
