--- a/src/persimmonpoint/app/front_command.cpp
+++ b/src/persimmonpoint/app/front_command.cpp
@@ -1,5 +1,6 @@
 #include <cstdlib>
 #include <exception>
+#include <malloc.h>
 #include <ostream>
 #include <persimmonpoint/app/commands.hpp>
 #include <persimmonpoint/app/options.hpp>
@@ -12,6 +13,9 @@
 
 /// Names the settings file where the command line doesn't.
 constexpr char const* settings_variable = "PERSIMMONPOINT_CONFIG";
+/// Larger blocks go back to the system as they are freed. By itself the allocator raises
+/// the size with each such block, and then keeps what a crowd of callers made it take.
+constexpr int most_kept_block_bytes = 128 * 1024;
 
 class front_command final : public command {
 public:
@@ -62,6 +66,7 @@
     }
 
     exit_code serve(settings::front_settings const& settings, std::ostream& err) {
+        ::mallopt(M_MMAP_THRESHOLD, most_kept_block_bytes);
         observe::start_event_log(settings.name);
         exit_code code = exit_code::success;
         try {
--- a/src/persimmonpoint/core/catalog/database_directory.hpp
+++ b/src/persimmonpoint/core/catalog/database_directory.hpp
@@ -36,6 +36,8 @@
     std::string name;
     std::string address; ///< Where it takes links from other hosts: IP number and port.
     std::string availability_zone;
+    /// Processor time that it has, in thousandths of a core; 0 if it doesn't tell.
+    std::uint32_t processor_millicores = 0;
 
     friend bool operator==(registered_host const&, registered_host const&) = default;
 };
--- a/src/persimmonpoint/core/catalog/entry_rules.hpp
+++ b/src/persimmonpoint/core/catalog/entry_rules.hpp
@@ -30,6 +30,8 @@
 /// Connections to one database, over all hosts.
 inline constexpr number_range connections_range{0, 1'000'000};
 inline constexpr number_range sync_replicas_range{0, 100};
+/// Processor time of a host, in thousandths of a core; 0 if it isn't told.
+inline constexpr number_range processor_range{0, 1'000'000};
 inline constexpr number_range priority_range{
     0, std::numeric_limits<std::uint32_t>::max()};
 /// Longest timeout, objective or staleness bound of a route.
--- a/src/persimmonpoint/core/limits/quota_lender.cpp
+++ b/src/persimmonpoint/core/limits/quota_lender.cpp
@@ -40,6 +40,19 @@
     this->endorsements[std::string(host)] = now + life;
     this->longest_life = std::max(this->longest_life, life);
     this->update(now);
+    bool const is_first = this->seen_hosts.insert(std::string(host)).second;
+    if (is_first && this->young_until && now < *this->young_until) {
+        this->add_burst_part(now);
+    }
+}
+
+void quota_lender::add_burst_part(instant now) {
+    for (auto& each : this->teams) {
+        quota_split const split =
+            split_quota(each.second.whole, this->host_count, this->rules);
+        each.second.bucket.add(
+            split.lent.burst / static_cast<double>(this->host_count), now);
+    }
 }
 
 void quota_lender::withdrawn(std::string_view host, instant now) {
--- a/src/persimmonpoint/core/limits/quota_lender.hpp
+++ b/src/persimmonpoint/core/limits/quota_lender.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <persimmonpoint/core/limits/quota_share.hpp>
 #include <persimmonpoint/core/time.hpp>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -24,6 +25,10 @@
 public:
     explicit quota_lender(quota_rules const& rules = {}) : rules(rules) {}
 
+    /// The lender's process has just started. Hosts that endorse it for the first time
+    /// until `end` bring their part of the burst: while it started it lent nothing.
+    void set_young_until(instant end) { this->young_until = end; }
+
     void set_host_count(std::size_t count);
     /// Rate and burst of a whole team.
     void set_limit(std::string_view team, quota_part whole, instant now);
@@ -49,7 +54,10 @@
     std::map<std::string, lent_quota, std::less<>> teams;
     std::map<std::string, instant, std::less<>> endorsements; ///< Until when, by host.
     void update(instant now);
+    void add_burst_part(instant now);
 
+    std::optional<instant> young_until;
+    std::set<std::string, std::less<>> seen_hosts; ///< That endorsed it at any time.
     std::optional<instant> updated;
     duration longest_life{0};
 };
--- a/src/persimmonpoint/core/limits/quota_pacing.cpp
+++ b/src/persimmonpoint/core/limits/quota_pacing.cpp
@@ -8,6 +8,10 @@
 constexpr duration longest_wait = std::chrono::milliseconds(30);
 /// Operations of one team that may wait at one host.
 constexpr std::size_t most_of_a_team = 2;
+/// Hosts that were all restarted link up and choose their lenders in less time.
+constexpr duration longest_lender_wait = std::chrono::milliseconds(250);
+/// Operations of one team that may wait at one host for a lender.
+constexpr std::size_t most_without_lender = 32;
 
 } // namespace
 
@@ -17,6 +21,12 @@
     return wait <= longest_wait && present < most_of_a_team;
 }
 
+bool quota_pacing::may_wait_for_lender(std::string_view team, duration age) const {
+    auto const found = this->counts.find(team);
+    std::size_t const present = found == this->counts.end() ? 0 : found->second;
+    return age < longest_lender_wait && present < most_without_lender;
+}
+
 void quota_pacing::add(std::string_view team, std::uint64_t number, instant due) {
     this->waiting.emplace(due, waiting_operation{std::string(team), number});
     auto found = this->counts.find(team);
--- a/src/persimmonpoint/core/limits/quota_pacing.hpp
+++ b/src/persimmonpoint/core/limits/quota_pacing.hpp
@@ -21,6 +21,9 @@
 public:
     /// True if an operation that may run in `wait` is better off waiting.
     bool may_wait(std::string_view team, duration wait) const;
+    /// True if an operation that came `age` ago may wait on for a lender to be found.
+    /// Nothing is known then of how much the team has left, so that more may wait.
+    bool may_wait_for_lender(std::string_view team, duration age) const;
     void add(std::string_view team, std::uint64_t number, instant due);
     /// Numbers of the operations that are due, the one due first in front.
     std::vector<std::uint64_t> take_due(instant now);
--- a/src/persimmonpoint/core/limits/quota_share.cpp
+++ b/src/persimmonpoint/core/limits/quota_share.cpp
@@ -108,6 +108,12 @@
     this->fill_until(now);
 }
 
+void quota_bucket::add(double operations, instant now) {
+    this->refill(now);
+    double const most = std::max(least_burst, this->part.burst * this->share);
+    this->tokens = std::max(this->tokens, std::min(this->tokens + operations, most));
+}
+
 void quota_bucket::drain(instant now) {
     this->refill(now);
     this->tokens = 0;
--- a/src/persimmonpoint/core/limits/quota_share.hpp
+++ b/src/persimmonpoint/core/limits/quota_share.hpp
@@ -48,6 +48,8 @@
     void set_part(quota_part part, instant now, lowering when = lowering::delayed);
     /// Only this share of rate and burst is there from now on, until it is set again.
     void set_share(double share, instant now);
+    /// Adds operations that were not spent elsewhere, up to the burst.
+    void add(double operations, instant now);
     /// Drops what was saved up.
     void drain(instant now);
     /// Takes one operation. Zero if it was there, else the time until it will be.
--- a/src/persimmonpoint/core/membership/fleet_pace.cpp
+++ b/src/persimmonpoint/core/membership/fleet_pace.cpp
@@ -67,7 +67,7 @@
     pace.hosts_settle = std::min(hosts_settle_per_host * count, longest_hosts_settle);
     pace.configuration_settle =
         std::min(configuration_settle_per_host * count, longest_configuration_settle);
-    pace.hosts_patience = 2 * pace.hosts_settle;
+    pace.hosts_patience = pace.hosts_settle;
     pace.store_patience = milliseconds(700);
     pace.store_retry_limit = std::clamp(
         store_retry_per_host * count, pace.store_retry_limit, longest_store_retry);
--- a/src/persimmonpoint/core/recovery/change_members.cpp
+++ b/src/persimmonpoint/core/recovery/change_members.cpp
@@ -22,6 +22,7 @@
         member.leaving = each.leaving;
         member.started_ms = each.started_ms;
         member.ends_at = each.ends_at;
+        member.evacuated = each.evacuated;
         this->removed.erase(each.id);
     }
     std::erase_if(this->members, [&](auto const& each) {
--- a/src/persimmonpoint/core/recovery/change_members.hpp
+++ b/src/persimmonpoint/core/recovery/change_members.hpp
@@ -24,6 +24,8 @@
     std::uint64_t started_ms = 0; ///< Unix time of its start.
     /// When a database that leaves may end, with its log; unset if it isn't known.
     std::optional<instant> ends_at = std::nullopt;
+    /// Its availability zone is evacuated: it is no candidate while there is another.
+    bool evacuated = false;
 };
 
 /// What a host knows, beside the reports of the databases, of the commits that the old
@@ -63,6 +65,7 @@
     bool leaving = false;
     std::uint64_t started_ms = 0;   ///< Another start means another log.
     std::optional<instant> ends_at; ///< When it may end, if it leaves.
+    bool evacuated = false;
     bool held = false;              ///< By this change.
     bool held_by_other = false;     ///< By another host's change.
     std::optional<database_state> report;
--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <persimmonpoint/core/recovery/leadership_change.hpp>
+#include <tuple>
 #include <utility>
 
 namespace persimmonpoint {
@@ -46,6 +47,11 @@
     return token << hold_term_shift;
 }
 
+/// Order of candidates that have reported; the greater is preferred.
+auto rank_of(change_member const& member) {
+    return std::make_tuple(!member.evacuated, !member.leaving, member.report->received);
+}
+
 bool ends_soon(change_member const& member, instant now) {
     return member.ends_at && now >= *member.ends_at - last_chance_margin;
 }
@@ -64,6 +70,8 @@
         return "primary_lost";
     case change_reason::primary_leaving:
         return "primary_leaving";
+    case change_reason::primary_evacuated:
+        return "primary_evacuated";
     case change_reason::replica_held:
         return "replica_held";
     default:
@@ -290,16 +298,18 @@
         if (!this->members.counts(id) || !member.report) {
             continue;
         }
-        bool const better =
-            best == nullptr || std::make_pair(!member.leaving, member.report->received) >
-                                   std::make_pair(!best->leaving, best->report->received);
-        if (better) {
+        if (best == nullptr || rank_of(member) > rank_of(*best)) {
             this->chosen_id = id;
             best = &member;
         }
     }
 }
 
+bool leadership_change::moves_in_vain() const {
+    return this->cause == change_reason::primary_evacuated && !this->hold_requested &&
+           this->members.all().find(this->chosen_id)->second.evacuated;
+}
+
 bool leadership_change::has_candidate() const {
     bool const leader_is_other =
         this->confirms_leader && this->chosen_id != this->members.primary();
@@ -482,12 +492,15 @@
         this->chosen_id = this->members.primary();
     } else {
         this->choose_candidate();
+        if (this->moves_in_vain()) {
+            this->machine.fire(leadership_event::called_off);
+            return;
+        }
         bool const is_held = this->members.find(this->chosen_id)->report->held_term > 0;
-        bool const is_planned = this->cause == change_reason::primary_leaving;
         // One that is held can't catch up with a primary that serves on. A replica that
         // isn't listed can't be held: only the primary's stop keeps it from
         // acknowledging.
-        bool const stops_primary = !is_planned || this->members.may_miss_replica() ||
+        bool const stops_primary = !this->is_planned() || this->members.may_miss_replica() ||
                                    this->serves_beside_silent(now);
         this->hold_candidate = this->hold_candidate || is_held ||
                                (stops_primary && this->primary_answers(now));
@@ -496,9 +509,8 @@
 }
 
 bool leadership_change::has_to_stop_primary(instant now) const {
-    bool const is_planned = this->cause == change_reason::primary_leaving;
     return !this->confirms_leader && !this->is_overtaken() &&
-           (!is_planned || this->hold_candidate) && this->primary_answers(now);
+           (!this->is_planned() || this->hold_candidate) && this->primary_answers(now);
 }
 
 bool leadership_change::primary_answers(instant now) const {
@@ -512,10 +524,10 @@
         this->primary_answers(now) || this->members.is_primary_stopped();
     change_member const* const primary = this->members.primary_member();
     bool const is_urgent = primary != nullptr && ends_soon(*primary, now);
-    bool const is_planned =
-        this->cause == change_reason::primary_leaving && is_primary_compared &&
+    bool const waited_enough =
+        this->is_planned() && is_primary_compared &&
         (is_urgent || now - this->begun_at >= silent_replica_patience);
-    return is_planned || this->is_last_chance(now);
+    return waited_enough || this->is_last_chance(now);
 }
 
 bool leadership_change::is_last_chance(instant now) const {
@@ -742,7 +754,7 @@
 }
 
 bool leadership_change::serves_on() const {
-    return this->cause == change_reason::primary_leaving && !this->hold_candidate;
+    return this->is_planned() && !this->hold_candidate;
 }
 
 bool leadership_change::covers_serving_primary() const {
--- a/src/persimmonpoint/core/recovery/leadership_change.hpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.hpp
@@ -17,6 +17,7 @@
 enum class change_reason {
     primary_lost,
     primary_leaving,
+    primary_evacuated, ///< Its availability zone is evacuated; the database lives on.
     commits_stalled,
     replica_held ///< A replica is held though no change is under way.
 };
@@ -144,6 +145,11 @@
     /// for as soon as the positions show a candidate; or was, and isn't settled.
     bool may_call_soon() const;
     change_reason reason() const { return this->cause; }
+    /// True if the primary serves until the database that replaces it leads.
+    bool is_planned() const {
+        return this->cause == change_reason::primary_leaving ||
+               this->cause == change_reason::primary_evacuated;
+    }
     std::string const& candidate() const { return this->chosen_id; }
     /// The primary that is replaced; empty if none is known.
     std::string const& old_primary() const { return this->members.primary(); }
@@ -227,6 +233,8 @@
     bool leader_covers_held() const;
     void choose_most_advanced();
     void choose_candidate();
+    /// True if the chosen candidate would have to be replaced at once, as the primary is.
+    bool moves_in_vain() const;
     bool candidate_is_caught_up() const;
     /// True if the candidate is the stopped primary and need not lead again.
     bool is_candidate_needless() const;
--- a/src/persimmonpoint/core/recovery/retry_policy.cpp
+++ b/src/persimmonpoint/core/recovery/retry_policy.cpp
@@ -46,8 +46,15 @@
     if (answer.refusal == upstream_refusal::expired) {
         return refuse(this->refusal(), "no slot became free in time");
     }
+    bool const is_overloaded = answer.refusal == upstream_refusal::overloaded;
+    if (is_overloaded && this->statement.needs_leader) {
+        return refuse(this->refusal(), "the queue for " + database + " is too long");
+    }
     return this->retry_or_refuse(
-        database, this->refusal(), "no database answered in time", now);
+        database, this->refusal(),
+        is_overloaded ? "the queue for each database is too long"
+                      : "no database answered in time",
+        now);
 }
 
 retry_decision retry_policy::answered_error(
--- a/src/persimmonpoint/core/routing/group_routing.cpp
+++ b/src/persimmonpoint/core/routing/group_routing.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <persimmonpoint/core/routing/group_routing.hpp>
+#include <persimmonpoint/core/routing/owner_ranking.hpp>
+#include <utility>
 
 namespace persimmonpoint {
 
@@ -17,6 +19,12 @@
 constexpr double primary_cost = 0.6;
 constexpr double other_zone_cost = 0.05;
 constexpr double behind_floor_cost = 1.5;
+/// About what opening a connection takes of a database, compared with a statement.
+constexpr double unfamiliar_team_cost = 0.35;
+
+/// How long a replica whose log lacked a floor is left to catch up.
+constexpr duration first_lag_backoff = std::chrono::milliseconds(30);
+constexpr duration longest_lag_backoff = std::chrono::seconds(1);
 
 } // namespace
 
@@ -25,6 +33,7 @@
         registered_database const* const previous = this->find(each.id);
         if (previous != nullptr && previous->started_ms != each.started_ms) {
             this->stats_by_id.erase(each.id);
+            this->speeds.forget(each.id);
         }
     }
     this->members = std::move(databases);
@@ -55,6 +64,30 @@
     return found == this->members.end() ? nullptr : &*found;
 }
 
+void group_routing::set_evacuated_zones(std::set<std::string, std::less<>> zones) {
+    this->evacuated_zones = std::move(zones);
+}
+
+bool group_routing::is_evacuated(registered_database const& database) const {
+    return this->evacuated_zones.find(database.availability_zone) !=
+           this->evacuated_zones.end();
+}
+
+bool group_routing::can_lead_without(std::string_view id) const {
+    return std::any_of(
+        this->members.begin(), this->members.end(),
+        [&](registered_database const& each) {
+            return each.id != id && !each.leaving && !this->is_evacuated(each);
+        });
+}
+
+bool group_routing::is_out_of_service() const {
+    bool const any_evacuated = std::any_of(
+        this->members.begin(), this->members.end(),
+        [this](registered_database const& each) { return this->is_evacuated(each); });
+    return any_evacuated && !this->can_lead_without({});
+}
+
 bool group_routing::confirm_leader(std::string_view id, std::uint64_t term) {
     if (this->current_leader && term < this->current_leader->term) {
         return false;
@@ -85,11 +118,13 @@
     std::string_view availability_zone,
     instant now) const {
     double cost = database.availability_zone == availability_zone ? 0 : other_zone_cost;
-    bool const is_leader =
-        this->current_leader && this->current_leader->database == database.id;
-    if (is_leader) {
+    bool const leads = this->is_leader(database);
+    if (leads) {
         cost += primary_cost;
     }
+    // A read takes longer at a slow database, though nothing else waits there.
+    double const slowness = this->speeds.slowness(database.id, now);
+    cost += (slowness - 1) / database.slots;
     auto const found = this->stats_by_id.find(database.id);
     if (found == this->stats_by_id.end()) {
         return cost;
@@ -99,18 +134,56 @@
     if (now - stats.load_reported_at < load_report_lifetime) {
         load = std::max<double>(load, stats.reported_load);
     }
-    cost += load / database.slots;
+    cost += slowness * load / database.slots;
     bool const behind_floor = floor && stats.last_position &&
                               *stats.last_position < *floor &&
                               now - stats.position_reported_at < position_report_lifetime;
-    return behind_floor && !is_leader ? cost + behind_floor_cost : cost;
+    return behind_floor && !leads ? cost + behind_floor_cost : cost;
+}
+
+bool group_routing::is_leader(registered_database const& database) const {
+    return this->current_leader && this->current_leader->database == database.id;
+}
+
+bool group_routing::is_behind(
+    registered_database const& database,
+    std::optional<log_position> floor,
+    instant now) const {
+    auto const found = this->stats_by_id.find(database.id);
+    if (!floor || found == this->stats_by_id.end() || this->is_leader(database)) {
+        return false;
+    }
+    database_stats const& stats = found->second;
+    bool const has_floor = stats.last_position && *stats.last_position >= *floor;
+    return now < stats.lags_until && !has_floor;
+}
+
+registered_database const* group_routing::preferred_by(std::string_view team) const {
+    if (!this->has_team_affinity || team.empty()) {
+        return nullptr;
+    }
+    registered_database const* best = nullptr;
+    std::uint64_t best_weight = 0;
+    for (registered_database const& each : this->members) {
+        if (each.leaving || this->is_leader(each) || this->is_evacuated(each)) {
+            continue;
+        }
+        std::uint64_t const weight = rendezvous_weight(team, each.id);
+        if (best == nullptr || weight > best_weight) {
+            best = &each;
+            best_weight = weight;
+        }
+    }
+    return best;
 }
 
 std::optional<std::string> group_routing::choose_for_read(
     std::optional<log_position> floor,
     std::string_view availability_zone,
     std::span<std::string const> excluded,
-    instant now) const {
+    instant now,
+    std::string_view team) const {
+    registered_database const* const preferred = this->preferred_by(team);
     registered_database const* best = nullptr;
     double best_cost = 0;
     for (registered_database const& each : this->members) {
@@ -119,10 +192,15 @@
         auto const found = this->stats_by_id.find(each.id);
         bool const backing_off =
             found != this->stats_by_id.end() && now < found->second.backoff_until;
-        if (was_tried || backing_off || each.leaving) {
+        if (was_tried || backing_off || each.leaving || this->is_evacuated(each)) {
             continue;
         }
-        double const each_cost = this->cost(each, floor, availability_zone, now);
+        if (this->is_behind(each, floor, now)) {
+            continue;
+        }
+        bool const is_unfamiliar = preferred != nullptr && preferred != &each;
+        double const each_cost = this->cost(each, floor, availability_zone, now) +
+                                 (is_unfamiliar ? unfamiliar_team_cost : 0);
         if (best == nullptr || each_cost < best_cost) {
             best = &each;
             best_cost = each_cost;
@@ -157,6 +235,19 @@
     }
 }
 
+void group_routing::lagged(std::string_view id, instant now) {
+    database_stats& stats = this->stats_by_id[std::string(id)];
+    stats.lag_backoff =
+        std::clamp(stats.lag_backoff * 2, first_lag_backoff, longest_lag_backoff);
+    stats.lags_until = now + stats.lag_backoff;
+}
+
+void group_routing::caught_up(std::string_view id) {
+    database_stats& stats = this->stats_by_id[std::string(id)];
+    stats.lag_backoff = duration(0);
+    stats.lags_until = instant();
+}
+
 void group_routing::unreachable(std::string_view id, instant now) {
     this->stats_by_id[std::string(id)].backoff_until = now + unreachable_backoff;
 }
--- a/src/persimmonpoint/core/routing/owner_ranking.hpp
+++ b/src/persimmonpoint/core/routing/owner_ranking.hpp
@@ -25,6 +25,16 @@
     std::string_view availability_zone,
     std::span<registered_host const> hosts);
 
+/// The same for the connections to a database, through which all of its statements pass:
+/// of the hosts in its zone, and of the others, those that have at least half of the
+/// processor time of the largest host go before smaller ones.
+///
+/// Load it answers: in a fleet of hosts of different sizes most are small. They would own
+/// most databases, and take several times as long for each statement.
+std::vector<std::string>
+rank_database_owners(registered_database const& database,
+    std::span<registered_host const> hosts);
+
 } // namespace persimmonpoint
 
 #endif // PERSIMMONPOINT_CORE_ROUTING_OWNER_RANKING_HPP_INCLUDED
--- a/src/persimmonpoint/core/statement/upstream_request.cpp
+++ b/src/persimmonpoint/core/statement/upstream_request.cpp
@@ -16,6 +16,8 @@
         return "unconfirmed";
     case upstream_refusal::fenced:
         return "fenced";
+    case upstream_refusal::overloaded:
+        return "overloaded";
     default:
         return "none";
     }
--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -51,6 +51,28 @@
     void start(std::string_view wanted, std::string_view given_key) {
         this->database = wanted;
         this->key = given_key;
+        this->waits_for_configuration = !this->context.knows_configuration;
+        if (!this->waits_for_configuration) {
+            this->admit_session();
+        }
+    }
+
+    void configuration_known() {
+        if (std::exchange(this->waits_for_configuration, false) && !this->closed) {
+            this->admit_session();
+        }
+    }
+
+    void configuration_missing() {
+        if (!std::exchange(this->waits_for_configuration, false) || this->closed) {
+            return;
+        }
+        this->channel->refuse(
+            statement_error::busy, "the host has no configuration yet");
+        this->end();
+    }
+
+    void admit_session() {
         served_route const* allowed = nullptr;
         std::string holder;
         statement_error const refusal = this->admit(allowed, holder);
@@ -58,7 +80,7 @@
         if (refusal != statement_error::none) {
             observe::log_event(
                 observe::log_level::info, "session_refused",
-                {{"database", wanted},
+                {{"database", this->database},
                  {"error", to_string(refusal)},
                  {"configuration", this->configuration().version}});
             this->channel->refuse(refusal, this->refusal_text(refusal));
@@ -528,6 +550,7 @@
     bool busy = false;  ///< A request is not answered yet.
     bool running = false;
     bool waits_for_quota = false;
+    bool waits_for_configuration = false; ///< Neither accepted nor refused yet.
     std::weak_ptr<statement_run> current_run;
     bool closed = false;
     bool dismissed = false; ///< The caller was told that the session ends.
@@ -552,6 +575,14 @@
     this->impl->start(database, key);
 }
 
+void caller_session::configuration_known() {
+    this->impl->configuration_known();
+}
+
+void caller_session::configuration_missing() {
+    this->impl->configuration_missing();
+}
+
 void caller_session::on_statement(statement const& what) {
     this->impl->busy = true;
     this->impl->take(what);
--- a/src/persimmonpoint/engine/caller_session.hpp
+++ b/src/persimmonpoint/engine/caller_session.hpp
@@ -19,6 +19,8 @@
     /// operations.
     bool keeps_sessions = true;
     bool accepts_work = true; ///< False once the host is about to exit.
+    /// False while the host has just started: callers that connect wait to be accepted.
+    bool knows_configuration = true;
     /// For what clients set and prepare. A session may outlive its host.
     std::shared_ptr<memory_budget> memory = std::make_shared<memory_budget>();
 };
@@ -39,6 +41,10 @@
     void on_statement(statement const& what) override;
     void on_closed() override;
 
+    /// Accepts or refuses a caller that had to wait for the host's configuration.
+    void configuration_known();
+    /// Refuses a caller that waits for it.
+    void configuration_missing();
     /// Ends the session if it is outside a transaction and has no request outstanding.
     void dismiss_if_idle();
     /// True while the caller waits for an answer, or part of one is still to be sent.
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -5,6 +5,8 @@
 #include <optional>
 #include <persimmonpoint/core/digest.hpp>
 #include <persimmonpoint/core/limits/commit_share.hpp>
+#include <persimmonpoint/core/limits/concurrency_profile.hpp>
+#include <persimmonpoint/core/limits/service_meter.hpp>
 #include <persimmonpoint/core/limits/waiting_line.hpp>
 #include <persimmonpoint/core/recovery/acknowledged_commits.hpp>
 #include <persimmonpoint/core/statement/request_size.hpp>
@@ -34,6 +36,9 @@
 constexpr duration crowded_time = std::chrono::milliseconds(700);
 /// Time that an order of the system's own may take if it names none.
 constexpr duration default_budget = std::chrono::milliseconds(500);
+constexpr double per_mille = 1000;
+/// Part of an estimated wait that counts: some that wait are given up before.
+constexpr int estimate_percent = 70;
 
 upstream_response not_run(upstream_refusal refusal) {
     upstream_response answer;
@@ -41,6 +46,11 @@
     return answer;
 }
 
+std::uint32_t to_microseconds(duration time) {
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(time).count());
+}
+
 commit_end end_of_commit(statement_error answer) {
     if (answer == statement_error::none) {
         return commit_end::acknowledged;
@@ -69,6 +79,8 @@
     std::size_t next_step = 0;
     bool main_sent = false;
     bool counts_as_commit = false;
+    instant main_sent_at{};
+    std::uint32_t in_flight = 0; ///< Statements at the database as it was sent.
     instant commit_sent_at{};
     std::optional<log_position> log_end_when_sent; ///< As far as it was known.
 };
@@ -102,7 +114,9 @@
                                   ? duration(std::chrono::milliseconds(order.wait_ms))
                                   : budget;
         line_place const place{
-            is_control(order.kind), order.priority, now + std::min(wait, budget)};
+            is_control(order.kind), order.priority,
+            now + std::min(wait, budget) - this->meter.recent(service_class_of(order)),
+            order.team};
         std::size_t const bytes = size_in_bytes(order);
         pending_order pending{std::move(order), source, std::move(handler), now + budget};
         if (this->closed || this->is_past_work_end(pending.order)) {
@@ -113,6 +127,8 @@
             this->run_in_transaction(std::move(pending));
         } else if (!this->waiting.has_room(bytes)) {
             this->reply(pending, not_run(upstream_refusal::queue_full));
+        } else if (this->would_start_late(pending.order, place, now)) {
+            this->reply(pending, not_run(upstream_refusal::overloaded));
         } else {
             this->waiting.push(place, std::move(pending), bytes);
             this->pump();
@@ -120,9 +136,42 @@
         this->watch_deadlines();
     }
 
+    /// True if what goes before the order takes much longer than the order may wait.
+    bool would_start_late(
+        upstream_request const& order, line_place const& place, instant now) const {
+        duration const each = this->meter.recent(service_class_of(order));
+        if (place.urgent || each <= duration(0)) {
+            return false;
+        }
+        auto const ahead = static_cast<std::int64_t>(this->waiting.ahead_of(place));
+        duration const wait = each * ahead / std::max(this->present_limit(), 1U);
+        return wait * estimate_percent / 100 > place.start_by - now;
+    }
+
     bool is_past_work_end(upstream_request const& order) const {
-        return this->work_end && this->time.now() >= *this->work_end &&
-               !is_control(order.kind) && !order.transaction.is_set();
+        bool const is_over =
+            !this->takes_new_work ||
+            (this->work_end && this->time.now() >= *this->work_end);
+        return is_over && !is_control(order.kind) && !order.transaction.is_set();
+    }
+
+    void set_service(bool new_work, bool open_ones) {
+        this->takes_new_work = new_work;
+        bool const ends = this->takes_transactions && !open_ones;
+        this->takes_transactions = open_ones;
+        this->refuse_past_work_end();
+        if (ends) {
+            this->roll_back_idle();
+        }
+    }
+
+    void roll_back_idle() {
+        for (auto& each : this->lanes) {
+            if (each.second.view.state == pooled_connection_state::in_transaction &&
+                !each.second.current) {
+                this->roll_back(each.second);
+            }
+        }
     }
 
     void run_in_transaction(pending_order pending) {
@@ -139,7 +188,8 @@
         }
         bool const is_end = pending.order.kind == upstream_request_kind::rollback;
         bool const has_room = fits_transaction(pending.order, found->second.view);
-        if (!has_room || (this->ends_transactions && !is_end)) {
+        bool const ends = this->ends_transactions || !this->takes_transactions;
+        if (!has_room || (ends && !is_end)) {
             this->roll_back(found->second);
             this->reply(pending, not_run(upstream_refusal::transaction_lost));
             return;
@@ -155,6 +205,22 @@
         }
     }
 
+    /// What takes slots of the database, as far as this host gave it: a connection that is
+    /// being opened takes one too.
+    std::uint32_t at_database() const {
+        auto const opening =
+            std::count_if(this->lanes.begin(), this->lanes.end(), [](auto const& each) {
+                return each.second.view.state == pooled_connection_state::opening;
+            });
+        return this->running + static_cast<std::uint32_t>(opening);
+    }
+
+    /// Statements that the database is given at a time.
+    std::uint32_t present_limit() const {
+        return std::min(
+            this->limits.running, this->concurrency.limit(this->time.now()));
+    }
+
     std::uint32_t load() const {
         return static_cast<std::uint32_t>(this->waiting.size() + this->running);
     }
@@ -204,8 +270,9 @@
         }
         bool const may_commit =
             !changes_log(order) ||
-            this->commits.may_start(this->limits.running, this->time.now());
-        return may_commit && this->running < this->limits.running
+            this->commits.may_start(this->present_limit(), this->time.now());
+        std::uint32_t const limit = this->present_limit();
+        return may_commit && this->running < limit && this->at_database() < limit
                    ? this->lane_for_work(order)
                    : nullptr;
     }
@@ -347,30 +414,43 @@
             on.view.state = pooled_connection_state::busy;
         }
         ++this->running;
-        this->send_step(on);
+        // The setup is sent as one, so that it takes one round trip. The statement itself
+        // follows once all of it has succeeded.
+        for (order_step const& each : on.steps) {
+            if (!each.is_main) {
+                this->send(on, each.command);
+            }
+        }
+        if (on.steps.front().is_main) {
+            this->send_main(on);
+        }
     }
 
-    void send_step(lane& on) {
-        order_step const& next = on.steps[on.next_step];
-        bool const is_commit = next.is_main && on.counts_as_commit;
-        if (is_commit && !this->observer.may_send_commit(this->database.id)) {
+    void send_main(lane& on) {
+        upstream_command const& main = on.steps[on.next_step].command;
+        if (on.counts_as_commit &&
+            !this->observer.may_send_commit(this->database.id)) {
             this->commit_refused(on);
             return;
         }
-        if (next.is_main) {
-            on.main_sent = true;
-            if (on.counts_as_commit) {
-                on.commit_sent_at = this->time.now();
-                on.log_end_when_sent = this->log_end;
-                this->commits.started(on.commit_sent_at);
-                this->observer.on_commit_sent(this->database.id, on.commit_sent_at);
-            }
-            if (next.command.action == upstream_action::execute_prepared) {
-                this->log_setup("prepared_statement_sent", on, next.command);
-            }
+        on.main_sent = true;
+        on.main_sent_at = this->time.now();
+        on.in_flight = this->at_database();
+        if (on.counts_as_commit) {
+            on.commit_sent_at = on.main_sent_at;
+            on.log_end_when_sent = this->log_end;
+            this->commits.started(on.commit_sent_at);
+            this->observer.on_commit_sent(this->database.id, on.commit_sent_at);
         }
+        if (main.action == upstream_action::execute_prepared) {
+            this->log_setup("prepared_statement_sent", on, main);
+        }
+        this->send(on, main);
+    }
+
+    void send(lane& on, upstream_command const& command) {
         on.connection->execute(
-            next.command,
+            command,
             [weak = this->weak_from_this(), id = on.view.id](upstream_answer answer) {
                 if (auto const self = weak.lock()) {
                     self->step_answered(id, std::move(answer));
@@ -406,7 +486,9 @@
         } else {
             this->note_setup(on, done.command);
             ++on.next_step;
-            this->send_step(on);
+            if (on.steps[on.next_step].is_main) {
+                this->send_main(on);
+            }
         }
     }
 
@@ -495,9 +577,45 @@
         this->pump();
     }
 
+    /// Learns from an answer how much the database takes well.
+    void measure(lane const& on, statement_error error) {
+        upstream_request const& order = on.current->order;
+        instant const now = this->time.now();
+        // A commit waits for a replica, and control orders for nothing.
+        if (is_control(order.kind) || changes_log(order)) {
+            return;
+        }
+        if (error == statement_error::busy) {
+            this->meter.failed();
+            this->concurrency.refused(on.in_flight, now);
+        } else if (error == statement_error::failed) {
+            this->meter.failed();
+        } else if (error == statement_error::none) {
+            double const relative = this->meter.answered(
+                service_class_of(order), now - on.main_sent_at);
+            this->concurrency.completed(on.in_flight, relative, now);
+        }
+        this->log_limit();
+    }
+
+    void log_limit() {
+        std::uint32_t const present = this->present_limit();
+        if (std::exchange(this->logged_limit, present) != present) {
+            observe::log_event(
+                observe::log_level::info, "concurrency_limit_changed",
+                {{"database", this->database.id},
+                 {"limit", present},
+                 {"most", this->limits.running}});
+        }
+    }
+
     void main_answered(lane& on, upstream_answer answer) {
+        this->measure(on, answer.error);
         upstream_request const& order = on.current->order;
         upstream_response out;
+        out.service_us = to_microseconds(this->meter.recent(service_class_of(order)));
+        out.failing_permille =
+            static_cast<std::uint32_t>(this->meter.failing() * per_mille);
         if (on.counts_as_commit && answer.error == statement_error::none) {
             out.acknowledged =
                 least_commit_position(on.log_end_when_sent, answer.position);
@@ -609,6 +727,9 @@
             pending = this->take_current(on);
         }
         bool const sent = on.main_sent;
+        if (pending && sent) {
+            this->meter.failed();
+        }
         this->commit_ended(on, commit_end::unknown);
         this->drop(id);
         if (pending) {
@@ -727,6 +848,9 @@
     std::optional<instant> work_end;
     waiting_line<pending_order> waiting{most_waiting, most_waiting_bytes};
     commit_share commits;
+    service_meter meter;
+    concurrency_profile concurrency;
+    std::uint32_t logged_limit = 0;
     std::optional<log_position> log_end; ///< The furthest that the database told.
     std::map<std::uint64_t, lane> lanes;
     std::uint64_t last_lane = 0;
@@ -736,6 +860,8 @@
     instant crowded_until{};
     bool sweeping = false;
     bool ends_transactions = false;
+    bool takes_new_work = true;
+    bool takes_transactions = true;
     bool closed = false;
 };
 
@@ -770,8 +896,14 @@
     this->impl->work_end = end;
 }
 
+void database_owner::set_service(bool takes_new_work, bool takes_transactions) {
+    this->impl->set_service(takes_new_work, takes_transactions);
+}
+
 void database_owner::set_limits(connection_limits limits) {
     this->impl->limits = limits;
+    this->impl->concurrency.set_most(limits.running);
+    this->impl->logged_limit = this->impl->present_limit();
     this->impl->trim();
     this->impl->pump();
 }
--- a/src/persimmonpoint/engine/database_owner.hpp
+++ b/src/persimmonpoint/engine/database_owner.hpp
@@ -67,6 +67,9 @@
     /// From `end` on no new work is started, only what belongs to an open transaction and
     /// orders of the system's own; what waits is answered as not run.
     void set_work_end(std::optional<instant> end);
+    /// Whether orders that belong to no open transaction, and those that do, are carried
+    /// out. Orders of the system's own always are.
+    void set_service(bool takes_new_work, bool takes_transactions);
     void set_limits(connection_limits limits);
     /// Closes connections that are over the limits or idle for too long.
     void trim();
--- a/src/persimmonpoint/engine/dispatcher.cpp
+++ b/src/persimmonpoint/engine/dispatcher.cpp
@@ -9,6 +9,7 @@
 #include <persimmonpoint/engine/control_order.hpp>
 #include <persimmonpoint/engine/dispatcher.hpp>
 #include <persimmonpoint/engine/order_commands.hpp>
+#include <persimmonpoint/observe/event_log.hpp>
 #include <random>
 #include <utility>
 
@@ -51,7 +52,8 @@
         owner_observer& observer,
         fleet_view const& view,
         std::string self,
-        duration drain)
+        duration drain,
+        duration evacuation)
         : loop(loop),
           connector(connector),
           time(time),
@@ -59,6 +61,7 @@
           view(view),
           self(std::move(self)),
           drains(drain),
+          evacuation_limit(evacuation),
           transactions(time.now(), draw_nonce()),
           commits(loop, time, *this),
           trimmer(loop) {}
@@ -80,9 +83,37 @@
         if (this->ends_transactions) {
             made->end_transactions();
         }
+        this->follow_evacuation(*entry, *made);
         return this->owners.emplace(id, std::move(made)).first->second.get();
     }
 
+    void follow_evacuation(registered_database const& database, database_owner& owner) {
+        database_evacuation& evacuation =
+            this->evacuations.try_emplace(database.id, this->evacuation_limit)
+                .first->second;
+        group_routing const* const group = this->view.find_group(database.group);
+        bool const leads =
+            group != nullptr && group->leader() && group->leader()->database == database.id;
+        bool const has_changed = evacuation.update(
+            this->view.is_evacuated(database), leads, this->time.now());
+        if (has_changed) {
+            observe::log_event(
+                observe::log_level::info, "database_evacuation",
+                {{"database", database.id},
+                 {"zone", database.availability_zone},
+                 {"state", evacuation.state_name()}});
+        }
+        owner.set_service(evacuation.takes_new_work(), evacuation.takes_transactions());
+    }
+
+    void follow_evacuations() {
+        for (auto& each : this->owners) {
+            if (auto const* const entry = this->view.find_database(each.first)) {
+                this->follow_evacuation(*entry, *each.second);
+            }
+        }
+    }
+
     connection_limits limits_for(registered_database const& database) const {
         auto const& ranked = this->ranked(database);
         auto const at = std::find(ranked.begin(), ranked.end(), this->self);
@@ -100,9 +131,8 @@
         if (found == this->rankings.end()) {
             found = this->rankings
                         .emplace(
-                            database.id, rank_owners(
-                                             database.id, database.availability_zone,
-                                             this->mesh->usable_hosts()))
+                            database.id,
+                            rank_database_owners(database, this->mesh->usable_hosts()))
                         .first;
         }
         return found->second;
@@ -288,6 +318,7 @@
                     for (auto& each : self->owners) {
                         each.second->trim();
                     }
+                    self->follow_evacuations();
                     self->trim_later();
                 }
             });
@@ -304,12 +335,14 @@
             if (entry == nullptr) {
                 // Its handlers run while it still is in the map.
                 each->second->close();
+                this->evacuations.erase(each->first);
                 each = this->owners.erase(each);
                 continue;
             }
             each->second->set_database(*entry);
             each->second->set_work_end(this->drains.work_ends_at(each->first));
             each->second->set_limits(this->limits_for(*entry));
+            this->follow_evacuation(*entry, *each->second);
             ++each;
         }
     }
@@ -321,6 +354,8 @@
     fleet_view const& view;
     std::string self;
     drain_times drains;
+    duration evacuation_limit;
+    std::map<std::string, database_evacuation, std::less<>> evacuations; ///< Of `owners`.
     transaction_numbering transactions;
     commit_relay commits;
     boost::asio::steady_timer trimmer;
@@ -339,9 +374,17 @@
     owner_observer& observer,
     fleet_view const& view,
     std::string self,
-    duration drain)
+    duration drain,
+    duration evacuation)
     : impl(std::make_shared<implementation>(
-          loop, connector, clock, observer, view, std::move(self), drain)) {
+          loop,
+          connector,
+          clock,
+          observer,
+          view,
+          std::move(self),
+          drain,
+          evacuation)) {
     this->impl->trim_later();
 }
 
@@ -405,6 +448,12 @@
     return !ranked.empty() && ranked.front() == this->impl->self;
 }
 
+std::size_t dispatcher::evacuated_databases() const {
+    return static_cast<std::size_t>(std::count_if(
+        this->impl->evacuations.begin(), this->impl->evacuations.end(),
+        [](auto const& each) { return !each.second.takes_new_work(); }));
+}
+
 std::optional<instant> dispatcher::work_ends_at(std::string_view database) const {
     return this->impl->drains.work_ends_at(database);
 }
--- a/src/persimmonpoint/engine/dispatcher.hpp
+++ b/src/persimmonpoint/engine/dispatcher.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <persimmonpoint/core/placement/database_evacuation.hpp>
 #include <persimmonpoint/engine/commit_guard.hpp>
 #include <persimmonpoint/engine/database_owner.hpp>
 #include <persimmonpoint/engine/fleet_view.hpp>
@@ -21,6 +22,8 @@
         std::function<void(upstream_response answer, std::string const& owner)>;
 
     /// @param drain How long a database serves from when it tells that it leaves.
+    /// @param evacuation Time within which a database of an evacuated zone is sent
+    /// nothing more.
     dispatcher(
         boost::asio::io_context& loop,
         upstream_connector& connector,
@@ -28,7 +31,8 @@
         owner_observer& observer,
         fleet_view const& view,
         std::string self,
-        duration drain);
+        duration drain,
+        duration evacuation = default_evacuation_limit);
     ~dispatcher();
     void use(peer_mesh& mesh);
     /// Commits are sent as far as the guard allows; all of them without one.
@@ -48,6 +52,8 @@
     /// When a database that leaves is given no new work any more; unset for others.
     std::optional<instant> work_ends_at(std::string_view database) const;
     bool owns(registered_database const& database) const;
+    /// Databases of evacuated zones that this host has connections to.
+    std::size_t evacuated_databases() const;
 
     /// Fits limits and databases to a changed directory, configuration or set of hosts.
     void refresh();
--- a/src/persimmonpoint/engine/fleet_view.hpp
+++ b/src/persimmonpoint/engine/fleet_view.hpp
@@ -10,6 +10,8 @@
 #include <persimmonpoint/core/membership/directory_readings.hpp>
 #include <persimmonpoint/core/membership/directory_tracker.hpp>
 #include <persimmonpoint/core/membership/host_tracker.hpp>
+#include <persimmonpoint/core/placement/evacuation_tracker.hpp>
+#include <persimmonpoint/core/routing/connection_budget.hpp>
 #include <persimmonpoint/core/routing/group_routing.hpp>
 #include <string>
 
@@ -28,6 +30,7 @@
     directory_tracker directory;
     directory_readings readings;
     host_tracker hosts;
+    evacuation_tracker evacuations;
 
     /// What is known of a group; made when it is asked for first.
     group_routing& group(std::string_view name) {
@@ -37,6 +40,11 @@
         }
         return found->second;
     }
+    /// Null if nothing is known of it yet.
+    group_routing const* find_group(std::string_view name) const {
+        auto const found = this->groups.find(name);
+        return found == this->groups.end() ? nullptr : &found->second;
+    }
     std::map<std::string, group_routing, std::less<>>& all_groups() {
         return this->groups;
     }
@@ -45,7 +53,11 @@
         auto const found = all.find(id);
         return found == all.end() ? nullptr : &found->second;
     }
-    /// Gives each group its databases, after the directory has changed.
+    bool is_evacuated(registered_database const& database) const {
+        return this->evacuations.is_evacuated(database.availability_zone);
+    }
+    /// Gives each group its databases, after the directory or the evacuations have
+    /// changed.
     void share_out_databases() {
         std::map<std::string, std::vector<registered_database>, std::less<>> by_group;
         for (auto const& each : this->directory.current().databases) {
@@ -56,8 +68,16 @@
         }
         for (auto& each : this->groups) {
             each.second.set_databases(std::move(by_group[each.first]));
+            each.second.set_evacuated_zones(this->evacuations.current().zones);
+            each.second.set_team_affinity(this->is_short_of_connections(each.first));
         }
     }
+    bool is_short_of_connections(std::string_view group) const {
+        auto const found = this->configuration->groups.find(group);
+        return found != this->configuration->groups.end() &&
+               teams_outnumber_connections(
+                   this->configuration->teams.size(), found->second.max_connections);
+    }
     /// False if the group's databases acknowledge commits that no replica has.
     bool replicates_commits(std::string_view group) const {
         auto const found = this->configuration->groups.find(std::string(group));
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -198,7 +198,8 @@
                 this->watch(name, group, routing);
             } else if (this->has_to_hand_over(group, routing)) {
                 group.primary = routing.leader()->database;
-                this->begin(name, group, change_reason::primary_leaving);
+                this->begin(
+                    name, group, *reason_to_move(routing, *routing.find(group.primary)));
             } else {
                 group.managed_since = instant();
                 group.suspicion.reset();
@@ -213,7 +214,20 @@
         auto const& leader = routing.leader();
         registered_database const* const entry =
             leader ? routing.find(leader->database) : nullptr;
-        return entry != nullptr && entry->leaving && this->now() < group.lease_until;
+        return entry != nullptr && this->reason_to_move(routing, *entry) &&
+               this->now() < group.lease_until;
+    }
+
+    /// Why a primary that serves is replaced; nothing if it stays.
+    static std::optional<change_reason>
+    reason_to_move(group_routing const& routing, registered_database const& primary) {
+        if (primary.leaving) {
+            return change_reason::primary_leaving;
+        }
+        // Where no other can lead, callers are refused until the zone is back.
+        bool const moves =
+            routing.is_evacuated(primary) && routing.can_lead_without(primary.id);
+        return moves ? std::optional(change_reason::primary_evacuated) : std::nullopt;
     }
 
     void note_departures() {
@@ -306,8 +320,8 @@
             this->without_primary(name, group, time);
             return;
         }
-        if (routing.find(primary)->leaving) {
-            this->begin(name, group, change_reason::primary_leaving);
+        if (auto const reason = reason_to_move(routing, *routing.find(primary))) {
+            this->begin(name, group, *reason);
             return;
         }
         if (time - group.last_answer > probe_interval &&
@@ -330,7 +344,7 @@
         }
         group.last_hold_check = time;
         for (group_replica const& each : this->databases_of(name)) {
-            if (each.id != group.primary) {
+            if (each.id != group.primary && !each.evacuated) {
                 this->check_hold(name, each.id, group.primary);
             }
         }
@@ -505,7 +519,8 @@
              this->context.view.group(name).databases()) {
             all.push_back(group_replica{
                 each.id, each.leaving, each.started_ms,
-                this->context.orders.work_ends_at(each.id)});
+                this->context.orders.work_ends_at(each.id),
+                this->context.view.is_evacuated(each)});
         }
         return all;
     }
@@ -517,7 +532,8 @@
             std::any_of(databases.begin(), databases.end(), [&group](auto const& each) {
                 return each.id != group.primary;
             });
-        bool const is_planned = reason == change_reason::primary_leaving;
+        bool const is_planned = reason == change_reason::primary_leaving ||
+                                reason == change_reason::primary_evacuated;
         instant const next = is_planned ? group.next_planned_change : group.next_change;
         if (time < next || !has_replica) {
             return;
@@ -715,8 +731,7 @@
         if (change.primary_stopped_at()) {
             return "stopped";
         }
-        bool const is_planned = change.reason() == change_reason::primary_leaving;
-        if (is_planned && this->has_answered(change.old_primary(), serves_lately)) {
+        if (change.is_planned() && this->has_answered(change.old_primary(), serves_lately)) {
             return "planned";
         }
         return to_string(this->guard.standing(name));
--- a/src/persimmonpoint/engine/mesh_observer.hpp
+++ b/src/persimmonpoint/engine/mesh_observer.hpp
@@ -18,6 +18,7 @@
     virtual void on_source_gone(order_source source) = 0;
     virtual void on_configuration(configuration_message message) = 0;
     virtual void on_directory(directory_message message) = 0;
+    virtual void on_evacuations(evacuation_list const& /*told*/) {}
     virtual void on_leader(leader_message const& message) = 0;
     virtual void
     on_endorsement(std::string const& host, endorsement_message const& message) = 0;
--- a/src/persimmonpoint/engine/message_check.cpp
+++ b/src/persimmonpoint/engine/message_check.cpp
@@ -52,6 +52,12 @@
     bool operator()(leader_message const& message) const {
         return is_plain_word(message.group) && is_plain_word(message.database);
     }
+    bool operator()(alive_message const& message) const {
+        return !message.evacuations ||
+               std::all_of(
+                   message.evacuations->zones.begin(), message.evacuations->zones.end(),
+                   is_plain_word);
+    }
     bool operator()(fence_message const& message) const {
         return std::all_of(
             message.fenced.begin(), message.fenced.end(), [](auto const& each) {
--- a/src/persimmonpoint/engine/peer_mesh.cpp
+++ b/src/persimmonpoint/engine/peer_mesh.cpp
@@ -265,7 +265,7 @@
             peer.exchanges.take(std::move(*answer));
         } else if (auto* const alive = std::get_if<alive_message>(&message)) {
             peer.health.leaving(alive->leaving);
-            auto const wanted = this->news.to_ask(*alive);
+            auto const wanted = this->news.heard(*alive);
             if (wanted && peer.link) {
                 peer.link->send(news_request_message{*wanted});
             }
--- a/src/persimmonpoint/engine/peer_messages.cpp
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -2,6 +2,7 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
+#include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
@@ -51,13 +52,13 @@
 template <class Archive>
 void serialize(Archive& archive, upstream_response& value) {
     engine::archive_enum(archive, value.outcome, upstream_outcome::unknown);
-    engine::archive_enum(archive, value.refusal, upstream_refusal::fenced);
+    engine::archive_enum(archive, value.refusal, upstream_refusal::overloaded);
     engine::archive_enum(archive, value.error, statement_error::in_doubt);
     archive(value.error_text, value.rows, value.signature);
     engine::archive_enum(archive, value.state, transaction_state::failed);
     archive(value.position, value.transaction, value.load);
     archive(value.leader_confirmed, value.report, value.acknowledged);
-    archive(value.confirmed_by);
+    archive(value.confirmed_by, value.service_us, value.failing_permille);
 }
 
 template <class Archive>
@@ -69,6 +70,7 @@
 template <class Archive>
 void serialize(Archive& archive, registered_host& value) {
     archive(value.name, value.address, value.availability_zone);
+    archive(value.processor_millicores);
 }
 
 template <class Archive>
@@ -76,6 +78,11 @@
     archive(value.era, value.number);
 }
 
+template <class Archive>
+void serialize(Archive& archive, evacuation_list& value) {
+    archive(value.version, value.zones);
+}
+
 template <class Archive>
 void serialize(Archive& archive, news_versions& value) {
     archive(value.configuration, value.databases, value.hosts);
@@ -141,7 +148,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, alive_message& value) {
-    archive(value.leaving, value.versions);
+    archive(value.leaving, value.versions, value.evacuations);
 }
 
 template <class Archive>
--- a/src/persimmonpoint/engine/peer_messages.hpp
+++ b/src/persimmonpoint/engine/peer_messages.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
 #include <persimmonpoint/core/membership/news_desk.hpp>
+#include <persimmonpoint/core/placement/evacuation_list.hpp>
 #include <persimmonpoint/core/recovery/fence_notice.hpp>
 #include <persimmonpoint/core/statement/upstream_request.hpp>
 #include <string>
@@ -17,7 +18,7 @@
 namespace persimmonpoint::engine {
 
 /// Raised when a message changes; hosts of other versions are not spoken to.
-inline constexpr std::uint32_t peer_protocol_version = 8;
+inline constexpr std::uint32_t peer_protocol_version = 9;
 
 /// Larger than any configuration that the store's client takes, and than any answer that
 /// a connection to a database takes.
@@ -43,6 +44,8 @@
 struct alive_message {
     bool leaving = false; ///< Takes no further orders.
     news_versions versions;
+    /// Set once the sender has known of an evacuation.
+    std::optional<evacuation_list> evacuations;
 };
 
 /// Asks for all that is newer than this.
--- a/src/persimmonpoint/engine/peer_news.cpp
+++ b/src/persimmonpoint/engine/peer_news.cpp
@@ -11,7 +11,10 @@
     this->pace = pace;
 }
 
-std::optional<news_versions> peer_news::to_ask(alive_message const& theirs) {
+std::optional<news_versions> peer_news::heard(alive_message const& theirs) {
+    if (theirs.evacuations) {
+        this->observer.on_evacuations(*theirs.evacuations);
+    }
     auto const store = news_desk::patience_with_store(
         this->pace, this->observer.reaches_store(), this->observer.reads_configuration());
     news_versions const mine = this->observer.own_state().versions;
--- a/src/persimmonpoint/engine/peer_news.hpp
+++ b/src/persimmonpoint/engine/peer_news.hpp
@@ -18,8 +18,9 @@
 
     /// How long the store is waited for depends on the fleet's size.
     void set_pace(fleet_pace const& pace);
-    /// The versions to ask the other host to go beyond; empty if it need not be asked.
-    std::optional<news_versions> to_ask(alive_message const& theirs);
+    /// Takes what another host tells with its sign of life. The versions to ask it to go
+    /// beyond; empty if it need not be asked.
+    std::optional<news_versions> heard(alive_message const& theirs);
     /// A part of a message has arrived from another host.
     void receiving(std::size_t bytes);
     /// What this host knows that is newer.
--- a/src/persimmonpoint/engine/peer_server.cpp
+++ b/src/persimmonpoint/engine/peer_server.cpp
@@ -115,7 +115,7 @@
             this->take_order(source, std::move(*order));
         } else if (auto* const alive = std::get_if<alive_message>(&message)) {
             this->reply(source, this->observer.own_state());
-            if (auto const wanted = this->news.to_ask(*alive)) {
+            if (auto const wanted = this->news.heard(*alive)) {
                 this->reply(source, news_request_message{*wanted});
             }
         } else if (auto* const request = std::get_if<news_request_message>(&message)) {
--- a/src/persimmonpoint/engine/quota_keeper.cpp
+++ b/src/persimmonpoint/engine/quota_keeper.cpp
@@ -31,6 +31,7 @@
 struct open_operation {
     std::string team;
     quota_keeper::handler done;
+    instant since{};
     bool paced = false; ///< It has waited once: it is refused rather than wait again.
 };
 
@@ -110,14 +111,22 @@
             this->wait_or_refuse(
                 std::move(operation), std::min(wait, found->second.refused_until - now));
         } else if (this->lending.lender_of(operation.team).empty()) {
-            duration const until_lender =
-                operation.paced ? std::min(wait, no_answer_wait) : lender_change_wait;
-            this->wait_or_refuse(std::move(operation), until_lender);
+            this->wait_for_lender(std::move(operation), std::min(wait, no_answer_wait));
         } else {
             this->borrow(std::move(operation));
         }
     }
 
+    /// `wait`: what the caller is told if it can't wait here.
+    void wait_for_lender(open_operation operation, duration wait) {
+        duration const age = this->time.now() - operation.since;
+        if (!this->pacing.may_wait_for_lender(operation.team, age)) {
+            operation.done(wait);
+            return;
+        }
+        this->pause(std::move(operation), lender_change_wait);
+    }
+
     /// `wait`: the time until the operation may run, as far as is known.
     void wait_or_refuse(open_operation operation, duration wait) {
         if (operation.paced || !this->pacing.may_wait(operation.team, wait)) {
@@ -125,6 +134,10 @@
             return;
         }
         operation.paced = true;
+        this->pause(std::move(operation), wait);
+    }
+
+    void pause(open_operation operation, duration wait) {
         std::uint64_t const number = ++this->last_number;
         this->pacing.add(operation.team, number, this->time.now() + wait);
         this->paced.emplace(number, std::move(operation));
@@ -188,8 +201,11 @@
             quota->second.refused_until =
                 this->time.now() + std::min(wait, no_answer_wait);
         }
-        this->wait_or_refuse(
-            std::move(loan.operation), present ? wait : lender_change_wait);
+        if (present) {
+            this->wait_or_refuse(std::move(loan.operation), wait);
+        } else {
+            this->wait_for_lender(std::move(loan.operation), lender_change_wait);
+        }
     }
 
     void watch_loans() {
@@ -219,7 +235,8 @@
             }
         }
         for (open_loan& each : expired) {
-            each.operation.done(no_answer_wait);
+            // The lender may have been lost, or be about to answer many at once.
+            this->wait_for_lender(std::move(each.operation), no_answer_wait);
         }
         if (!this->loans.empty()) {
             this->watch_loans();
@@ -269,7 +286,8 @@
 }
 
 void quota_keeper::take(std::string_view team, handler done) {
-    this->impl->take(open_operation{std::string(team), std::move(done)});
+    this->impl->take(
+        open_operation{std::string(team), std::move(done), this->impl->time.now()});
 }
 
 void quota_keeper::on_endorsement(
--- a/src/persimmonpoint/engine/quota_lending.cpp
+++ b/src/persimmonpoint/engine/quota_lending.cpp
@@ -16,6 +16,12 @@
 /// Teams are lent in this many parts, each by one host.
 constexpr std::size_t shard_count = 4;
 
+/// From the start of a process. Where all were restarted, all endorse their lenders in
+/// this time.
+constexpr duration young_time = std::chrono::seconds(3);
+/// Hosts that are linked to in case the lender can't be reached.
+constexpr std::size_t spare_lenders = 2;
+
 std::uint32_t to_milliseconds(duration time) {
     return static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
@@ -36,7 +42,11 @@
           self(std::move(self)),
           on_lender_changed(std::move(on_lender_changed)),
           timer(loop),
-          lenders(shard_count, quota_lender(rules)) {}
+          lenders(shard_count, quota_lender(rules)) {
+        for (quota_lender& each : this->lenders) {
+            each.set_young_until(time.now() + young_time);
+        }
+    }
 
     void tick() {
         fleet_pace const pace = this->pace();
@@ -85,16 +95,16 @@
         return hosts;
     }
 
-    std::string
-    wanted_lender(std::uint32_t shard, std::span<registered_host const> hosts) const {
-        return rank_owners("quota " + std::to_string(shard), {}, hosts).front();
+    static std::vector<std::string>
+    rank_lenders(std::uint32_t shard, std::span<registered_host const> hosts) {
+        return rank_owners("quota " + std::to_string(shard), {}, hosts);
     }
 
     void endorse() {
         std::vector<registered_host> const hosts = this->candidates();
         instant const now = this->time.now();
         for (std::uint32_t i = 0; i < shard_count; ++i) {
-            this->endorse_shard(i, this->wanted_lender(i, hosts), now);
+            this->endorse_shard(i, rank_lenders(i, hosts), now);
         }
     }
 
@@ -102,20 +112,33 @@
         std::vector<registered_host> const hosts = this->candidates();
         instant const now = this->time.now();
         for (std::uint32_t i = 0; i < shard_count; ++i) {
-            std::string const wanted = this->wanted_lender(i, hosts);
-            if (wanted != this->choices[i].current()) {
-                this->endorse_shard(i, wanted, now);
+            std::vector<std::string> const ranked = rank_lenders(i, hosts);
+            if (ranked.front() != this->choices[i].current()) {
+                this->endorse_shard(i, ranked, now);
+            }
+        }
+    }
+
+    /// Whether the next ones can be reached shows by the time that the first one is given
+    /// up.
+    void link_to_lenders(std::span<std::string const> ranked) {
+        for (std::string const& each :
+             ranked.first(std::min(ranked.size(), 1 + spare_lenders))) {
+            if (each != this->self && !this->mesh->is_linked(each)) {
+                this->mesh->link_to(each);
             }
         }
     }
 
-    void endorse_shard(std::uint32_t shard, std::string const& wanted, instant now) {
+    void endorse_shard(
+        std::uint32_t shard, std::span<std::string const> ranked, instant now) {
+        std::string const& wanted = ranked.front();
         lender_choice& choice = this->choices[shard];
         std::string const before = choice.current();
         fleet_pace const pace = this->pace();
         lender_candidate const candidate{wanted, this->mesh->is_linked(wanted)};
         if (!candidate.linked) {
-            this->mesh->link_to(wanted);
+            this->link_to_lenders(ranked);
         }
         auto const next = choice.choose(
             candidate, this->mesh->has_stopped(before),
@@ -134,7 +157,7 @@
             this->take_endorsement(this->self, message);
             if (message.withdrawn) {
                 choice.released();
-                this->endorse_shard(shard, wanted, now);
+                this->endorse_shard(shard, ranked, now);
                 return;
             }
         }
--- a/src/persimmonpoint/engine/statement_run.cpp
+++ b/src/persimmonpoint/engine/statement_run.cpp
@@ -22,6 +22,7 @@
 constexpr duration least_read_attempt = std::chrono::milliseconds(150);
 /// Share of the target latency that a statement may wait for a database to be there.
 constexpr int patience_divisor = 4;
+constexpr double per_mille = 1000;
 
 std::uint32_t to_budget(duration left) {
     auto const ms =
@@ -54,6 +55,11 @@
         answer.outcome == upstream_outcome::answered ? std::optional(answer.load)
                                                      : std::nullopt,
         now);
+    if (answer.error == statement_error::lagging) {
+        group.lagged(database, now);
+    } else if (answer.succeeded()) {
+        group.caught_up(database);
+    }
     if (answer.refusal == upstream_refusal::unreachable) {
         group.unreachable(database, now);
     }
@@ -147,6 +153,12 @@
     run_request const& request = this->impl->request;
     instant const now = this->impl->context.time.now();
     group_routing& group = this->impl->context.view.group(request.route.group);
+    if (group.is_out_of_service()) {
+        this->refuse(
+            this->impl->plan.refusal(), "the availability zones of the group's databases "
+                                        "are evacuated");
+        return;
+    }
     std::optional<std::string> chosen;
     std::optional<log_position> floor;
     if (request.needs_leader) {
@@ -155,7 +167,8 @@
         }
     } else if (this->find_floor(floor)) {
         chosen = group.choose_for_read(
-            floor, this->impl->context.availability_zone, this->impl->plan.tried(), now);
+            floor, this->impl->context.availability_zone, this->impl->plan.tried(), now,
+            request.order.team);
     } else if (!this->impl->checked_leader && group.leader()) {
         this->check_leader();
         return;
@@ -229,7 +242,15 @@
     std::string const& database, instant sent, upstream_response const& answer) {
     group_routing& group =
         this->impl->context.view.group(this->impl->request.route.group);
-    learn_from_answer(group, database, sent, answer, this->impl->context.time.now());
+    instant const now = this->impl->context.time.now();
+    learn_from_answer(group, database, sent, answer, now);
+    if (answer.outcome != upstream_outcome::not_run) {
+        speed_report const report{
+            service_class_of(this->impl->request.order),
+            std::chrono::microseconds(answer.service_us),
+            answer.failing_permille / per_mille};
+        group.speed_reported(database, report, now);
+    }
 }
 
 void statement_run::answered(
--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -19,6 +19,8 @@
 /// connection that fell silent is noticed after it.
 constexpr auto leading_watch_wait = milliseconds(1500);
 constexpr auto leading_read_interval = milliseconds(800);
+/// How much longer hosts that hear of others over links gather changes at the store.
+constexpr int linked_settle_factor = 5;
 
 milliseconds to_milliseconds(duration time) {
     return std::chrono::duration_cast<milliseconds>(time);
@@ -37,7 +39,7 @@
           store(store),
           observer(observer),
           self(std::move(self)),
-          configuration_timer(loop),
+          operations_timer(loop),
           databases_timer(loop),
           hosts_timer(loop),
           register_timer(loop) {}
@@ -84,7 +86,7 @@
             observe::log_level::warning, event,
             {{"reason", failure.message},
              {"took_ms", to_seconds(this->time.now() - began) * 1000},
-             {"row", this->configuration_row.number}});
+             {"version", this->operations_version.number}});
     }
 
     /// Each answer tells the store's era. In a new one nothing that is watched for goes
@@ -101,13 +103,13 @@
         this->store.break_off_watches();
     }
 
-    // Configuration
+    // What the operator writes
 
-    void read_configuration() {
+    void read_operations() {
         this->reading_configuration = true;
-        this->store.read_configuration(
+        this->store.read_operations(
             [weak = this->weak_from_this(),
-             began = this->time.now()](result<stored_configuration> read) {
+             began = this->time.now()](result<stored_operations> read) {
                 auto const watch = weak.lock();
                 if (!watch || watch->stopped) {
                     return;
@@ -115,30 +117,38 @@
                 if (!read) {
                     watch->note_failure("configuration_read_failed", read.error(), began);
                 }
-                if (!read || !read.value().row.is_known()) {
+                if (!read || !read.value().configuration.row.is_known()) {
                     watch->reading_configuration = false;
                     watch->note_store(
                         static_cast<bool>(read), read ? "" : read.error().message);
                     watch->again(
-                        watch->configuration_timer, watch->configuration_retry,
-                        [](implementation& self) { self.read_configuration(); });
+                        watch->operations_timer, watch->operations_retry,
+                        [](implementation& self) { self.read_operations(); });
                     return;
                 }
-                watch->configuration_retry.succeeded();
                 watch->note_store(true, "configuration read");
-                watch->configuration_row = read.value().row;
-                watch->note_era(read.value().row.era);
-                watch->observer.on_stored_configuration(std::move(read.value()));
+                watch->use_operations(std::move(read.value()));
                 watch->reading_configuration = false;
-                watch->watch_configuration();
+                watch->watch_operations();
             });
     }
 
-    void watch_configuration() {
+    void use_operations(stored_operations read) {
+        this->operations_version = read.version;
+        this->note_era(read.version.era);
+        if (this->history_losses == 0) {
+            this->operations_retry.succeeded();
+        }
+        this->evacuations = std::move(read.evacuations);
+        this->observer.on_stored_evacuations(this->evacuations);
+        this->observer.on_stored_configuration(std::move(read.configuration));
+    }
+
+    void watch_operations() {
         milliseconds const wait =
             this->leading ? leading_watch_wait : to_milliseconds(this->pace().watch_wait);
-        this->store.watch_configuration(
-            this->configuration_row, wait,
+        this->store.watch_operations(
+            this->operations_version, wait,
             [weak = this->weak_from_this(),
              began = this->time.now()](result<watch_result> seen) {
                 auto const watch = weak.lock();
@@ -150,32 +160,66 @@
                         "configuration_watch_failed", seen.error(), began);
                     watch->note_store(false, seen.error().message);
                     watch->again(
-                        watch->configuration_timer, watch->configuration_retry,
-                        [](implementation& self) { self.read_configuration(); });
-                    return;
-                }
-                auto& brought = seen.value().configuration;
-                bool const unseen = seen.value().changed && !brought;
-                if (seen.value().history_lost || unseen) {
-                    watch->read_configuration();
-                    return;
-                }
-                watch->configuration_row = seen.value().version;
-                watch->configuration_retry.succeeded();
-                if (!brought) {
-                    watch->watch_configuration();
+                        watch->operations_timer, watch->operations_retry,
+                        [](implementation& self) { self.read_operations(); });
                     return;
                 }
-                watch->observer.on_stored_configuration(std::move(*brought));
-                milliseconds const settle =
-                    watch->leading ? milliseconds(0)
-                                   : to_milliseconds(watch->pace().configuration_settle);
-                watch->after(
-                    watch->configuration_timer, settle,
-                    [](implementation& self) { self.watch_configuration(); });
+                watch->use_changes(std::move(seen.value()));
             });
     }
 
+    void use_changes(watch_result seen) {
+        if (seen.history_lost) {
+            this->read_lost_history();
+            return;
+        }
+        this->history_losses = 0;
+        if (seen.lacks_configuration) {
+            this->read_operations();
+            return;
+        }
+        this->operations_version = seen.version;
+        this->operations_retry.succeeded();
+        this->apply(std::span<evacuation_change const>(seen.evacuations));
+        if (!seen.configuration) {
+            this->watch_operations();
+            return;
+        }
+        this->observer.on_stored_configuration(std::move(*seen.configuration));
+        milliseconds const settle =
+            this->leading ? milliseconds(0)
+                          : to_milliseconds(this->pace().configuration_settle);
+        this->after(this->operations_timer, settle, [](implementation& self) {
+            self.watch_operations();
+        });
+    }
+
+    void apply(std::span<evacuation_change const> changes) {
+        for (evacuation_change const& each : changes) {
+            if (each.requested) {
+                this->evacuations.zones.insert(each.availability_zone);
+            } else {
+                this->evacuations.zones.erase(each.availability_zone);
+            }
+        }
+        if (!changes.empty()) {
+            this->evacuations.version = this->operations_version;
+            this->observer.on_stored_evacuations(this->evacuations);
+        }
+    }
+
+    /// A reading may itself lie before the history that the store has kept: then the next
+    /// one waits, so that a fleet doesn't call without end.
+    void read_lost_history() {
+        if (++this->history_losses == 1) {
+            this->read_operations();
+            return;
+        }
+        this->again(
+            this->operations_timer, this->operations_retry,
+            [](implementation& self) { self.read_operations(); });
+    }
+
     // Databases
 
     /// Calls `done` with whether the reading succeeded.
@@ -278,11 +322,13 @@
                         watch->hosts_timer, watch->hosts_retry,
                         [](implementation& self) { self.read_hosts(); });
                 } else if (seen.value().history_lost) {
-                    watch->read_hosts();
+                    watch->read_lost_host_history();
                 } else if (seen.value().changed) {
+                    watch->host_history_losses = 0;
                     watch->apply(seen.value().hosts);
                     watch->use_hosts(seen.value().version);
                 } else {
+                    watch->host_history_losses = 0;
                     watch->hosts_retry.succeeded();
                     watch->hosts_version = seen.value().version;
                     watch->watch_hosts();
@@ -290,6 +336,16 @@
             });
     }
 
+    void read_lost_host_history() {
+        if (++this->host_history_losses == 1) {
+            this->read_hosts();
+            return;
+        }
+        this->again(
+            this->hosts_timer, this->hosts_retry,
+            [](implementation& self) { self.read_hosts(); });
+    }
+
     void apply(std::span<host_change const> changes) {
         for (host_change const& each : changes) {
             if (each.now) {
@@ -302,7 +358,9 @@
 
     /// Tells of the hosts as they are at `version` and watches on from there.
     void use_hosts(store_version const& version) {
-        this->hosts_retry.succeeded();
+        if (this->host_history_losses == 0) {
+            this->hosts_retry.succeeded();
+        }
         this->hosts_version = version;
         auto const own = this->hosts.find(this->self.name);
         if (own == this->hosts.end() || own->second != this->self) {
@@ -313,9 +371,11 @@
             known.hosts.push_back(each.second);
         }
         this->observer.on_stored_hosts(std::move(known));
-        // Hosts of a large fleet come and go together.
+        // Hosts of a large fleet come and go together. All but the leading readers hear
+        // of it over their links, and watch in case these are cut.
+        auto const settle = to_milliseconds(this->pace().hosts_settle);
         this->after(
-            this->hosts_timer, to_milliseconds(this->pace().hosts_settle),
+            this->hosts_timer, this->leading ? settle : settle * linked_settle_factor,
             [](implementation& self) { self.watch_hosts(); });
     }
 
@@ -393,16 +453,19 @@
     fleet_store& store;
     store_observer& observer;
     registered_host self;
-    boost::asio::steady_timer configuration_timer;
+    boost::asio::steady_timer operations_timer;
     boost::asio::steady_timer databases_timer;
     boost::asio::steady_timer hosts_timer;
     boost::asio::steady_timer register_timer;
     std::map<std::string, std::uint64_t> tokens;
     std::optional<std::uint64_t> era; ///< The newest that the store named.
-    store_version configuration_row;
+    store_version operations_version;
+    evacuation_list evacuations; ///< As of `operations_version`.
+    unsigned history_losses = 0; ///< Watches of operations in a row that had none.
+    unsigned host_history_losses = 0;
     store_version hosts_version;
     std::map<std::string, registered_host> hosts; ///< As of `hosts_version`, by name.
-    store_retry configuration_retry;
+    store_retry operations_retry;
     store_retry databases_retry;
     store_retry hosts_retry;
     store_retry register_retry;
@@ -426,7 +489,7 @@
 store_watch::~store_watch() = default;
 
 void store_watch::start() {
-    this->impl->read_configuration();
+    this->impl->read_operations();
     this->impl->read_databases();
     // Registers this host where it is missing.
     this->impl->read_hosts();
--- a/src/persimmonpoint/engine/store_watch.hpp
+++ b/src/persimmonpoint/engine/store_watch.hpp
@@ -18,6 +18,8 @@
 public:
     virtual ~store_observer() = default;
     virtual void on_stored_configuration(stored_configuration configuration) = 0;
+    /// All evacuations, whenever one was requested or taken back.
+    virtual void on_stored_evacuations(evacuation_list evacuations) = 0;
     virtual void on_stored_databases(database_directory directory) = 0;
     /// A reading of the databases ended that began at `began_at`, or the store was lost
     /// then. What it brought has been told before.
--- a/src/persimmonpoint/engine/traffic_counts.cpp
+++ b/src/persimmonpoint/engine/traffic_counts.cpp
@@ -56,6 +56,13 @@
     line(out, "orders_open", gauges.orders_open);
     line(out, "leadership_changes_total", gauges.leadership_changes);
     line(out, "log_lines_dropped_total", gauges.log_lines_dropped);
+    line(out, "callers_closed_total{reason=\"budget\"}", gauges.callers_over_budget);
+    line(out, "callers_closed_total{reason=\"late\"}", gauges.callers_too_late);
+    line(
+        out, "callers_closed_total{reason=\"connections\"}",
+        gauges.callers_over_connections);
+    line(out, "evacuated_zones", gauges.evacuated_zones);
+    line(out, "evacuated_databases", gauges.evacuated_databases);
     for (auto const& [route, histogram] : counts.latencies) {
         histogram.write(
             out, "persimmonpoint_statement_seconds",
--- a/src/persimmonpoint/engine/traffic_counts.hpp
+++ b/src/persimmonpoint/engine/traffic_counts.hpp
@@ -37,6 +37,12 @@
     std::uint64_t orders_open = 0;
     std::uint64_t leadership_changes = 0;
     std::uint64_t log_lines_dropped = 0;
+    // Connections of callers that were closed for what they did.
+    std::uint64_t callers_over_budget = 0;
+    std::uint64_t callers_too_late = 0;
+    std::uint64_t callers_over_connections = 0;
+    std::uint64_t evacuated_zones = 0;
+    std::uint64_t evacuated_databases = 0; ///< That this host has connections to.
 };
 
 /// All of it in the text format of Prometheus.
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cmath>
 #include <csignal>
 #include <persimmonpoint/core/catalog/directory_changes.hpp>
 #include <persimmonpoint/core/membership/fleet_pace.hpp>
@@ -46,6 +47,8 @@
 constexpr std::size_t leading_readers = 2;
 /// How long a host that is otherwise ready waits to learn of the others.
 constexpr auto hosts_patience = std::chrono::milliseconds(300);
+/// How long callers wait for the configuration of a host that has just started.
+constexpr auto startup_patience = std::chrono::milliseconds(400);
 constexpr auto lost_check_interval = std::chrono::seconds(2);
 constexpr auto drain_tick = std::chrono::milliseconds(50);
 constexpr unsigned status_ok = 200;
@@ -72,6 +75,29 @@
         {{"configuration", version}, {"entries_left_out", left_out.size()}});
 }
 
+/// For example "zone-a, zone-b".
+std::string joined(std::set<std::string, std::less<>> const& names) {
+    std::string text;
+    for (std::string const& each : names) {
+        text += (text.empty() ? "" : ", ") + each;
+    }
+    return text;
+}
+
+std::string format_store_calls(std::span<platform::store_call_count const> calls) {
+    std::string text;
+    for (platform::store_call_count const& each : calls) {
+        text += "persimmonpoint_store_calls_total{call=\"" + each.call +
+                "\",table=\"" + each.table + "\"} " + std::to_string(each.count) +
+                "\n";
+    }
+    return text;
+}
+
+std::uint32_t to_millicores(double cores) {
+    return static_cast<std::uint32_t>(std::lround(cores * 1000));
+}
+
 asio::ip::tcp::endpoint endpoint_of(std::string const& text) {
     // The settings were checked when they were loaded.
     return net::parse_endpoint(text).value_or(asio::ip::tcp::endpoint());
@@ -86,7 +112,11 @@
     explicit implementation(settings::front_settings given)
         : settings(std::move(given)),
           course(settings.grace, settings.rotation),
-          self{settings.name, settings.peers, settings.availability_zone},
+          self{
+              settings.name,
+              settings.peers,
+              settings.availability_zone,
+              to_millicores(settings.processor)},
           connector(traffic_loop),
           store(control_loop, settings.store),
           promotion(control_loop, settings.promotion, settings.name),
@@ -99,13 +129,15 @@
               evidence,
               view,
               settings.name,
-              settings.drain),
+              settings.drain,
+              settings.evacuation),
           guard(traffic_loop, time, view, *this, settings.name),
           runs{traffic_loop, time, view, orders, settings.availability_zone},
           quotas(traffic_loop, time, view, settings.name, settings.quotas),
           keeper(runs, *this, guard),
           mesh(traffic_loop, time, *this, self),
           sessions_context{runs, quotas, counts},
+          startup_timer(traffic_loop),
           hosts_timer(traffic_loop),
           lost_timer(traffic_loop),
           drain_timer(traffic_loop),
@@ -192,6 +224,7 @@
         this->wait_for_signal();
         this->file_watch.start();
         this->watch.start();
+        this->await_configuration();
         auto const keep_traffic = asio::make_work_guard(this->traffic_loop);
         auto const keep_control = asio::make_work_guard(this->control_loop);
         std::thread traffic([this] { net::run_loop(this->traffic_loop, "traffic"); });
@@ -240,14 +273,26 @@
 
     // Traffic thread: callers
 
-    void open_for_callers() {
-        if (this->listener || !this->view.is_ready()) {
-            return;
-        }
-        if (!this->view.hosts.version().is_known() && !this->waited_for_hosts) {
-            this->wait_for_hosts();
-            return;
-        }
+    /// Callers that connect to a host which has just started wait for its configuration:
+    /// where all hosts were restarted, there is no other for them to go to. They are sent
+    /// away if it doesn't come soon, as on a host that is cut off from the store.
+    void await_configuration() {
+        this->sessions_context.knows_configuration = false;
+        this->listen_for_callers();
+        this->startup_timer.expires_after(startup_patience);
+        this->startup_timer.async_wait([this](boost::system::error_code failure) {
+            if (failure || this->sessions_context.knows_configuration) {
+                return;
+            }
+            this->listener->stop();
+            this->listener.reset();
+            for (auto const& each : this->open_sessions()) {
+                each->configuration_missing();
+            }
+        });
+    }
+
+    void listen_for_callers() {
         this->listener = std::make_unique<platform::line_listener>(
             this->traffic_loop, endpoint_of(this->settings.callers),
             [this](std::shared_ptr<caller_channel> channel) {
@@ -256,13 +301,31 @@
                     [this](caller_session* ended) { this->sessions.erase(ended); });
                 this->sessions.emplace(session.get(), session);
                 return session;
-            });
+            },
+            this->settings.callers_may);
+    }
+
+    void open_for_callers() {
+        if (this->sessions_context.knows_configuration || !this->view.is_ready()) {
+            return;
+        }
+        if (!this->view.hosts.version().is_known() && !this->waited_for_hosts) {
+            this->wait_for_hosts();
+            return;
+        }
+        this->sessions_context.knows_configuration = true;
+        if (!this->listener) {
+            this->listen_for_callers();
+        }
         this->ready = true;
         observe::log_event(
             observe::log_level::info, "ready",
             {{"configuration", this->view.configuration->version},
              {"databases", this->view.directory.current().databases.size()},
              {"hosts", this->view.hosts.current().size()}});
+        for (auto const& each : this->open_sessions()) {
+            each->configuration_known();
+        }
     }
 
     /// Hosts that are gone for good must not be counted, nor waited for.
@@ -329,7 +392,7 @@
         outstanding_work const work = this->work_left();
         duration const passed = this->time.now() - this->drain_began;
         shutdown_decision const step = this->course.decide(passed, work);
-        if (step.exits || !this->listener) {
+        if (step.exits || !this->sessions_context.knows_configuration) {
             this->end(work);
             return;
         }
@@ -423,12 +486,23 @@
         observe::log_event(
             observe::log_level::info, "configuration_in_force",
             {{"configuration", this->view.configuration->version}, {"from", from}});
+        this->view.share_out_databases();
         this->quotas.refresh();
         this->orders.refresh();
         this->mesh.tell_news();
         this->open_for_callers();
     }
 
+    void evacuations_changed(std::string_view from) {
+        evacuation_list const& now = this->view.evacuations.current();
+        observe::log_event(
+            observe::log_level::warning, "evacuations_changed",
+            {{"zones", joined(now.zones)}, {"version", now.version.number}, {"from", from}});
+        this->view.share_out_databases();
+        this->orders.refresh();
+        this->mesh.tell_news();
+    }
+
     void directory_changed() {
         this->view.share_out_databases();
         database_directory const& now = this->view.directory.current();
@@ -484,6 +558,11 @@
             this->directory_changed();
         }
     }
+    void on_evacuations(evacuation_list const& told) override {
+        if (this->view.evacuations.received(told, this->watch.reaches_store())) {
+            this->evacuations_changed("another host");
+        }
+    }
     void on_leader(leader_message const& message) override {
         group_routing& group = this->view.group(message.group);
         if (group.confirm_leader(message.database, message.term)) {
@@ -565,7 +644,8 @@
         return this->watch.reads_configuration();
     }
     alive_message own_state() override {
-        return alive_message{this->leaving, this->own_versions()};
+        return alive_message{
+            this->leaving, this->own_versions(), this->view.evacuations.to_tell()};
     }
     configuration_message own_configuration() override {
         return configuration_message{this->view.configuration_body};
@@ -662,6 +742,13 @@
             this->use_configuration(std::move(read.body), "store");
         });
     }
+    void on_stored_evacuations(evacuation_list read) override {
+        asio::post(this->traffic_loop, [this, read = std::move(read)]() mutable {
+            if (this->view.evacuations.read(std::move(read))) {
+                this->evacuations_changed("store");
+            }
+        });
+    }
     void on_stored_databases(database_directory read) override {
         asio::post(this->traffic_loop, [this, read = std::move(read)] {
             instant const now = this->time.now();
@@ -695,9 +782,12 @@
         asio::post(this->traffic_loop, [this, reply = std::move(reply)] {
             net::http_response response;
             response.body = format_metrics(this->counts, this->gauges());
-            asio::post(this->control_loop, [reply, response = std::move(response)] {
-                reply(response);
-            });
+            asio::post(
+                this->control_loop,
+                [this, reply, response = std::move(response)]() mutable {
+                    response.body += format_store_calls(this->store.calls());
+                    reply(response);
+                });
         });
     }
 
@@ -712,6 +802,14 @@
         now.orders_open = this->orders.load();
         now.leadership_changes = this->keeper.changes_finished();
         now.log_lines_dropped = observe::dropped_log_lines();
+        if (this->listener) {
+            platform::caller_closings const& closings = this->listener->closings();
+            now.callers_over_budget = closings.over_budget;
+            now.callers_too_late = closings.too_late;
+            now.callers_over_connections = closings.over_connections;
+        }
+        now.evacuated_zones = this->view.evacuations.current().zones.size();
+        now.evacuated_databases = this->orders.evacuated_databases();
         return now;
     }
 
@@ -738,6 +836,7 @@
     session_context sessions_context;
     std::map<caller_session*, std::shared_ptr<caller_session>> sessions;
     std::unique_ptr<platform::line_listener> listener;
+    asio::steady_timer startup_timer;
     asio::steady_timer hosts_timer;
     asio::steady_timer lost_timer;
     asio::steady_timer drain_timer;
--- a/src/persimmonpoint/interfaces/fleet_store.hpp
+++ b/src/persimmonpoint/interfaces/fleet_store.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
 #include <persimmonpoint/core/error.hpp>
+#include <persimmonpoint/core/placement/evacuation_list.hpp>
 #include <persimmonpoint/core/recovery/fence_notice.hpp>
 #include <persimmonpoint/core/recovery/leadership_change.hpp>
 #include <string>
@@ -23,6 +24,19 @@
     std::string body;
 };
 
+/// An availability zone whose evacuation was requested or taken back since a watch began.
+struct evacuation_change {
+    std::string availability_zone;
+    bool requested = false; ///< Otherwise it was taken back.
+};
+
+/// What the operator has written, as a reading shows it.
+struct stored_operations {
+    store_version version;              ///< Watch on from here.
+    stored_configuration configuration; ///< Its row isn't known if there is none.
+    evacuation_list evacuations;
+};
+
 /// A host that was registered, changed or removed since a watch began.
 struct host_change {
     std::string name;
@@ -34,8 +48,12 @@
     bool changed = false;
     bool history_lost = false; ///< Everything is to be read again.
     store_version version;     ///< Watch on from here.
-    /// The new one, of a watch of the configuration that brought it.
+    /// The new one, of a watch of the operations that brought it.
     std::optional<stored_configuration> configuration;
+    /// The configuration's row changed, and the answer lacks its body.
+    bool lacks_configuration = false;
+    /// In the order that they were made, of a watch of the operations.
+    std::vector<evacuation_change> evacuations;
     /// In the order that they were made, of a watch of the hosts.
     std::vector<host_change> hosts;
 };
@@ -63,9 +81,11 @@
     using handler = std::function<void(result<T>)>;
 
     virtual ~fleet_store() = default;
-    virtual void read_configuration(handler<stored_configuration> done) = 0;
-    /// Ends when the configuration has changed after `version`, or after `wait`.
-    virtual void watch_configuration(
+    /// Reads all that the operator has written.
+    virtual void read_operations(handler<stored_operations> done) = 0;
+    /// Ends when anything that the operator writes has changed after `version`, or after
+    /// `wait`.
+    virtual void watch_operations(
         store_version const& version,
         std::chrono::milliseconds wait,
         handler<watch_result> done) = 0;
--- a/src/persimmonpoint/net/send_queue.hpp
+++ b/src/persimmonpoint/net/send_queue.hpp
@@ -22,6 +22,10 @@
     void add(std::string_view bytes, std::shared_ptr<void> keep_alive);
     /// Bytes that have not been handed to the socket yet.
     std::size_t unsent() const { return this->waiting.size(); }
+    /// Memory of all that the socket has not taken.
+    std::size_t held_bytes() const {
+        return this->waiting.capacity() + (this->writing ? this->in_flight.size() : 0);
+    }
     bool is_idle() const { return !this->writing && this->waiting.empty(); }
 
 private:
--- a/src/persimmonpoint/platform/fleet_decoder.cpp
+++ b/src/persimmonpoint/platform/fleet_decoder.cpp
@@ -213,6 +213,9 @@
     json::object object;
     object["address"] = host.address;
     object["availability_zone"] = host.availability_zone;
+    if (host.processor_millicores > 0) {
+        object["processor_millicores"] = host.processor_millicores;
+    }
     return json::serialize(object);
 }
 
@@ -226,6 +229,8 @@
     out.name = name;
     out.address = fields.address("address");
     out.availability_zone = fields.text("availability_zone");
+    out.processor_millicores =
+        narrowed(fields.optional_number("processor_millicores", processor_range));
     if (auto const fault = find_fault(out); fault && !fields.fault()) {
         fields.fail(fault->field, fault->reason);
     }
--- a/src/persimmonpoint/platform/line_listener.cpp
+++ b/src/persimmonpoint/platform/line_listener.cpp
@@ -1,11 +1,15 @@
+#include <algorithm>
 #include <array>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <persimmonpoint/net/run_loop.hpp>
 #include <persimmonpoint/net/send_queue.hpp>
 #include <persimmonpoint/net/tcp_options.hpp>
+#include <persimmonpoint/observe/event_log.hpp>
 #include <persimmonpoint/platform/line_listener.hpp>
 #include <persimmonpoint/platform/line_reader.hpp>
 #include <utility>
+#include <vector>
 
 namespace persimmonpoint::platform {
 
@@ -21,17 +25,63 @@
 constexpr std::size_t most_unsent_bytes = 1024 * 1024;
 /// Time for a caller to close after it was told that its session ends.
 constexpr auto dismissal_limit = std::chrono::milliseconds(1000);
+/// How often callers are looked for whose messages don't come to their end.
+constexpr auto sweep_interval = std::chrono::milliseconds(500);
+/// A statement that is carried out stands in the session, in an order and in a message.
+constexpr std::size_t copies_of_statement = 3;
+/// A statement of this size is no burden.
+constexpr std::size_t small_statement_bytes = 8 * 1024;
+
+using steady_time = std::chrono::steady_clock::time_point;
+
+class line_channel;
+
+/// What the connections of all callers hold, and which of them have to end a message in
+/// time.
+class caller_intake {
+public:
+    explicit caller_intake(caller_limits const& limits)
+        : limits(limits), budget(limits.held_bytes) {}
+
+    std::uint64_t join(std::weak_ptr<line_channel> channel);
+    void leave(std::uint64_t id);
+    void hold(std::uint64_t id, std::size_t bytes, bool has_request);
+    bool has_room(std::size_t bytes) const { return this->budget.has_room(bytes); }
+    bool has_any() const { return !this->channels.empty(); }
+    bool is_full() const { return this->channels.size() >= this->limits.connections; }
+    void await_start(std::uint64_t id) { this->await(id, this->limits.start_time); }
+    void await_message(std::uint64_t id) { this->await(id, this->limits.message_time); }
+    void settled(std::uint64_t id) { this->deadlines.erase(id); }
+    /// Closes those that are late.
+    void sweep();
+
+    caller_closings closings;
+
+private:
+    void await(std::uint64_t id, std::chrono::milliseconds limit) {
+        this->deadlines.emplace(id, std::chrono::steady_clock::now() + limit);
+    }
+    void close(std::uint64_t id, std::string_view reason);
+
+    caller_limits limits;
+    intake_budget budget;
+    std::map<std::uint64_t, std::weak_ptr<line_channel>> channels;
+    std::map<std::uint64_t, steady_time> deadlines;
+};
 
 /// One caller.
 class line_channel final : public caller_channel,
                            public std::enable_shared_from_this<line_channel> {
 public:
-    explicit line_channel(tcp::socket given)
+    line_channel(tcp::socket given, std::shared_ptr<caller_intake> all)
         : socket(std::move(given)),
+          intake(std::move(all)),
           outgoing(this->socket, [this](bool sent) { this->written(sent); }) {}
 
     void start(std::shared_ptr<caller_observer> watcher) {
         this->observer = std::move(watcher);
+        this->id = this->intake->join(this->weak_from_this());
+        this->intake->await_start(this->id);
         net::set_tcp_options(this->socket, unacknowledged_limit);
         this->read();
     }
@@ -51,6 +101,7 @@
     void answer(caller_answer const& answer) override {
         this->send(format_answer(answer));
         this->request_done();
+        this->account();
     }
 
     bool all_sent() const override { return this->closed || this->outgoing.is_idle(); }
@@ -70,7 +121,46 @@
             });
     }
 
+    /// Ends the connection for what its caller does, once whoever uses it now is done.
+    void give_up(std::string reason) {
+        asio::post(
+            this->socket.get_executor(),
+            [self = this->shared_from_this(), reason = std::move(reason)] {
+                observe::log_event(
+                    observe::log_level::warning, "caller_closed",
+                    {{"reason", reason},
+                     {"held_bytes", self->held_bytes()},
+                     {"busy", self->busy}});
+                self->gone();
+            });
+    }
+
 private:
+    std::size_t held_bytes() const {
+        return this->lines.held_bytes() + this->outgoing.held_bytes() +
+               this->statement_bytes * copies_of_statement;
+    }
+
+    /// Tells what the connection holds now; it may be closed for it.
+    void account() {
+        if (this->closed) {
+            return;
+        }
+        bool const is_partial = !this->busy && this->lines.has_pending();
+        if (is_partial) {
+            this->awaits_message = true;
+            this->intake->await_message(this->id);
+        } else if (this->started && std::exchange(this->awaits_message, false)) {
+            this->intake->settled(this->id);
+        }
+        std::size_t const bytes = this->held_bytes();
+        bool const is_small = std::max(bytes, this->accounted) <= uncounted_caller_bytes;
+        if (!is_small) {
+            this->accounted = bytes;
+            this->intake->hold(this->id, bytes, this->busy);
+        }
+    }
+
     void read() {
         if (this->reading || this->closed) {
             return;
@@ -89,6 +179,7 @@
                 if (!self->take_lines_guarded()) {
                     return;
                 }
+                self->account();
                 self->read_on();
             });
     }
@@ -164,15 +255,30 @@
             this->break_off("statement can't be read", statement_error::malformed);
             return;
         }
+        bool const is_small = rest.size() <= small_statement_bytes;
+        if (!is_small && !this->intake->has_room(rest.size() * copies_of_statement)) {
+            this->refuse_statement();
+            return;
+        }
         this->busy = true;
+        this->statement_bytes = is_small ? 0 : rest.size();
         this->observer_alive()->on_statement(*parsed);
     }
 
+    /// Nothing of it runs; the session goes on.
+    void refuse_statement() {
+        caller_answer refusal;
+        refusal.error = statement_error::busy;
+        refusal.error_text = "the host holds too much for its callers";
+        this->send(format_answer(refusal));
+    }
+
     /// Keeps the observer while it is called.
     std::shared_ptr<caller_observer> observer_alive() const { return this->observer; }
 
     void request_done() {
         this->busy = false;
+        this->statement_bytes = 0;
         if (this->closed) {
             return;
         }
@@ -182,7 +288,11 @@
     }
 
     void take_next() {
-        if (this->take_lines_guarded() && !this->busy && !this->waits_for_caller) {
+        if (!this->take_lines_guarded()) {
+            return;
+        }
+        this->account();
+        if (!this->busy && !this->waits_for_caller) {
             this->read_on();
         }
     }
@@ -228,6 +338,7 @@
         if (std::exchange(this->closed, true)) {
             return;
         }
+        this->intake->leave(this->id);
         if (this->dismissal_timer) {
             this->dismissal_timer->cancel();
         }
@@ -237,12 +348,17 @@
     }
 
     tcp::socket socket;
+    std::shared_ptr<caller_intake> intake;
+    std::uint64_t id = 0; ///< Of this connection in `intake`.
     std::shared_ptr<caller_observer> observer;
     std::array<char, read_bytes> received{};
     line_reader lines;
     net::send_queue outgoing;
     std::unique_ptr<asio::steady_timer> dismissal_timer; ///< Set once it is dismissed.
     std::string dismissal;                               ///< What the caller was told.
+    std::size_t statement_bytes = 0; ///< Of a large statement that is carried out.
+    std::size_t accounted = 0;       ///< Bytes that `intake` was told of last.
+    bool awaits_message = true;      ///< `intake` waits for the end of one.
     bool started = false;
     bool busy = false; ///< A request is outstanding.
     bool reading = false;
@@ -251,12 +367,79 @@
     bool waits_for_caller = false; ///< To take what was sent to it.
 };
 
+std::uint64_t caller_intake::join(std::weak_ptr<line_channel> channel) {
+    std::uint64_t const id = this->budget.join();
+    this->channels.emplace(id, std::move(channel));
+    return id;
+}
+
+void caller_intake::leave(std::uint64_t id) {
+    this->budget.leave(id);
+    this->channels.erase(id);
+    this->deadlines.erase(id);
+}
+
+void caller_intake::hold(std::uint64_t id, std::size_t bytes, bool has_request) {
+    for (std::uint64_t const each : this->budget.hold(id, bytes, has_request)) {
+        ++this->closings.over_budget;
+        this->close(each, "callers hold too much together");
+    }
+}
+
+void caller_intake::sweep() {
+    auto const now = std::chrono::steady_clock::now();
+    std::vector<std::uint64_t> late;
+    for (auto const& [id, deadline] : this->deadlines) {
+        if (deadline <= now) {
+            late.push_back(id);
+        }
+    }
+    for (std::uint64_t const each : late) {
+        ++this->closings.too_late;
+        this->close(each, "a message did not come to its end");
+    }
+}
+
+void caller_intake::close(std::uint64_t id, std::string_view reason) {
+    auto const found = this->channels.find(id);
+    if (found == this->channels.end()) {
+        return;
+    }
+    if (auto const channel = found->second.lock()) {
+        channel->give_up(std::string(reason));
+    }
+}
+
 } // namespace
 
 struct line_listener::implementation : std::enable_shared_from_this<implementation> {
     implementation(
-        asio::io_context& loop, tcp::endpoint const& address, caller_acceptor take)
-        : loop(loop), acceptor(loop, address), timer(loop), take(std::move(take)) {}
+        asio::io_context& loop,
+        tcp::endpoint const& address,
+        caller_acceptor take,
+        caller_limits const& limits)
+        : loop(loop),
+          acceptor(loop, address),
+          timer(loop),
+          sweeper(loop),
+          take(std::move(take)),
+          intake(std::make_shared<caller_intake>(limits)) {}
+
+    void sweep_later() {
+        this->sweeper.expires_after(sweep_interval);
+        this->sweeper.async_wait(
+            [weak = this->weak_from_this()](boost::system::error_code failure) {
+                auto const self = weak.lock();
+                if (!self || failure) {
+                    return;
+                }
+                self->intake->sweep();
+                self->sweeping = self->intake->has_any();
+                if (self->sweeping) {
+                    self->sweep_later();
+                }
+            });
+    }
 
     void accept() {
         this->acceptor.async_accept(
@@ -288,10 +471,18 @@
     }
 
     void adopt(tcp::socket socket) {
+        if (this->intake->is_full()) {
+            ++this->intake->closings.over_connections;
+            return; // Its socket is closed with it.
+        }
         net::run_guarded("line_listener", [this, &socket] {
-            auto const channel = std::make_shared<line_channel>(std::move(socket));
+            auto const channel =
+                std::make_shared<line_channel>(std::move(socket), this->intake);
             channel->start(this->take(channel));
         });
+        if (!std::exchange(this->sweeping, true)) {
+            this->sweep_later();
+        }
     }
 
     /// The kernel has established connections that nobody has taken yet. Closing the
@@ -311,16 +502,28 @@
     asio::io_context& loop;
     tcp::acceptor acceptor;
     asio::steady_timer timer;
+    asio::steady_timer sweeper; ///< Runs while `sweeping`.
     caller_acceptor take;
+    std::shared_ptr<caller_intake> intake;
+    bool sweeping = false; ///< While there are callers.
 };
 
 line_listener::line_listener(
-    asio::io_context& loop, tcp::endpoint const& address, caller_acceptor acceptor)
-    : impl(std::make_shared<implementation>(loop, address, std::move(acceptor))) {
+    asio::io_context& loop,
+    tcp::endpoint const& address,
+    caller_acceptor acceptor,
+    caller_limits limits)
+    : impl(std::make_shared<implementation>(loop, address, std::move(acceptor), limits)) {
     this->impl->accept();
 }
 
-line_listener::~line_listener() = default;
+line_listener::~line_listener() {
+    this->impl->sweeper.cancel();
+}
+
+caller_closings const& line_listener::closings() const {
+    return this->impl->intake->closings;
+}
 
 void line_listener::stop() {
     if (!this->impl->acceptor.is_open()) {
--- a/src/persimmonpoint/platform/store_client.cpp
+++ b/src/persimmonpoint/platform/store_client.cpp
@@ -24,7 +24,11 @@
 constexpr unsigned status_gone = 410;
 constexpr unsigned status_precondition_failed = 412;
 
+constexpr std::string_view operations_table = "op";
 constexpr std::string_view configuration_key = "config";
+/// The rest of the key is the availability zone.
+constexpr std::string_view evacuation_prefix = "evacuate/";
+constexpr std::string_view databases_table = "servers";
 constexpr std::string_view hosts_table = "hosts";
 constexpr std::string_view leases_table = "leases";
 constexpr std::string_view lease_key = "leadership";
@@ -42,16 +46,30 @@
     row_page page;
 };
 
-/// The configuration among the rows of an answer.
-std::optional<stored_configuration> find_configuration(row_page&& page) {
-    std::optional<stored_configuration> found;
+/// The availability zone that a row of the operator's names to be evacuated.
+std::optional<std::string> evacuated_zone(stored_row const& row) {
+    if (!row.key.starts_with(evacuation_prefix)) {
+        return std::nullopt;
+    }
+    return row.key.substr(evacuation_prefix.size());
+}
+
+stored_operations read_operation_rows(row_page&& page) {
+    stored_operations out;
+    out.version = page.version;
+    out.evacuations.version = page.version;
     for (stored_row& each : page.rows) {
-        if (each.key == configuration_key && !each.value.empty()) {
-            found = stored_configuration{
+        if (each.removed) {
+            continue;
+        }
+        if (auto zone = evacuated_zone(each)) {
+            out.evacuations.zones.insert(std::move(*zone));
+        } else if (each.key == configuration_key && !each.value.empty()) {
+            out.configuration = {
                 store_version{page.version.era, each.version}, std::move(each.value)};
         }
     }
-    return found;
+    return out;
 }
 
 watch_result to_result(watched_rows const& seen) {
@@ -62,6 +80,24 @@
     return out;
 }
 
+watch_result read_operation_changes(watched_rows&& seen) {
+    watch_result out = to_result(seen);
+    for (stored_row& each : seen.page.rows) {
+        if (auto zone = evacuated_zone(each)) {
+            out.evacuations.push_back({std::move(*zone), !each.removed});
+        } else if (each.key == configuration_key) {
+            out.lacks_configuration = each.value.empty();
+            out.configuration.reset();
+            if (!each.value.empty()) {
+                out.configuration = stored_configuration{
+                    store_version{seen.page.version.era, each.version},
+                    std::move(each.value)};
+            }
+        }
+    }
+    return out;
+}
+
 /// Logs rows that can't be used, each version of a row once.
 class unusable_rows {
 public:
@@ -97,6 +133,64 @@
     return std::move(entry.value());
 }
 
+/// One kind of call to the store.
+struct store_call {
+    std::string_view name;
+    std::string_view table;
+};
+
+/// Calls that were made, by kind.
+class call_counter {
+public:
+    void add(store_call const& call) {
+        ++this->counts[{std::string(call.name), std::string(call.table)}];
+    }
+    std::vector<store_call_count> all() const {
+        std::vector<store_call_count> out;
+        for (auto const& [kind, count] : this->counts) {
+            out.push_back({kind.first, kind.second, count});
+        }
+        return out;
+    }
+
+private:
+    std::map<std::pair<std::string, std::string>, std::uint64_t> counts;
+};
+
+/// A connection to the store; its calls are made one after the other.
+class store_channel {
+public:
+    store_channel(
+        boost::asio::io_context& loop,
+        std::string const& ip,
+        std::uint16_t port,
+        call_counter& calls)
+        : client(loop, ip, port, call_limit), calls(calls) {}
+
+    void
+    get(store_call const& call,
+        std::string_view target,
+        http_client::handler done,
+        std::chrono::milliseconds wait = std::chrono::milliseconds(0)) {
+        this->calls.add(call);
+        this->client.request("GET", target, {}, std::move(done), {}, wait);
+    }
+    void post(
+        store_call const& call,
+        std::string_view target,
+        std::string body,
+        http_client::handler done) {
+        this->calls.add(call);
+        this->client.request("POST", target, std::move(body), std::move(done));
+    }
+    bool receiving() const { return this->client.receiving(); }
+    void reset() { this->client.reset(); }
+
+private:
+    http_client client;
+    call_counter& calls;
+};
+
 struct transaction_outcome {
     bool committed = false; ///< False if an expected row has another version.
     std::uint64_t era = 0;  ///< The store's, when it answered.
@@ -111,21 +205,20 @@
             throw std::invalid_argument("platform.store is no address: " + address);
         }
         std::string const ip = endpoint->address().to_string();
-        this->calls =
-            std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
-        this->databases =
-            std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
-        this->configuration =
-            std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
-        this->host_watch =
-            std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
-        this->notices =
-            std::make_unique<http_client>(loop, ip, endpoint->port(), call_limit);
+        auto const channel = [&] {
+            return std::make_unique<store_channel>(
+                loop, ip, endpoint->port(), this->counter);
+        };
+        this->calls = channel();
+        this->databases = channel();
+        this->operations = channel();
+        this->host_watch = channel();
+        this->notices = channel();
     }
 
     /// Reads all rows of a part, page by page.
     static void read(
-        http_client& on,
+        store_channel& on,
         std::string_view table,
         std::string_view part,
         handler<row_page> done) {
@@ -135,13 +228,13 @@
     }
 
     static void read_on(
-        http_client& on,
+        store_channel& on,
         std::string const& table,
         std::string const& part,
         std::shared_ptr<row_list> const& list,
         handler<row_page> done) {
-        on.request(
-            "GET", list_target(table, part, list->next_from()), {},
+        on.get(
+            {"rows-get", table}, list_target(table, part, list->next_from()),
             [&on, table, part, list, done = std::move(done)](result<http_reply> reply) {
                 if (!reply) {
                     done(reply.error());
@@ -168,7 +261,7 @@
     }
 
     static void watch(
-        http_client& on,
+        store_channel& on,
         std::string_view table,
         store_version const& version,
         std::chrono::milliseconds wait,
@@ -196,20 +289,23 @@
             }
             done(watched_rows{false, std::move(page.value())});
         };
-        on.request("GET", target, {}, answered, {}, wait);
+        on.get({"rows-feed", table}, target, answered, wait);
     }
 
     void transact(
-        json::object const& body, std::function<void(result<transaction_outcome>)> done) {
-        transact(*this->calls, body, std::move(done));
+        std::string_view table,
+        json::object const& body,
+        std::function<void(result<transaction_outcome>)> done) {
+        transact(*this->calls, table, body, std::move(done));
     }
 
     static void transact(
-        http_client& on,
+        store_channel& on,
+        std::string_view table,
         json::object const& body,
         std::function<void(result<transaction_outcome>)> done) {
-        on.request(
-            "POST", "/api/rows-tx", json::serialize(body),
+        on.post(
+            {"rows-tx", table}, "/api/rows-tx", json::serialize(body),
             [done](result<http_reply> reply) {
                 if (!reply) {
                     done(reply.error());
@@ -229,13 +325,14 @@
             });
     }
 
-    std::unique_ptr<http_client> calls;
-    std::unique_ptr<http_client> databases;
-    /// Read and watched in turn: a large one holds up no other call.
-    std::unique_ptr<http_client> configuration;
-    std::unique_ptr<http_client> host_watch;
+    call_counter counter;
+    std::unique_ptr<store_channel> calls;
+    std::unique_ptr<store_channel> databases;
+    /// Read and watched in turn: a large configuration holds up no other call.
+    std::unique_ptr<store_channel> operations;
+    std::unique_ptr<store_channel> host_watch;
     /// Commits wait for readings of the notices.
-    std::unique_ptr<http_client> notices;
+    std::unique_ptr<store_channel> notices;
     unusable_rows noted;
 };
 
@@ -265,42 +362,44 @@
 
 store_client::~store_client() = default;
 
-void store_client::read_configuration(handler<stored_configuration> done) {
+void store_client::read_operations(handler<stored_operations> done) {
     implementation::read(
-        *this->impl->configuration, "op", "", [done](result<row_page> page) {
+        *this->impl->operations, operations_table, "",
+        [done = std::move(done)](result<row_page> page) {
             if (!page) {
                 done(page.error());
                 return;
             }
-            done(find_configuration(std::move(page.value()))
-                     .value_or(stored_configuration{}));
+            done(read_operation_rows(std::move(page.value())));
         });
 }
 
-void store_client::watch_configuration(
+void store_client::watch_operations(
     store_version const& version,
     std::chrono::milliseconds wait,
     handler<watch_result> done) {
     implementation::watch(
-        *this->impl->configuration, "op", version, wait,
+        *this->impl->operations, operations_table, version, wait,
         [done = std::move(done)](result<watched_rows> seen) {
             if (!seen) {
                 done(seen.error());
                 return;
             }
-            watch_result out = to_result(seen.value());
-            out.configuration = find_configuration(std::move(seen.value().page));
-            done(std::move(out));
+            done(read_operation_changes(std::move(seen.value())));
         });
 }
 
 bool store_client::receives_configuration() const {
-    return this->impl->configuration->receiving();
+    return this->impl->operations->receiving();
+}
+
+std::vector<store_call_count> store_client::calls() const {
+    return this->impl->counter.all();
 }
 
 void store_client::read_databases(handler<database_directory> done) {
     implementation::read(
-        *this->impl->databases, "servers", "",
+        *this->impl->databases, databases_table, "",
         [done, &noted = this->impl->noted](result<row_page> page) {
             if (!page) {
                 done(page.error());
@@ -313,7 +412,7 @@
                 if (entry) {
                     out.databases.emplace(each.key, std::move(entry.value()));
                 } else {
-                    noted.note("servers", each, entry.error());
+                    noted.note(databases_table, each, entry.error());
                 }
             }
             done(std::move(out));
@@ -363,7 +462,7 @@
     json::object row = row_name(hosts_table, "", host.name);
     row["value"] = encode_base64(encode_host(host));
     this->impl->transact(
-        transaction({}, {row}, {}), [done](result<transaction_outcome> outcome) {
+        hosts_table, transaction({}, {row}, {}), [done](result<transaction_outcome> outcome) {
             if (!outcome) {
                 done(outcome.error());
                 return;
@@ -374,7 +473,7 @@
 
 void store_client::remove_host(std::string_view name, handler<void> done) {
     this->impl->transact(
-        transaction({}, {}, {row_name(hosts_table, "", name)}),
+        hosts_table, transaction({}, {}, {row_name(hosts_table, "", name)}),
         [done](result<transaction_outcome> outcome) {
             if (!outcome) {
                 done(outcome.error());
@@ -385,7 +484,7 @@
 }
 
 void store_client::break_off_watches() {
-    this->impl->configuration->reset();
+    this->impl->operations->reset();
     this->impl->host_watch->reset();
 }
 
@@ -415,7 +514,7 @@
     json::object row = row_name(fences_table, "", notice.host);
     row["value"] = encode_base64(encode_notice(notice.notice));
     implementation::transact(
-        *this->impl->notices, transaction({}, {row}, {}),
+        *this->impl->notices, fences_table, transaction({}, {row}, {}),
         [done](result<transaction_outcome> outcome) {
             if (!outcome) {
                 done(outcome.error());
@@ -462,7 +561,7 @@
     json::object row = row_name(leases_table, group, lease_key_of(lease.era));
     row["value"] = encode_base64(encode_lease(lease));
     this->impl->transact(
-        transaction({expected}, {row}, {}),
+        leases_table, transaction({expected}, {row}, {}),
         [done, era = lease.era](result<transaction_outcome> outcome) {
             if (!outcome) {
                 done(outcome.error());
--- a/src/persimmonpoint/platform/store_client.hpp
+++ b/src/persimmonpoint/platform/store_client.hpp
@@ -2,12 +2,21 @@
 #define PERSIMMONPOINT_PLATFORM_STORE_CLIENT_HPP_INCLUDED
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <memory>
 #include <persimmonpoint/interfaces/fleet_store.hpp>
 #include <string>
+#include <vector>
 
 namespace persimmonpoint::platform {
 
+/// How often one kind of call was made.
+struct store_call_count {
+    std::string call; ///< As it is published, such as rows-get.
+    std::string table;
+    std::uint64_t count = 0;
+};
+
 /// The platform's store, by its published calls.
 class store_client final : public fleet_store {
 public:
@@ -15,8 +24,8 @@
     store_client(boost::asio::io_context& loop, std::string const& address);
     ~store_client() override;
 
-    void read_configuration(handler<stored_configuration> done) override;
-    void watch_configuration(
+    void read_operations(handler<stored_operations> done) override;
+    void watch_operations(
         store_version const& version,
         std::chrono::milliseconds wait,
         handler<watch_result> done) override;
@@ -37,6 +46,8 @@
         std::string_view group,
         leadership_lease const& lease,
         handler<bool> done) override;
+    /// Calls made so far, pages of a list each for itself.
+    std::vector<store_call_count> calls() const;
 
 private:
     struct implementation;
--- a/src/persimmonpoint/settings/front_settings.cpp
+++ b/src/persimmonpoint/settings/front_settings.cpp
@@ -18,6 +18,13 @@
 constexpr duration least_window = std::chrono::milliseconds(500);
 constexpr duration least_drain = std::chrono::seconds(1);
 constexpr duration most_drain = std::chrono::minutes(10);
+constexpr duration least_evacuation = std::chrono::seconds(1);
+constexpr duration most_evacuation = std::chrono::minutes(10);
+constexpr double most_processor = 1000; ///< Cores.
+constexpr duration least_message_time = std::chrono::milliseconds(100);
+constexpr double least_held_bytes = 1024 * 1024;
+constexpr double least_connections = 1;
+constexpr double most_count = 1e12;
 constexpr double most_overrun = 1;
 constexpr double most_slack = 1000000; ///< Operations.
 
@@ -72,6 +79,18 @@
         value = read;
     }
 
+    void count(std::string_view key, std::size_t& value, double least) {
+        double read = static_cast<double>(value);
+        this->number(key, read, least, most_count);
+        value = static_cast<std::size_t>(read);
+    }
+
+    void milliseconds(std::string_view key, std::chrono::milliseconds& value) {
+        duration read = value;
+        this->length_of_time(key, read, least_message_time, most_grace);
+        value = std::chrono::duration_cast<std::chrono::milliseconds>(read);
+    }
+
     toml::table table;
     table_reader reader;
 };
@@ -106,11 +125,22 @@
     host.reader.require("name");
     host.reader.text("name", values.name);
     host.reader.text("availability_zone", values.availability_zone);
+    host.number("processor", values.processor, 0, most_processor);
     section listen(root, "listen", file, out.findings);
     listen.required_address("callers", values.callers);
     listen.required_address("readiness", values.readiness);
     listen.required_address("peers", values.peers);
     listen.address("metrics", values.metrics);
+    section callers(root, "callers", file, out.findings);
+    callers.count("held_bytes", values.callers_may.held_bytes, least_held_bytes);
+    std::size_t descriptors = 0;
+    callers.count("descriptors", descriptors, least_connections);
+    if (descriptors > 0) {
+        values.callers_may.connections = connections_within(descriptors);
+    }
+    callers.count("connections", values.callers_may.connections, least_connections);
+    callers.milliseconds("start_time", values.callers_may.start_time);
+    callers.milliseconds("message_time", values.callers_may.message_time);
     section platform(root, "platform", file, out.findings);
     platform.required_address("store", values.store);
     platform.required_address("promotion", values.promotion);
@@ -127,6 +157,8 @@
     limits.number("quota_slack", values.quotas.slack, 0, most_slack);
     section databases(root, "databases", file, out.findings);
     databases.length_of_time("drain", values.drain, least_drain, most_drain);
+    databases.length_of_time(
+        "evacuation", values.evacuation, least_evacuation, most_evacuation);
     section stop(root, "stop", file, out.findings);
     duration grace = values.grace;
     stop.reader.length_of_time("grace", grace, least_grace, most_grace);
--- a/src/persimmonpoint/settings/front_settings.hpp
+++ b/src/persimmonpoint/settings/front_settings.hpp
@@ -5,7 +5,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <persimmonpoint/core/limits/caller_limits.hpp>
 #include <persimmonpoint/core/limits/quota_share.hpp>
+#include <persimmonpoint/core/placement/database_evacuation.hpp>
 #include <persimmonpoint/settings/finding.hpp>
 #include <string>
 #include <string_view>
@@ -19,6 +21,8 @@
     // [host]
     std::string name;
     std::string availability_zone;
+    /// Processor time that the host has, in cores; 0 if it isn't known.
+    double processor = 0;
 
     // [listen] Each is an IP number and a port.
     std::string callers;
@@ -26,6 +30,9 @@
     std::string peers;
     std::string metrics;
 
+    // [callers]
+    caller_limits callers_may;
+
     // [platform] Each is an IP number and a port.
     std::string store;
     std::string promotion;
@@ -39,6 +46,9 @@
     // [databases]
     /// How long a database serves from when it tells that it leaves.
     duration drain = std::chrono::seconds(7);
+    /// From the operator's request to evacuate an availability zone on, the time within
+    /// which its databases are sent their last statement.
+    duration evacuation = default_evacuation_limit;
 
     // [stop]
     std::chrono::milliseconds grace{6000}; ///< From the signal to the end.
--- a/src/persimmonpoint/standin/row_store.cpp
+++ b/src/persimmonpoint/standin/row_store.cpp
@@ -209,7 +209,7 @@
         watcher waiting;
         waiting.table = parameter(target, "table");
         waiting.after = number(parameter(target, "after"));
-        if (waiting.after > this->version) {
+        if (waiting.after > this->version || waiting.after < this->history_from) {
             reply({status_gone, "application/json", "{}"});
             return;
         }
@@ -318,6 +318,7 @@
     std::chrono::milliseconds promotion_delay{0};
     std::size_t promotions = 0; ///< Since the delay was set.
     std::uint64_t version = 0;
+    std::uint64_t history_from = 0; ///< Watches from an earlier version are refused.
     std::uint64_t era = 1;
     std::map<std::string, std::size_t> reads; ///< By table.
     std::function<void()> page_hook;
@@ -364,6 +365,11 @@
     this->impl->wake_watchers();
 }
 
+void row_store::drop_history() {
+    // The next change is the first that the feed knows of.
+    this->impl->history_from = this->impl->version;
+}
+
 void row_store::set_fault(store_fault fault) {
     this->impl->fault = fault;
 }
--- a/src/persimmonpoint/standin/row_store.hpp
+++ b/src/persimmonpoint/standin/row_store.hpp
@@ -44,6 +44,8 @@
     void release_transactions();
     /// The watches that wait now get no answer, and their connections stay open.
     void silence_watches();
+    /// Drops the history: watches from before it are answered that it is gone.
+    void drop_history();
     /// Called after each answer to a reading that was cut, before the next page is asked
     /// for.
     void set_page_hook(std::function<void()> hook);
--- a/tests/introspective/caller_session.tests.cpp
+++ b/tests/introspective/caller_session.tests.cpp
@@ -172,3 +172,25 @@
         .WITH(_2.size() < 1000);
     other->on_start(wanted, "");
 }
+
+TEST_CASE("A caller waits for the configuration of a host that starts", "[session]") {
+    session_stage stage;
+    stage.context.knows_configuration = false;
+    auto const channel = std::make_shared<mock_channel>();
+    auto const waiting = std::make_shared<caller_session>(
+        stage.context, channel, [](caller_session*) {});
+    {
+        FORBID_CALL(*channel, accept());
+        FORBID_CALL(*channel, refuse(_, _));
+        waiting->on_start("no such database", "");
+    }
+    SECTION("and is admitted by it") {
+        REQUIRE_CALL(*channel, refuse(statement_error::no_database, _));
+        stage.context.knows_configuration = true;
+        waiting->configuration_known();
+    }
+    SECTION("and is refused as not run if it doesn't come") {
+        REQUIRE_CALL(*channel, refuse(statement_error::busy, _));
+        waiting->configuration_missing();
+    }
+}
--- a/tests/introspective/quota.tests.cpp
+++ b/tests/introspective/quota.tests.cpp
@@ -349,3 +349,63 @@
     CHECK(taken <= split_quota(whole, 62).fixed.rate * 2 + 2);
     CHECK(lowering_of({300, 300}, {200, 300}) == quota_bucket::lowering::delayed);
 }
+
+TEST_CASE("A lender that has just started lends the burst as hosts endorse it", "[quota]") {
+    quota_lender lender;
+    lender.set_host_count(4);
+    lender.set_limit("team", {100, 100}, start);
+    lender.set_young_until(start + seconds(3));
+    auto const lent_now = [&lender](instant now) {
+        int lent = 0;
+        while (lender.borrow("team", now) <= duration(0)) {
+            ++lent;
+        }
+        return lent;
+    };
+    double const burst = split_quota({100, 100}, 4).lent.burst;
+    for (char const* host : {"a", "b", "c", "d"}) {
+        lender.endorsed(host, life, start);
+    }
+    CHECK(lent_now(start) == Approx(burst).margin(1));
+    SECTION("once for each host") {
+        lender.withdrawn("a", start);
+        lender.endorsed("a", life, start);
+        CHECK(lent_now(start) == 0);
+    }
+}
+
+TEST_CASE("A lender that has run for long lends no burst at first", "[quota]") {
+    quota_lender lender;
+    lender.set_host_count(1);
+    lender.set_limit("team", {100, 100}, start);
+    lender.set_young_until(start - seconds(1));
+    lender.endorsed("a", life, start);
+    CHECK(lender.borrow("team", start) > duration(0));
+}
+
+// Worked out in docs/design/0011-restarts.md.
+TEST_CASE("A fleet that is restarted keeps the window", "[quota]") {
+    quota_rules const rules;
+    for (quota_part const whole : {quota_part{20, 20}, {400, 400}, {100, 500}}) {
+        quota_split const split = split_quota(whole, 70, rules);
+        double const allowed = (whole.rate * to_seconds(rules.window) + whole.burst) *
+                                   (1 + rules.overrun) +
+                               rules.slack;
+        // Saved up before, and given at the start; lent all the while but for the restart.
+        double const restart_time = 0.5;
+        double const most = 2 * split.lent.burst +
+                            split.lent.rate * (to_seconds(rules.window) - restart_time);
+        CHECK(most <= allowed);
+    }
+}
+
+TEST_CASE("Operations wait for a lender that is being found, for a time", "[quota]") {
+    quota_pacing pacing;
+    CHECK(pacing.may_wait_for_lender("team", milliseconds(0)));
+    CHECK_FALSE(pacing.may_wait_for_lender("team", milliseconds(300)));
+    for (std::uint64_t i = 0; i < 32; ++i) {
+        pacing.add("team", i, start);
+    }
+    CHECK_FALSE(pacing.may_wait_for_lender("team", milliseconds(0)));
+    CHECK(pacing.may_wait_for_lender("other", milliseconds(0)));
+}
--- a/tests/introspective/routing.tests.cpp
+++ b/tests/introspective/routing.tests.cpp
@@ -4,6 +4,7 @@
 #include <persimmonpoint/core/routing/group_routing.hpp>
 #include <persimmonpoint/core/routing/owner_ranking.hpp>
 #include <persimmonpoint/core/routing/position_history.hpp>
+#include <set>
 
 using namespace persimmonpoint;
 using std::chrono::milliseconds;
@@ -287,3 +288,67 @@
     order.prepared = prepared_shape{"q1", false};
     CHECK(plan_setup(order, used).size() == 1);
 }
+
+TEST_CASE("Where teams outnumber connections, each keeps to one replica", "[routing]") {
+    group_routing group = three_databases();
+    group.set_team_affinity(true);
+    std::set<std::string> chosen;
+    for (char const* const team : {"t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8"}) {
+        auto const first = group.choose_for_read({}, "a", {}, start, team);
+        CHECK(first == group.choose_for_read({}, "c", {}, start, team));
+        chosen.insert(*first);
+    }
+    CHECK(chosen == std::set<std::string>{"r1", "r2"});
+    SECTION("unless it is much busier than the other") {
+        std::string const first = *group.choose_for_read({}, "a", {}, start, "t1");
+        group.sent(first);
+        CHECK(group.choose_for_read({}, "a", {}, start, "t1") != first);
+    }
+}
+
+TEST_CASE(
+    "A replica that lacked the floor again and again is asked more and more rarely",
+    "[routing]") {
+    group_routing group = three_databases();
+    log_position const floor{1, 100};
+    instant now = start;
+    std::size_t asked = 0;
+    for (int step = 0; step < 400; ++step) {
+        now += milliseconds(10);
+        auto const chosen = group.choose_for_read(floor, "b", {}, now);
+        if (chosen != "p") {
+            ++asked;
+            group.answered(*chosen, log_position{1, 5}, 0U, now);
+            group.lagged(*chosen, now);
+        }
+    }
+    // Two replicas, each with a pause that grows to a second.
+    CHECK(asked <= 24);
+    SECTION("and takes part again once it has caught up") {
+        group.answered("r1", log_position{1, 100}, 0U, now);
+        CHECK(group.choose_for_read(floor, "b", {}, now) == "r1");
+    }
+}
+
+TEST_CASE("Large hosts of its zone own a database's connections", "[owners]") {
+    std::vector<registered_host> hosts;
+    for (int i = 0; i < 20; ++i) {
+        hosts.push_back({"small-" + std::to_string(i), "", "a", 120});
+    }
+    hosts.push_back({"large-1", "", "a", 500});
+    hosts.push_back({"large-2", "", "a", 400});
+    hosts.push_back({"large-3", "", "b", 500});
+    auto const ranked = rank_database_owners(database("db", "a"), hosts);
+    CHECK(
+        std::set<std::string>{ranked[0], ranked[1]} ==
+        std::set<std::string>{"large-1", "large-2"});
+    CHECK(ranked.back() == "large-3");
+    SECTION("hosts of one size are ranked as any others") {
+        for (registered_host& each : hosts) {
+            each.processor_millicores = 250;
+        }
+        CHECK(
+            rank_database_owners(database("db", "a"), hosts) ==
+            rank_owners("db", "a", hosts));
+    }
+}
--- a/tests/introspective/waiting_line.tests.cpp
+++ b/tests/introspective/waiting_line.tests.cpp
@@ -113,3 +113,39 @@
         CHECK(waiting.has_room(100));
     }
 }
+
+TEST_CASE("Teams of one priority take turns", "[limits][waiting]") {
+    line waiting(10);
+    for (char const* const each : {"flood 1", "flood 2", "flood 3"}) {
+        waiting.push({false, 1, at(100), "flood"}, each);
+    }
+    waiting.push({false, 1, at(100), "calm"}, "calm 1");
+    CHECK(waiting.ahead_of({false, 1, at(100), "other"}) == 2);
+    CHECK(waiting.ahead_of({false, 1, at(100), "flood"}) == 4);
+    CHECK(
+        start_all(waiting) ==
+        std::vector<std::string>{"flood 1", "calm 1", "flood 2", "flood 3"});
+}
+
+TEST_CASE(
+    "A long burst of one priority leaves room to those below it", "[limits][waiting]") {
+    line waiting(100);
+    for (int i = 0; i < 40; ++i) {
+        waiting.push({false, 0, at(100)}, "high");
+    }
+    for (int i = 0; i < 10; ++i) {
+        waiting.push({false, 2, at(100)}, "low");
+    }
+    std::size_t low = 0;
+    // One place becomes free at a time.
+    for (int i = 0; i < 32; ++i) {
+        bool taken = false;
+        waiting.start_what_can(
+            [&taken](std::string const&) { return !taken; },
+            [&](bool, std::string const& item) {
+                taken = true;
+                low += item == "low" ? 1 : 0;
+            });
+    }
+    CHECK(low == 4);
+}
--- a/tests/support/acting_group.cpp
+++ b/tests/support/acting_group.cpp
@@ -45,7 +45,9 @@
     for (auto const& each : this->copies) {
         if (this->lapsed != each.first && this->unlisted.count(each.first) == 0) {
             bool const leaves = this->leaving == each.first;
-            all.push_back({each.first, leaves, 0, leaves ? this->ends_at : std::nullopt});
+            all.push_back(
+                {each.first, leaves, 0, leaves ? this->ends_at : std::nullopt,
+                 this->evacuated.count(each.first) > 0});
         }
     }
     return all;
--- a/tests/support/acting_group.hpp
+++ b/tests/support/acting_group.hpp
@@ -47,6 +47,7 @@
     std::string leader = "p";
     std::string lapsed; ///< Its registration is gone.
     std::string leaving;
+    std::set<std::string> evacuated; ///< Their zones are.
     std::optional<instant> ends_at; ///< When the one that leaves may end.
     std::string silent;             ///< To the host that runs the change, not to others.
     std::set<std::string> unlisted; ///< Not registered yet.
--- a/tests/support/fleet_stage.cpp
+++ b/tests/support/fleet_stage.cpp
@@ -115,7 +115,9 @@
                 "servers", id,
                 R"({"service":")" + std::string(group_name) + R"(","address":")" +
                     this->group->address(id) +
-                    R"(","zone":"a","version":"v1","slots":2,"state":")" +
+                    R"(","zone":")" +
+                    (this->zones.count(id) > 0 ? this->zones.at(id) : "a") +
+                    R"(","version":"v1","slots":2,"state":")" +
                     (leaves ? "draining" : "ready") + R"(","database_role":")" +
                     (id == this->group->leader() ? "primary" : "replica") +
                     R"(","cold_remaining_ms":0,"sequence":1,"born":1000})");
--- a/tests/support/fleet_stage.hpp
+++ b/tests/support/fleet_stage.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <persimmonpoint/host/front_host.hpp>
@@ -45,6 +46,8 @@
     /// Writes the databases' entries as they are now.
     void register_databases(std::vector<std::string> const& leaving = {});
 
+    /// Availability zones of databases that aren't in the hosts' zone, by id.
+    std::map<std::string, std::string> zones;
     standin::line_group* group = nullptr;
     standin::row_store* store = nullptr;
 
--- a/tests/usage/store_lists.tests.cpp
+++ b/tests/usage/store_lists.tests.cpp
@@ -41,6 +41,7 @@
     }
 
     void on_stored_configuration(stored_configuration) override {}
+    void on_stored_evacuations(evacuation_list) override {}
     void on_stored_databases(database_directory directory) override {
         this->databases = std::move(directory.databases);
     }
