--- a/src/persimmonpoint/core/limits/intake_budget.cpp
+++ b/src/persimmonpoint/core/limits/intake_budget.cpp
@@ -23,8 +23,7 @@
         this->shares.begin(), this->shares.end(),
         [](auto const& left, auto const& right) {
             auto const weight = [](share const& each) {
-                return std::make_tuple(
-                    each.bytes > 0 && !each.has_request, each.bytes);
+                return std::make_tuple(each.bytes > 0 && !each.has_request, each.bytes);
             };
             return weight(left.second) < weight(right.second);
         });
--- a/src/persimmonpoint/core/recovery/change_members.hpp
+++ b/src/persimmonpoint/core/recovery/change_members.hpp
@@ -66,8 +66,8 @@
     std::uint64_t started_ms = 0;   ///< Another start means another log.
     std::optional<instant> ends_at; ///< When it may end, if it leaves.
     bool evacuated = false;
-    bool held = false;              ///< By this change.
-    bool held_by_other = false;     ///< By another host's change.
+    bool held = false;          ///< By this change.
+    bool held_by_other = false; ///< By another host's change.
     std::optional<database_state> report;
     instant asked_at{}; ///< When the request that `report` answers was sent.
     /// The position known to be acknowledged when it was sent.
--- a/src/persimmonpoint/core/recovery/leadership_change.cpp
+++ b/src/persimmonpoint/core/recovery/leadership_change.cpp
@@ -500,7 +500,8 @@
         // One that is held can't catch up with a primary that serves on. A replica that
         // isn't listed can't be held: only the primary's stop keeps it from
         // acknowledging.
-        bool const stops_primary = !this->is_planned() || this->members.may_miss_replica() ||
+        bool const stops_primary = !this->is_planned() ||
+                                   this->members.may_miss_replica() ||
                                    this->serves_beside_silent(now);
         this->hold_candidate = this->hold_candidate || is_held ||
                                (stops_primary && this->primary_answers(now));
--- a/src/persimmonpoint/core/routing/connection_budget.hpp
+++ b/src/persimmonpoint/core/routing/connection_budget.hpp
@@ -14,7 +14,8 @@
 
 /// True if a first owner can't keep a connection for each team: opening them again is
 /// then part of the load.
-inline bool teams_outnumber_connections(std::size_t teams, std::uint32_t max_connections) {
+inline bool
+teams_outnumber_connections(std::size_t teams, std::uint32_t max_connections) {
     return teams > max_connections / 2;
 }
 
--- a/src/persimmonpoint/core/routing/group_routing.cpp
+++ b/src/persimmonpoint/core/routing/group_routing.cpp
@@ -75,8 +75,7 @@
 
 bool group_routing::can_lead_without(std::string_view id) const {
     return std::any_of(
-        this->members.begin(), this->members.end(),
-        [&](registered_database const& each) {
+        this->members.begin(), this->members.end(), [&](registered_database const& each) {
             return each.id != id && !each.leaving && !this->is_evacuated(each);
         });
 }
--- a/src/persimmonpoint/core/routing/owner_ranking.cpp
+++ b/src/persimmonpoint/core/routing/owner_ranking.cpp
@@ -77,7 +77,8 @@
     std::string_view key,
     std::string_view availability_zone,
     std::span<registered_host const> hosts) {
-    return rank(key, availability_zone, hosts, [](registered_host const&) { return true; });
+    return rank(
+        key, availability_zone, hosts, [](registered_host const&) { return true; });
 }
 
 std::vector<std::string> rank_database_owners(
--- a/src/persimmonpoint/core/routing/owner_ranking.hpp
+++ b/src/persimmonpoint/core/routing/owner_ranking.hpp
@@ -31,9 +31,8 @@
 ///
 /// Load it answers: in a fleet of hosts of different sizes most are small. They would own
 /// most databases, and take several times as long for each statement.
-std::vector<std::string>
-rank_database_owners(registered_database const& database,
-    std::span<registered_host const> hosts);
+std::vector<std::string> rank_database_owners(
+    registered_database const& database, std::span<registered_host const> hosts);
 
 } // namespace persimmonpoint
 
--- a/src/persimmonpoint/core/statement/upstream_request.hpp
+++ b/src/persimmonpoint/core/statement/upstream_request.hpp
@@ -77,7 +77,7 @@
     transaction_lost, ///< The transaction is not open any more; it was rolled back.
     /// The primary acknowledged the commit, but no replica that all hosts know showed it.
     unconfirmed,
-    fenced, ///< Another host is about to replace the primary, or may be.
+    fenced,    ///< Another host is about to replace the primary, or may be.
     overloaded ///< So much waits that the request would not be started in time.
 };
 
@@ -101,7 +101,8 @@
     std::string confirmed_by;
     transaction_id transaction; ///< Set while the request's transaction is open.
     std::uint32_t load = 0; ///< Requests queued or running for the database at the owner.
-    /// Mean time that the database took for the last requests like this one; 0: not known.
+    /// Mean time that the database took for the last requests like this one; 0: not
+    /// known.
     std::uint32_t service_us = 0;
     /// Of a thousand requests, those that the database failed of late.
     std::uint32_t failing_permille = 0;
--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -67,8 +67,7 @@
         if (!std::exchange(this->waits_for_configuration, false) || this->closed) {
             return;
         }
-        this->channel->refuse(
-            statement_error::busy, "the host has no configuration yet");
+        this->channel->refuse(statement_error::busy, "the host has no configuration yet");
         this->end();
     }
 
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -149,9 +149,8 @@
     }
 
     bool is_past_work_end(upstream_request const& order) const {
-        bool const is_over =
-            !this->takes_new_work ||
-            (this->work_end && this->time.now() >= *this->work_end);
+        bool const is_over = !this->takes_new_work ||
+                             (this->work_end && this->time.now() >= *this->work_end);
         return is_over && !is_control(order.kind) && !order.transaction.is_set();
     }
 
@@ -205,8 +204,8 @@
         }
     }
 
-    /// What takes slots of the database, as far as this host gave it: a connection that is
-    /// being opened takes one too.
+    /// What takes slots of the database, as far as this host gave it: a connection that
+    /// is being opened takes one too.
     std::uint32_t at_database() const {
         auto const opening =
             std::count_if(this->lanes.begin(), this->lanes.end(), [](auto const& each) {
@@ -217,8 +216,7 @@
 
     /// Statements that the database is given at a time.
     std::uint32_t present_limit() const {
-        return std::min(
-            this->limits.running, this->concurrency.limit(this->time.now()));
+        return std::min(this->limits.running, this->concurrency.limit(this->time.now()));
     }
 
     std::uint32_t load() const {
@@ -428,8 +426,7 @@
 
     void send_main(lane& on) {
         upstream_command const& main = on.steps[on.next_step].command;
-        if (on.counts_as_commit &&
-            !this->observer.may_send_commit(this->database.id)) {
+        if (on.counts_as_commit && !this->observer.may_send_commit(this->database.id)) {
             this->commit_refused(on);
             return;
         }
@@ -591,8 +588,8 @@
         } else if (error == statement_error::failed) {
             this->meter.failed();
         } else if (error == statement_error::none) {
-            double const relative = this->meter.answered(
-                service_class_of(order), now - on.main_sent_at);
+            double const relative =
+                this->meter.answered(service_class_of(order), now - on.main_sent_at);
             this->concurrency.completed(on.in_flight, relative, now);
         }
         this->log_limit();
--- a/src/persimmonpoint/engine/dispatcher.cpp
+++ b/src/persimmonpoint/engine/dispatcher.cpp
@@ -92,10 +92,10 @@
             this->evacuations.try_emplace(database.id, this->evacuation_limit)
                 .first->second;
         group_routing const* const group = this->view.find_group(database.group);
-        bool const leads =
-            group != nullptr && group->leader() && group->leader()->database == database.id;
-        bool const has_changed = evacuation.update(
-            this->view.is_evacuated(database), leads, this->time.now());
+        bool const leads = group != nullptr && group->leader() &&
+                           group->leader()->database == database.id;
+        bool const has_changed =
+            evacuation.update(this->view.is_evacuated(database), leads, this->time.now());
         if (has_changed) {
             observe::log_event(
                 observe::log_level::info, "database_evacuation",
@@ -377,14 +377,7 @@
     duration drain,
     duration evacuation)
     : impl(std::make_shared<implementation>(
-          loop,
-          connector,
-          clock,
-          observer,
-          view,
-          std::move(self),
-          drain,
-          evacuation)) {
+          loop, connector, clock, observer, view, std::move(self), drain, evacuation)) {
     this->impl->trim_later();
 }
 
--- a/src/persimmonpoint/engine/leadership_keeper.cpp
+++ b/src/persimmonpoint/engine/leadership_keeper.cpp
@@ -731,7 +731,8 @@
         if (change.primary_stopped_at()) {
             return "stopped";
         }
-        if (change.is_planned() && this->has_answered(change.old_primary(), serves_lately)) {
+        if (change.is_planned() &&
+            this->has_answered(change.old_primary(), serves_lately)) {
             return "planned";
         }
         return to_string(this->guard.standing(name));
--- a/src/persimmonpoint/engine/quota_lending.cpp
+++ b/src/persimmonpoint/engine/quota_lending.cpp
@@ -130,8 +130,8 @@
         }
     }
 
-    void endorse_shard(
-        std::uint32_t shard, std::span<std::string const> ranked, instant now) {
+    void
+    endorse_shard(std::uint32_t shard, std::span<std::string const> ranked, instant now) {
         std::string const& wanted = ranked.front();
         lender_choice& choice = this->choices[shard];
         std::string const before = choice.current();
--- a/src/persimmonpoint/engine/store_watch.cpp
+++ b/src/persimmonpoint/engine/store_watch.cpp
@@ -341,9 +341,9 @@
             this->read_hosts();
             return;
         }
-        this->again(
-            this->hosts_timer, this->hosts_retry,
-            [](implementation& self) { self.read_hosts(); });
+        this->again(this->hosts_timer, this->hosts_retry, [](implementation& self) {
+            self.read_hosts();
+        });
     }
 
     void apply(std::span<host_change const> changes) {
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -87,9 +87,8 @@
 std::string format_store_calls(std::span<platform::store_call_count const> calls) {
     std::string text;
     for (platform::store_call_count const& each : calls) {
-        text += "persimmonpoint_store_calls_total{call=\"" + each.call +
-                "\",table=\"" + each.table + "\"} " + std::to_string(each.count) +
-                "\n";
+        text += "persimmonpoint_store_calls_total{call=\"" + each.call + "\",table=\"" +
+                each.table + "\"} " + std::to_string(each.count) + "\n";
     }
     return text;
 }
@@ -113,9 +112,7 @@
         : settings(std::move(given)),
           course(settings.grace, settings.rotation),
           self{
-              settings.name,
-              settings.peers,
-              settings.availability_zone,
+              settings.name, settings.peers, settings.availability_zone,
               to_millicores(settings.processor)},
           connector(traffic_loop),
           store(control_loop, settings.store),
@@ -497,7 +494,9 @@
         evacuation_list const& now = this->view.evacuations.current();
         observe::log_event(
             observe::log_level::warning, "evacuations_changed",
-            {{"zones", joined(now.zones)}, {"version", now.version.number}, {"from", from}});
+            {{"zones", joined(now.zones)},
+             {"version", now.version.number},
+             {"from", from}});
         this->view.share_out_databases();
         this->orders.refresh();
         this->mesh.tell_news();
--- a/src/persimmonpoint/platform/line_reader.hpp
+++ b/src/persimmonpoint/platform/line_reader.hpp
@@ -43,7 +43,8 @@
         return this->buffer.size() - this->used > most_message_bytes + 1;
     }
 
-    /// True if a part of a message has arrived that isn't whole yet, or was not given out.
+    /// True if a part of a message has arrived that isn't whole yet, or was not given
+    /// out.
     bool has_pending() const { return this->buffer.size() > this->used; }
 
     /// Memory that the reader holds.
--- a/src/persimmonpoint/platform/store_client.cpp
+++ b/src/persimmonpoint/platform/store_client.cpp
@@ -462,7 +462,8 @@
     json::object row = row_name(hosts_table, "", host.name);
     row["value"] = encode_base64(encode_host(host));
     this->impl->transact(
-        hosts_table, transaction({}, {row}, {}), [done](result<transaction_outcome> outcome) {
+        hosts_table, transaction({}, {row}, {}),
+        [done](result<transaction_outcome> outcome) {
             if (!outcome) {
                 done(outcome.error());
                 return;
--- a/tests/hostile/hostile_callers.tests.cpp
+++ b/tests/hostile/hostile_callers.tests.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// What a host may have at the most beside what it has at rest: the limit of its settings,
-/// which the crowds here are over many times, and as much again four times for the
-/// allocator, buffers and the messages of ordinary callers.
+/// What a host may have at the most beside what it has at rest: the limit of its
+/// settings, which the crowds here are over many times, and as much again four times for
+/// the allocator, buffers and the messages of ordinary callers.
 constexpr std::size_t most_growth = 5 * hostile_stage::held_bytes;
 /// Descriptors beside those of callers: files, links, connections to databases.
 constexpr std::size_t most_other_descriptors = 80;
--- a/tests/introspective/caller_session.tests.cpp
+++ b/tests/introspective/caller_session.tests.cpp
@@ -177,8 +177,8 @@
     session_stage stage;
     stage.context.knows_configuration = false;
     auto const channel = std::make_shared<mock_channel>();
-    auto const waiting = std::make_shared<caller_session>(
-        stage.context, channel, [](caller_session*) {});
+    auto const waiting =
+        std::make_shared<caller_session>(stage.context, channel, [](caller_session*) {});
     {
         FORBID_CALL(*channel, accept());
         FORBID_CALL(*channel, refuse(_, _));
--- a/tests/introspective/evacuation.tests.cpp
+++ b/tests/introspective/evacuation.tests.cpp
@@ -77,8 +77,8 @@
     CHECK(tracker.received(list_of(9, {"a"}), true));
 }
 
-TEST_CASE("An evacuated primary serves until another leads, or for a time",
-          "[evacuation]") {
+TEST_CASE(
+    "An evacuated primary serves until another leads, or for a time", "[evacuation]") {
     database_evacuation evacuation(limit);
     evacuation.update(false, true, start);
     CHECK(evacuation.takes_new_work());
@@ -143,8 +143,9 @@
     }
 }
 
-TEST_CASE("The lead leaves an evacuated zone while the primary serves",
-          "[evacuation][leadership]") {
+TEST_CASE(
+    "The lead leaves an evacuated zone while the primary serves",
+    "[evacuation][leadership]") {
     acting_group group = evacuated_group({"p"});
     leadership_change change =
         group.begin_change(start, change_reason::primary_evacuated);
@@ -157,8 +158,9 @@
     CHECK_FALSE(group.lost_commit);
 }
 
-TEST_CASE("The lead goes to no database of an evacuated zone while there is another",
-          "[evacuation][leadership]") {
+TEST_CASE(
+    "The lead goes to no database of an evacuated zone while there is another",
+    "[evacuation][leadership]") {
     acting_group group = evacuated_group({"p", "r1"});
     leadership_change change =
         group.begin_change(start, change_reason::primary_evacuated);
@@ -180,8 +182,9 @@
     CHECK_FALSE(group.any_held());
 }
 
-TEST_CASE("A new primary that crashes is replaced by what has its commits",
-          "[evacuation][leadership]") {
+TEST_CASE(
+    "A new primary that crashes is replaced by what has its commits",
+    "[evacuation][leadership]") {
     acting_group group = evacuated_group({"r1"});
     group.copies["p"].alive = false;
     leadership_change change = group.begin_change(start, change_reason::primary_lost);
--- a/tests/introspective/quota.tests.cpp
+++ b/tests/introspective/quota.tests.cpp
@@ -350,7 +350,8 @@
     CHECK(lowering_of({300, 300}, {200, 300}) == quota_bucket::lowering::delayed);
 }
 
-TEST_CASE("A lender that has just started lends the burst as hosts endorse it", "[quota]") {
+TEST_CASE(
+    "A lender that has just started lends the burst as hosts endorse it", "[quota]") {
     quota_lender lender;
     lender.set_host_count(4);
     lender.set_limit("team", {100, 100}, start);
@@ -388,10 +389,11 @@
     quota_rules const rules;
     for (quota_part const whole : {quota_part{20, 20}, {400, 400}, {100, 500}}) {
         quota_split const split = split_quota(whole, 70, rules);
-        double const allowed = (whole.rate * to_seconds(rules.window) + whole.burst) *
-                                   (1 + rules.overrun) +
-                               rules.slack;
-        // Saved up before, and given at the start; lent all the while but for the restart.
+        double const allowed =
+            (whole.rate * to_seconds(rules.window) + whole.burst) * (1 + rules.overrun) +
+            rules.slack;
+        // Saved up before, and given at the start; lent all the while but for the
+        // restart.
         double const restart_time = 0.5;
         double const most = 2 * split.lent.burst +
                             split.lent.rate * (to_seconds(rules.window) - restart_time);
--- a/tests/support/acting_group.hpp
+++ b/tests/support/acting_group.hpp
@@ -48,10 +48,10 @@
     std::string lapsed; ///< Its registration is gone.
     std::string leaving;
     std::set<std::string> evacuated; ///< Their zones are.
-    std::optional<instant> ends_at; ///< When the one that leaves may end.
-    std::string silent;             ///< To the host that runs the change, not to others.
-    std::set<std::string> unlisted; ///< Not registered yet.
-    std::string leads_when_held;    ///< Another host's promotion of it takes effect then.
+    std::optional<instant> ends_at;  ///< When the one that leaves may end.
+    std::string silent;              ///< To the host that runs the change, not to others.
+    std::set<std::string> unlisted;  ///< Not registered yet.
+    std::string leads_when_held; ///< Another host's promotion of it takes effect then.
     std::uint64_t term = first_term;
     std::uint64_t acknowledged = 0;
     std::uint64_t token = first_token; ///< The next one to be granted.
--- a/tests/support/fleet_stage.cpp
+++ b/tests/support/fleet_stage.cpp
@@ -114,8 +114,7 @@
             this->store->put(
                 "servers", id,
                 R"({"service":")" + std::string(group_name) + R"(","address":")" +
-                    this->group->address(id) +
-                    R"(","zone":")" +
+                    this->group->address(id) + R"(","zone":")" +
                     (this->zones.count(id) > 0 ? this->zones.at(id) : "a") +
                     R"(","version":"v1","slots":2,"state":")" +
                     (leaves ? "draining" : "ready") + R"(","database_role":")" +
--- a/tests/usage/evacuation.tests.cpp
+++ b/tests/usage/evacuation.tests.cpp
@@ -87,8 +87,8 @@
     REQUIRE(eventually([&] { return stage.writes("1"); }));
     stage.evacuate("z");
     stage.evacuate("a");
-    REQUIRE(eventually(
-        [&] { return stage.caller.query("WRITE ladder 2").error == "BUSY"; }));
+    REQUIRE(
+        eventually([&] { return stage.caller.query("WRITE ladder 2").error == "BUSY"; }));
     CHECK(stage.caller.query("READ ladder").error == "BUSY");
     CHECK(stage.leader() == stage.primary);
     stage.take_back("a");
--- a/tests/usage/store_calls.tests.cpp
+++ b/tests/usage/store_calls.tests.cpp
@@ -88,7 +88,8 @@
     REQUIRE(stage.knows("1"));
     bool found = false;
     for (platform::store_call_count const& each : stage.client.calls()) {
-        found = found || (each.call == "rows-get" && each.table == "op" && each.count == 1);
+        found =
+            found || (each.call == "rows-get" && each.table == "op" && each.count == 1);
     }
     CHECK(found);
 }
