A row whose key names no zone evacuates none

Cause, found by reading: the zones of the operator's rows go to other hosts with each sign of life, where a name that is no plain word makes the message malformed; one odd row would have closed the fleet's links over and over. Such a row is left out and logged as entry_unusable. Test: tests/usage/store_calls.tests.cpp.

--- a/src/persimmonpoint/platform/store_client.cpp
+++ b/src/persimmonpoint/platform/store_client.cpp
@@ -1,5 +1,6 @@
 #include <boost/json.hpp>
 #include <map>
+#include <persimmonpoint/core/catalog/entry_rules.hpp>
 #include <persimmonpoint/net/tcp_options.hpp>
 #include <persimmonpoint/observe/event_log.hpp>
 #include <persimmonpoint/platform/fleet_decoder.hpp>
@@ -46,15 +47,44 @@
     row_page page;
 };
 
+/// Logs rows that can't be used, each version of a row once.
+class unusable_rows {
+public:
+    void note(std::string_view table, stored_row const& row, error const& why) {
+        std::string const name = std::string(table) + "/" + row.key;
+        auto const logged = this->versions.find(name);
+        if (logged != this->versions.end() && logged->second == row.version) {
+            return;
+        }
+        if (this->versions.size() >= max_noted_rows) {
+            this->versions.clear();
+        }
+        this->versions[name] = row.version;
+        observe::log_event(
+            observe::log_level::warning, "entry_unusable",
+            {{"table", table}, {"entry", row.key}, {"reason", why.message}});
+    }
+
+private:
+    std::map<std::string, std::uint64_t> versions;
+};
+
 /// The availability zone that a row of the operator's names to be evacuated.
-std::optional<std::string> evacuated_zone(stored_row const& row) {
+std::optional<std::string> evacuated_zone(stored_row const& row, unusable_rows& noted) {
     if (!row.key.starts_with(evacuation_prefix)) {
         return std::nullopt;
     }
-    return row.key.substr(evacuation_prefix.size());
+    std::string zone = row.key.substr(evacuation_prefix.size());
+    if (!is_plain_word(zone)) {
+        noted.note(
+            operations_table, row,
+            error{"22023", "the key names no availability zone", effect::not_run});
+        return std::nullopt;
+    }
+    return zone;
 }
 
-stored_operations read_operation_rows(row_page&& page) {
+stored_operations read_operation_rows(row_page&& page, unusable_rows& noted) {
     stored_operations out;
     out.version = page.version;
     out.evacuations.version = page.version;
@@ -62,7 +92,7 @@
         if (each.removed) {
             continue;
         }
-        if (auto zone = evacuated_zone(each)) {
+        if (auto zone = evacuated_zone(each, noted)) {
             out.evacuations.zones.insert(std::move(*zone));
         } else if (each.key == configuration_key && !each.value.empty()) {
             out.configuration = {
@@ -80,10 +110,10 @@
     return out;
 }
 
-watch_result read_operation_changes(watched_rows&& seen) {
+watch_result read_operation_changes(watched_rows&& seen, unusable_rows& noted) {
     watch_result out = to_result(seen);
     for (stored_row& each : seen.page.rows) {
-        if (auto zone = evacuated_zone(each)) {
+        if (auto zone = evacuated_zone(each, noted)) {
             out.evacuations.push_back({std::move(*zone), !each.removed});
         } else if (each.key == configuration_key) {
             out.lacks_configuration = each.value.empty();
@@ -98,28 +128,6 @@
     return out;
 }
 
-/// Logs rows that can't be used, each version of a row once.
-class unusable_rows {
-public:
-    void note(std::string_view table, stored_row const& row, error const& why) {
-        std::string const name = std::string(table) + "/" + row.key;
-        auto const logged = this->versions.find(name);
-        if (logged != this->versions.end() && logged->second == row.version) {
-            return;
-        }
-        if (this->versions.size() >= max_noted_rows) {
-            this->versions.clear();
-        }
-        this->versions[name] = row.version;
-        observe::log_event(
-            observe::log_level::warning, "entry_unusable",
-            {{"table", table}, {"entry", row.key}, {"reason", why.message}});
-    }
-
-private:
-    std::map<std::string, std::uint64_t> versions;
-};
-
 /// Nothing if the row was removed or names no host to use.
 std::optional<registered_host> read_host(stored_row const& row, unusable_rows& noted) {
     if (row.removed) {
@@ -365,12 +373,12 @@
 void store_client::read_operations(handler<stored_operations> done) {
     implementation::read(
         *this->impl->operations, operations_table, "",
-        [done = std::move(done)](result<row_page> page) {
+        [done = std::move(done), &noted = this->impl->noted](result<row_page> page) {
             if (!page) {
                 done(page.error());
                 return;
             }
-            done(read_operation_rows(std::move(page.value())));
+            done(read_operation_rows(std::move(page.value()), noted));
         });
 }
 
@@ -380,12 +388,12 @@
     handler<watch_result> done) {
     implementation::watch(
         *this->impl->operations, operations_table, version, wait,
-        [done = std::move(done)](result<watched_rows> seen) {
+        [done = std::move(done), &noted = this->impl->noted](result<watched_rows> seen) {
             if (!seen) {
                 done(seen.error());
                 return;
             }
-            done(read_operation_changes(std::move(seen.value())));
+            done(read_operation_changes(std::move(seen.value()), noted));
         });
 }
 
--- a/tests/usage/store_calls.tests.cpp
+++ b/tests/usage/store_calls.tests.cpp
@@ -94,6 +94,17 @@
     CHECK(found);
 }
 
+// Guards against a name that other hosts would take for a malformed message.
+TEST_CASE("A row whose key names no zone evacuates none", "[store][evacuation]") {
+    operations_stage stage;
+    stage.store.put("op", "evacuate/a zone", "{}");
+    stage.store.put("op", "evacuate/", "{}");
+    stage.store.put("op", "evacuate/b", "{}");
+    stage.watch.start();
+    REQUIRE(stage.run_until([&] { return stage.evacuations.zones.size() == 1; }));
+    CHECK(stage.evacuations.zones.count("b") == 1);
+}
+
 TEST_CASE("Evacuations follow the operator's rows", "[store][evacuation]") {
     operations_stage stage;
     stage.store.put("op", "evacuate/a", "{}");
