A closed caller's answers are given back at once

Cause, of the known red case of tests/hostile (100 callers that send ahead and read no answers): a connection that was closed for the budget stays as an object while its next request waits for a database, and kept the answer that its aborted write held; the budget counted it no more. A write that succeeded kept its buffer as well. Now a queue gives a write's buffer back when the write ends, a closed connection drops what it has read, and a caller with 64 KiB to take gets no further answer (1 MiB before).

--- a/src/persimmonpoint/net/send_queue.cpp
+++ b/src/persimmonpoint/net/send_queue.cpp
@@ -23,7 +23,10 @@
         [this, keep_alive = std::move(keep_alive)](
             boost::system::error_code failure, std::size_t) mutable {
             this->writing = false;
+            // Whoever owns the queue may live on for long with nothing to send.
+            this->in_flight = {};
             if (failure) {
+                this->waiting = {};
                 this->on_written(false);
             } else if (this->waiting.empty()) {
                 this->on_written(true);
--- a/src/persimmonpoint/net/send_queue.hpp
+++ b/src/persimmonpoint/net/send_queue.hpp
@@ -24,7 +24,7 @@
     std::size_t unsent() const { return this->waiting.size(); }
     /// Memory of all that the socket has not taken.
     std::size_t held_bytes() const {
-        return this->waiting.capacity() + (this->writing ? this->in_flight.size() : 0);
+        return this->waiting.capacity() + this->in_flight.capacity();
     }
     bool is_idle() const { return !this->writing && this->waiting.empty(); }
 
--- a/src/persimmonpoint/platform/line_listener.cpp
+++ b/src/persimmonpoint/platform/line_listener.cpp
@@ -21,8 +21,9 @@
 constexpr auto unacknowledged_limit = std::chrono::milliseconds(5000);
 constexpr auto accept_pause = std::chrono::milliseconds(20);
 constexpr std::size_t read_bytes = 2048;
-/// A caller with more answers than this to take is given no further ones.
-constexpr std::size_t most_unsent_bytes = 1024 * 1024;
+/// A caller that has more than this to take is given no further answers: a crowd that
+/// reads none makes databases work for one answer each.
+constexpr std::size_t most_untaken_bytes = 64 * 1024;
 /// Time for a caller to close after it was told that its session ends.
 constexpr auto dismissal_limit = std::chrono::milliseconds(1000);
 /// How often callers are looked for whose messages don't come to their end.
@@ -204,7 +205,7 @@
 
     void take_lines() {
         while (!this->busy && !this->closed && this->observer) {
-            this->waits_for_caller = this->outgoing.unsent() > most_unsent_bytes;
+            this->waits_for_caller = this->outgoing.held_bytes() > most_untaken_bytes;
             if (this->waits_for_caller) {
                 return;
             }
@@ -339,6 +340,8 @@
             return;
         }
         this->intake->leave(this->id);
+        // A request that is under way keeps this object: what it holds counts no more.
+        this->lines = {};
         if (this->dismissal_timer) {
             this->dismissal_timer->cancel();
         }
--- a/tests/hostile/hostile_callers.tests.cpp
+++ b/tests/hostile/hostile_callers.tests.cpp
@@ -96,8 +96,7 @@
     check_afterwards(stage, at_rest);
 }
 
-// Known red, see KNOWN-RED.txt.
-TEST_CASE("A crowd that sends ahead and reads no answers", "[hostile][!mayfail]") {
+TEST_CASE("A crowd that sends ahead and reads no answers", "[hostile]") {
     hostile_stage stage;
     {
         line_caller writer(stage.caller_port());
