Cold databases and homes of requests are observed

Cold: core/placement/cold_databases (until when), core/limits/cold_pace (what an owner sends), routing leaves cold databases to the others; peer protocol 10. Homes: core/placement/home_regions; a statement chooses databases and owners in allowed regions only. Lists of a configuration keep their order (listed_configuration), which a check needs. Both act only where a configuration names a rate or regions.

--- a/src/persimmonpoint/core/catalog/database_directory.hpp
+++ b/src/persimmonpoint/core/catalog/database_directory.hpp
@@ -21,6 +21,8 @@
     bool leaving = false;
     bool claims_primary = false;
     std::uint64_t started_ms = 0; ///< Unix time of its start.
+    /// How much longer it is slow after its start, as it told itself.
+    std::uint64_t cold_remaining_ms = 0;
 
     friend bool
     operator==(registered_database const&, registered_database const&) = default;
--- a/src/persimmonpoint/core/catalog/directory_changes.cpp
+++ b/src/persimmonpoint/core/catalog/directory_changes.cpp
@@ -28,6 +28,10 @@
             add(text, id, "in another group");
         } else if (entry.leaving && !found->second.leaving) {
             add(text, id, "leaving");
+        } else if (entry.cold_remaining_ms > 0 && found->second.cold_remaining_ms == 0) {
+            add(text, id, "cold");
+        } else if (entry.cold_remaining_ms == 0 && found->second.cold_remaining_ms > 0) {
+            add(text, id, "warm");
         }
     }
     return text;
--- a/src/persimmonpoint/core/catalog/entry_rules.cpp
+++ b/src/persimmonpoint/core/catalog/entry_rules.cpp
@@ -45,6 +45,11 @@
         return field_fault{
             "slots", "is not from 1 to " + std::to_string(slots_range.most)};
     }
+    if (!cold_time_range.contains(entry.cold_remaining_ms)) {
+        return field_fault{
+            "cold_remaining_ms",
+            "is not from 0 to " + std::to_string(cold_time_range.most)};
+    }
     return find_address_fault(entry.address);
 }
 
--- a/src/persimmonpoint/core/catalog/entry_rules.hpp
+++ b/src/persimmonpoint/core/catalog/entry_rules.hpp
@@ -36,6 +36,10 @@
     0, std::numeric_limits<std::uint32_t>::max()};
 /// Longest timeout, objective or staleness bound of a route.
 inline constexpr duration max_route_time = std::chrono::hours(24);
+/// Milliseconds that a database is slow after its start.
+inline constexpr number_range cold_time_range{0, 86'400'000};
+/// Statements a second that a cold database takes.
+inline constexpr double max_cold_rate = 1e9;
 /// Rate (operations a second) and burst (operations) of a team.
 inline constexpr double max_team_rate = 1e9;
 /// Bytes of a name or an address.
--- a/src/persimmonpoint/core/catalog/fleet_configuration.hpp
+++ b/src/persimmonpoint/core/catalog/fleet_configuration.hpp
@@ -5,6 +5,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <persimmonpoint/core/placement/home_regions.hpp>
 #include <persimmonpoint/core/time.hpp>
 #include <string>
 #include <string_view>
@@ -29,12 +31,14 @@
     duration max_staleness{0};
     std::uint32_t priority = 0; ///< 0 is the highest.
     bool allow_anonymous = false;
+    region_set allowed_regions;
 };
 
 struct served_team {
     std::string name;
     double rate = 0;  ///< Operations a second, over all hosts.
     double burst = 0; ///< Operations.
+    region_set allowed_regions;
 };
 
 struct served_group {
@@ -42,6 +46,9 @@
     std::uint32_t max_connections = 0; ///< To each database, over all hosts.
     std::uint32_t sync_replicas =
         0; ///< Copies that must have a commit before its answer.
+    /// Statements a second that a cold database takes; without one, cold databases are
+    /// used like others.
+    std::optional<double> cold_rate;
 };
 
 /// One version of the configuration; not changed once it is in use.
--- a/src/persimmonpoint/core/routing/group_routing.cpp
+++ b/src/persimmonpoint/core/routing/group_routing.cpp
@@ -18,6 +18,8 @@
 /// Keeps reads off the primary, whose capacity is needed for writes and transactions.
 constexpr double primary_cost = 0.6;
 constexpr double other_zone_cost = 0.05;
+/// Reads wait long elsewhere before they use a cold database.
+constexpr double cold_cost = 10;
 constexpr double behind_floor_cost = 1.5;
 /// About what opening a connection takes of a database, compared with a statement.
 constexpr double unfamiliar_team_cost = 0.35;
@@ -73,6 +75,15 @@
            this->evacuated_zones.end();
 }
 
+void group_routing::set_warm_times(std::map<std::string, instant, std::less<>> times) {
+    this->warm_times = std::move(times);
+}
+
+bool group_routing::is_cold(std::string_view id, instant now) const {
+    auto const found = this->warm_times.find(id);
+    return found != this->warm_times.end() && now < found->second;
+}
+
 bool group_routing::can_lead_without(std::string_view id) const {
     return std::any_of(
         this->members.begin(), this->members.end(), [&](registered_database const& each) {
@@ -121,6 +132,9 @@
     if (leads) {
         cost += primary_cost;
     }
+    if (this->is_cold(database.id, now)) {
+        cost += cold_cost;
+    }
     // A read takes longer at a slow database, though nothing else waits there.
     double const slowness = this->speeds.slowness(database.id, now);
     cost += (slowness - 1) / database.slots;
--- a/src/persimmonpoint/core/routing/group_routing.hpp
+++ b/src/persimmonpoint/core/routing/group_routing.hpp
@@ -42,6 +42,9 @@
     /// Availability zones whose databases are given no work.
     void set_evacuated_zones(std::set<std::string, std::less<>> zones);
     bool is_evacuated(registered_database const& database) const;
+    /// When databases are warm that are cold, or were: until then reads use others.
+    void set_warm_times(std::map<std::string, instant, std::less<>> times);
+    bool is_cold(std::string_view id, instant now) const;
     /// True if a database other than `id` can lead the group: one that stays, in a zone
     /// that isn't evacuated.
     bool can_lead_without(std::string_view id) const;
@@ -128,6 +131,7 @@
 
     std::vector<registered_database> members;
     std::set<std::string, std::less<>> evacuated_zones;
+    std::map<std::string, instant, std::less<>> warm_times;
     bool has_team_affinity = false;
     std::map<std::string, database_stats, std::less<>> stats_by_id;
     database_speeds speeds;
--- a/src/persimmonpoint/engine/caller_session.cpp
+++ b/src/persimmonpoint/engine/caller_session.cpp
@@ -114,6 +114,8 @@
         if (this->state.state() == transaction_state::idle) {
             this->route = *allowed;
             this->team = holder;
+            this->homes =
+                home_regions(allowed->allowed_regions, this->regions_of(holder));
             this->wrote = false;
         }
         this->transaction = this->state.transaction();
@@ -149,6 +151,11 @@
         return true;
     }
 
+    region_set regions_of(std::string_view holder) const {
+        served_team const* const entry = this->configuration().find_team(holder);
+        return entry == nullptr ? region_set() : entry->allowed_regions;
+    }
+
     static bool needs_database(statement_action step) {
         return step == statement_action::execute_single ||
                step == statement_action::open ||
@@ -260,6 +267,7 @@
         order.read_only_transaction =
             first_read_only && this->route.kind != route_kind::primary;
         request.route = this->route;
+        request.homes = this->homes;
         request.non_idempotent =
             what.verb == statement_verb::commit ||
             (decision.step == statement_action::execute_single && decision.writes);
@@ -539,6 +547,7 @@
     std::string key;
     std::string team;
     served_route route;
+    home_regions homes; ///< Of route and team.
     client_session_state state;
     transaction_id transaction;
     std::string transaction_owner; ///< Holds its connection.
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <persimmonpoint/core/digest.hpp>
+#include <persimmonpoint/core/limits/cold_pace.hpp>
 #include <persimmonpoint/core/limits/commit_share.hpp>
 #include <persimmonpoint/core/limits/concurrency_profile.hpp>
 #include <persimmonpoint/core/limits/service_meter.hpp>
@@ -37,6 +38,9 @@
 /// Time that an order of the system's own may take if it names none.
 constexpr duration default_budget = std::chrono::milliseconds(500);
 constexpr double per_mille = 1000;
+/// Commands that a transaction is reckoned to take behind its first ones: they are sent
+/// as they come.
+constexpr std::size_t reckoned_transaction_commands = 6;
 /// Part of an estimated wait that counts: some that wait are given up before.
 constexpr int estimate_percent = 70;
 
@@ -140,17 +144,25 @@
     bool would_start_late(
         upstream_request const& order, line_place const& place, instant now) const {
         duration const each = this->meter.recent(service_class_of(order));
-        if (place.urgent || each <= duration(0)) {
+        if (place.urgent) {
             return false;
         }
-        auto const ahead = static_cast<std::int64_t>(this->waiting.ahead_of(place));
+        std::size_t const before = this->waiting.ahead_of(place);
+        if (this->pace.free_behind(before, now) > place.start_by) {
+            return true;
+        }
+        if (each <= duration(0)) {
+            return false;
+        }
+        auto const ahead = static_cast<std::int64_t>(before);
         duration const wait = each * ahead / std::max(this->present_limit(), 1U);
         return wait * estimate_percent / 100 > place.start_by - now;
     }
 
     bool is_past_work_end(upstream_request const& order) const {
-        bool const is_over = !this->takes_new_work ||
-                             (this->work_end && this->time.now() >= *this->work_end);
+        instant const now = this->time.now();
+        bool const is_over = !this->takes_new_work || this->pace.is_closed(now) ||
+                             (this->work_end && now >= *this->work_end);
         return is_over && !is_control(order.kind) && !order.transaction.is_set();
     }
 
@@ -270,7 +282,8 @@
             !changes_log(order) ||
             this->commits.may_start(this->present_limit(), this->time.now());
         std::uint32_t const limit = this->present_limit();
-        return may_commit && this->running < limit && this->at_database() < limit
+        return this->pace.may_send(this->time.now()) && may_commit &&
+                       this->running < limit && this->at_database() < limit
                    ? this->lane_for_work(order)
                    : nullptr;
     }
@@ -320,6 +333,7 @@
         if (!this->may_open()) {
             return;
         }
+        this->pace.sent(1, this->time.now());
         std::uint64_t const id = ++this->last_lane;
         lane& made = this->lanes[id];
         made.view.id = id;
@@ -352,6 +366,7 @@
         if (result == open_result::crowded) {
             this->crowded_until = this->time.now() + crowded_time;
         } else if (result == open_result::refused) {
+            this->pace.refused(this->time.now());
             this->observer.on_refused(this->database.id);
         } else if (result == open_result::silent) {
             this->observer.on_silent(this->database.id);
@@ -407,6 +422,7 @@
         on.main_sent = false;
         on.source = pending.source;
         on.counts_as_commit = changes_log(pending.order);
+        this->pace_out(pending.order, on.steps.size());
         on.current = std::move(pending);
         if (on.view.state == pooled_connection_state::idle) {
             on.view.state = pooled_connection_state::busy;
@@ -424,6 +440,15 @@
         }
     }
 
+    void pace_out(upstream_request const& order, std::size_t commands) {
+        if (order.transaction.is_set()) {
+            return; // Reckoned with as it was opened.
+        }
+        bool const opens = order.kind == upstream_request_kind::open_transaction;
+        this->pace.sent(
+            commands + (opens ? reckoned_transaction_commands : 0), this->time.now());
+    }
+
     void send_main(lane& on) {
         upstream_command const& main = on.steps[on.next_step].command;
         if (on.counts_as_commit && !this->observer.may_send_commit(this->database.id)) {
@@ -845,6 +870,7 @@
     std::optional<instant> work_end;
     waiting_line<pending_order> waiting{most_waiting, most_waiting_bytes};
     commit_share commits;
+    cold_pace pace;
     service_meter meter;
     concurrency_profile concurrency;
     std::uint32_t logged_limit = 0;
@@ -897,6 +923,10 @@
     this->impl->set_service(takes_new_work, takes_transactions);
 }
 
+void database_owner::set_cold_allowance(cold_allowance const& allowance) {
+    this->impl->pace.set(allowance, this->impl->time.now());
+}
+
 void database_owner::set_limits(connection_limits limits) {
     this->impl->limits = limits;
     this->impl->concurrency.set_most(limits.running);
--- a/src/persimmonpoint/engine/database_owner.hpp
+++ b/src/persimmonpoint/engine/database_owner.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <persimmonpoint/core/catalog/database_directory.hpp>
+#include <persimmonpoint/core/limits/cold_pace.hpp>
 #include <persimmonpoint/core/recovery/unacknowledged_commits.hpp>
 #include <persimmonpoint/core/routing/connection_choice.hpp>
 #include <persimmonpoint/core/routing/log_position.hpp>
@@ -70,6 +71,8 @@
     /// Whether orders that belong to no open transaction, and those that do, are carried
     /// out. Orders of the system's own always are.
     void set_service(bool takes_new_work, bool takes_transactions);
+    /// What the database may be sent while it is cold.
+    void set_cold_allowance(cold_allowance const& allowance);
     void set_limits(connection_limits limits);
     /// Closes connections that are over the limits or idle for too long.
     void trim();
--- a/src/persimmonpoint/engine/dispatcher.cpp
+++ b/src/persimmonpoint/engine/dispatcher.cpp
@@ -52,16 +52,16 @@
         owner_observer& observer,
         fleet_view const& view,
         std::string self,
-        duration drain,
-        duration evacuation)
+        database_bounds const& bounds)
         : loop(loop),
           connector(connector),
           time(time),
           observer(observer),
           view(view),
           self(std::move(self)),
-          drains(drain),
-          evacuation_limit(evacuation),
+          drains(bounds.drain),
+          evacuation_limit(bounds.evacuation),
+          cold_overrun(bounds.cold_overrun),
           transactions(time.now(), draw_nonce()),
           commits(loop, time, *this),
           trimmer(loop) {}
@@ -79,6 +79,7 @@
             this->loop, this->connector, this->time, this->observer, this->transactions,
             *entry);
         made->set_limits(this->limits_for(*entry));
+        made->set_cold_allowance(this->cold_allowance_for(*entry));
         made->set_work_end(this->drains.work_ends_at(id));
         if (this->ends_transactions) {
             made->end_transactions();
@@ -114,6 +115,21 @@
         }
     }
 
+    /// Only the first owner uses a cold database. Where several hosts take themselves for
+    /// that, the shares keep them within the bound.
+    cold_allowance cold_allowance_for(registered_database const& database) const {
+        auto const& groups = this->view.configuration->groups;
+        auto const group = groups.find(database.group);
+        if (group == groups.end() || !group->second.cold_rate) {
+            return {};
+        }
+        auto const& ranked = this->ranked(database);
+        bool const is_first = !ranked.empty() && ranked.front() == this->self;
+        return {
+            true, is_first ? cold_share(*group->second.cold_rate, this->cold_overrun) : 0,
+            this->view.cold.warm_at(database.id)};
+    }
+
     connection_limits limits_for(registered_database const& database) const {
         auto const& ranked = this->ranked(database);
         auto const at = std::find(ranked.begin(), ranked.end(), this->self);
@@ -138,6 +154,29 @@
         return found->second;
     }
 
+    /// Owners that a request may be brought to: this host has it already.
+    std::vector<std::string>
+    owners_at_home(registered_database const& database, home_regions const& homes) const {
+        std::vector<std::string> owners = this->ranked(database);
+        if (homes.is_bound()) {
+            std::erase_if(owners, [&](std::string const& each) {
+                return each != this->self &&
+                       !homes.allows_zone(this->zone_of(each), this->view.regions);
+            });
+        }
+        return owners;
+    }
+
+    /// Empty for a host that isn't known any more.
+    std::string zone_of(std::string const& host) const {
+        for (registered_host const& each : this->mesh->usable_hosts()) {
+            if (each.name == host) {
+                return each.availability_zone;
+            }
+        }
+        return {};
+    }
+
     void submit_along(
         upstream_request order,
         std::vector<std::string> owners,
@@ -342,6 +381,7 @@
             each->second->set_database(*entry);
             each->second->set_work_end(this->drains.work_ends_at(each->first));
             each->second->set_limits(this->limits_for(*entry));
+            each->second->set_cold_allowance(this->cold_allowance_for(*entry));
             this->follow_evacuation(*entry, *each->second);
             ++each;
         }
@@ -355,6 +395,7 @@
     std::string self;
     drain_times drains;
     duration evacuation_limit;
+    double cold_overrun;
     std::map<std::string, database_evacuation, std::less<>> evacuations; ///< Of `owners`.
     transaction_numbering transactions;
     commit_relay commits;
@@ -374,10 +415,9 @@
     owner_observer& observer,
     fleet_view const& view,
     std::string self,
-    duration drain,
-    duration evacuation)
+    database_bounds const& bounds)
     : impl(std::make_shared<implementation>(
-          loop, connector, clock, observer, view, std::move(self), drain, evacuation)) {
+          loop, connector, clock, observer, view, std::move(self), bounds)) {
     this->impl->trim_later();
 }
 
@@ -398,12 +438,12 @@
     });
 }
 
-void dispatcher::submit(upstream_request order, handler done) {
+void dispatcher::submit(upstream_request order, home_regions const& homes, handler done) {
     registered_database const* const entry =
         this->impl->view.find_database(order.database);
     std::vector<std::string> owners;
     if (entry != nullptr) {
-        owners = this->impl->ranked(*entry);
+        owners = this->impl->owners_at_home(*entry, homes);
     }
     if (owners.empty()) {
         upstream_response answer;
--- a/src/persimmonpoint/engine/dispatcher.hpp
+++ b/src/persimmonpoint/engine/dispatcher.hpp
@@ -4,14 +4,26 @@
 #include <functional>
 #include <memory>
 #include <persimmonpoint/core/placement/database_evacuation.hpp>
+#include <persimmonpoint/core/placement/home_regions.hpp>
 #include <persimmonpoint/engine/commit_guard.hpp>
 #include <persimmonpoint/engine/database_owner.hpp>
 #include <persimmonpoint/engine/fleet_view.hpp>
 #include <persimmonpoint/engine/peer_mesh.hpp>
 #include <string>
+#include <utility>
 
 namespace persimmonpoint::engine {
 
+/// Bounds on what databases are sent, by the settings.
+struct database_bounds {
+    /// How long a database serves from when it tells that it leaves.
+    duration drain{0};
+    /// Time within which a database of an evacuated zone is sent nothing more.
+    duration evacuation = default_evacuation_limit;
+    /// Factor by which the rate of a cold database may be exceeded.
+    double cold_overrun = 1;
+};
+
 /// Takes orders to the host that owns the database's connections, and runs the orders for
 /// the databases that this host owns.
 class dispatcher {
@@ -21,9 +33,6 @@
     using handler =
         std::function<void(upstream_response answer, std::string const& owner)>;
 
-    /// @param drain How long a database serves from when it tells that it leaves.
-    /// @param evacuation Time within which a database of an evacuated zone is sent
-    /// nothing more.
     dispatcher(
         boost::asio::io_context& loop,
         upstream_connector& connector,
@@ -31,8 +40,7 @@
         owner_observer& observer,
         fleet_view const& view,
         std::string self,
-        duration drain,
-        duration evacuation = default_evacuation_limit);
+        database_bounds const& bounds);
     ~dispatcher();
     void use(peer_mesh& mesh);
     /// Commits are sent as far as the guard allows; all of them without one.
@@ -40,7 +48,11 @@
 
     /// Gives the order to the first owner that is usable, and to the next one if it could
     /// not be run there.
-    void submit(upstream_request order, handler done);
+    /// @param homes Of the request: it is brought to no host elsewhere.
+    void submit(upstream_request order, home_regions const& homes, handler done);
+    void submit(upstream_request order, handler done) {
+        this->submit(std::move(order), home_regions(), std::move(done));
+    }
     /// Gives the order to this owner only.
     void submit_to(std::string const& owner, upstream_request order, handler done);
     /// Runs an order here, for another host or this one.
--- a/src/persimmonpoint/engine/fleet_view.hpp
+++ b/src/persimmonpoint/engine/fleet_view.hpp
@@ -10,7 +10,9 @@
 #include <persimmonpoint/core/membership/directory_readings.hpp>
 #include <persimmonpoint/core/membership/directory_tracker.hpp>
 #include <persimmonpoint/core/membership/host_tracker.hpp>
+#include <persimmonpoint/core/placement/cold_databases.hpp>
 #include <persimmonpoint/core/placement/evacuation_tracker.hpp>
+#include <persimmonpoint/core/placement/home_regions.hpp>
 #include <persimmonpoint/core/routing/connection_budget.hpp>
 #include <persimmonpoint/core/routing/group_routing.hpp>
 #include <string>
@@ -31,6 +33,8 @@
     directory_readings readings;
     host_tracker hosts;
     evacuation_tracker evacuations;
+    cold_databases cold;
+    zone_regions regions; ///< By the settings.
 
     /// What is known of a group; made when it is asked for first.
     group_routing& group(std::string_view name) {
@@ -70,8 +74,25 @@
             each.second.set_databases(std::move(by_group[each.first]));
             each.second.set_evacuated_zones(this->evacuations.current().zones);
             each.second.set_team_affinity(this->is_short_of_connections(each.first));
+            each.second.set_warm_times(this->warm_times(each.first));
         }
     }
+    /// Of the group's databases, when those are warm that were cold; empty if cold ones
+    /// are used like others.
+    std::map<std::string, instant, std::less<>> warm_times(std::string_view group) const {
+        std::map<std::string, instant, std::less<>> times;
+        auto const found = this->configuration->groups.find(group);
+        if (found == this->configuration->groups.end() || !found->second.cold_rate) {
+            return times;
+        }
+        for (auto const& [id, entry] : this->directory.current().databases) {
+            instant const warm_at = this->cold.warm_at(id);
+            if (entry.group == group && warm_at > instant()) {
+                times.emplace(id, warm_at);
+            }
+        }
+        return times;
+    }
     bool is_short_of_connections(std::string_view group) const {
         auto const found = this->configuration->groups.find(group);
         return found != this->configuration->groups.end() &&
--- a/src/persimmonpoint/engine/peer_messages.cpp
+++ b/src/persimmonpoint/engine/peer_messages.cpp
@@ -65,6 +65,7 @@
 void serialize(Archive& archive, registered_database& value) {
     archive(value.id, value.group, value.address, value.availability_zone, value.slots);
     archive(value.leaving, value.claims_primary, value.started_ms);
+    archive(value.cold_remaining_ms);
 }
 
 template <class Archive>
--- a/src/persimmonpoint/engine/peer_messages.hpp
+++ b/src/persimmonpoint/engine/peer_messages.hpp
@@ -18,7 +18,7 @@
 namespace persimmonpoint::engine {
 
 /// Raised when a message changes; hosts of other versions are not spoken to.
-inline constexpr std::uint32_t peer_protocol_version = 9;
+inline constexpr std::uint32_t peer_protocol_version = 10;
 
 /// Larger than any configuration that the store's client takes, and than any answer that
 /// a connection to a database takes.
--- a/src/persimmonpoint/engine/statement_run.cpp
+++ b/src/persimmonpoint/engine/statement_run.cpp
@@ -149,6 +149,40 @@
     return true;
 }
 
+bool statement_run::is_at_home(registered_database const& database) const {
+    return this->impl->request.homes.allows_zone(
+        database.availability_zone, this->impl->context.view.regions);
+}
+
+bool statement_run::has_home(group_routing const& group) const {
+    run_request const& request = this->impl->request;
+    if (!request.homes.is_bound()) {
+        return true;
+    }
+    auto const all = group.databases();
+    if (!request.needs_leader) {
+        return std::any_of(all.begin(), all.end(), [this](auto const& each) {
+            return this->is_at_home(each);
+        });
+    }
+    auto const* const leader =
+        group.leader() ? group.find(group.leader()->database) : nullptr;
+    return leader == nullptr || this->is_at_home(*leader);
+}
+
+std::vector<std::string> statement_run::excluded(group_routing const& group) const {
+    auto const tried = this->impl->plan.tried();
+    std::vector<std::string> all(tried.begin(), tried.end());
+    if (this->impl->request.homes.is_bound()) {
+        for (registered_database const& each : group.databases()) {
+            if (!this->is_at_home(each)) {
+                all.push_back(each.id);
+            }
+        }
+    }
+    return all;
+}
+
 void statement_run::attempt() {
     run_request const& request = this->impl->request;
     instant const now = this->impl->context.time.now();
@@ -159,6 +193,12 @@
                                         "are evacuated");
         return;
     }
+    if (!this->has_home(group)) {
+        this->refuse(
+            this->impl->plan.refusal(), "no database for it is in a region that its "
+                                        "route and team allow");
+        return;
+    }
     std::optional<std::string> chosen;
     std::optional<log_position> floor;
     if (request.needs_leader) {
@@ -167,7 +207,7 @@
         }
     } else if (this->find_floor(floor)) {
         chosen = group.choose_for_read(
-            floor, this->impl->context.availability_zone, this->impl->plan.tried(), now,
+            floor, this->impl->context.availability_zone, this->excluded(group), now,
             request.order.team);
     } else if (!this->impl->checked_leader && group.leader()) {
         this->check_leader();
@@ -231,7 +271,8 @@
         self->answered(database, now, std::move(answer), owner);
     };
     if (request.owner.empty()) {
-        this->impl->context.orders.submit(std::move(order), std::move(done));
+        this->impl->context.orders.submit(
+            std::move(order), request.homes, std::move(done));
     } else {
         this->impl->context.orders.submit_to(
             request.owner, std::move(order), std::move(done));
--- a/src/persimmonpoint/engine/statement_run.hpp
+++ b/src/persimmonpoint/engine/statement_run.hpp
@@ -25,6 +25,7 @@
 struct run_request {
     upstream_request order; ///< Kind, texts, values; the database is chosen by the run.
     served_route route;     ///< As it was when the transaction began.
+    home_regions homes;     ///< Of route and team, as above.
     bool needs_leader = false;
     std::optional<log_position>
         last_commit_position; ///< Of the session, where its reads need it.
@@ -73,6 +74,14 @@
     void later();
     void refuse(statement_error code, std::string text);
     void finish(run_outcome outcome);
+    /// True if the request may be brought to the database.
+    bool is_at_home(registered_database const& database) const;
+    /// False if none of the databases that could carry it out is one that it may be
+    /// brought to.
+    bool has_home(group_routing const& group) const;
+    /// Databases that a read doesn't choose: those that were tried, and those that it may
+    /// not be brought to.
+    std::vector<std::string> excluded(group_routing const& group) const;
     /// False if no floor is known that is good enough.
     bool find_floor(std::optional<log_position>& floor) const;
 
--- a/src/persimmonpoint/engine/traffic_counts.cpp
+++ b/src/persimmonpoint/engine/traffic_counts.cpp
@@ -63,6 +63,7 @@
         gauges.callers_over_connections);
     line(out, "evacuated_zones", gauges.evacuated_zones);
     line(out, "evacuated_databases", gauges.evacuated_databases);
+    line(out, "cold_databases", gauges.cold_databases);
     for (auto const& [route, histogram] : counts.latencies) {
         histogram.write(
             out, "persimmonpoint_statement_seconds",
--- a/src/persimmonpoint/engine/traffic_counts.hpp
+++ b/src/persimmonpoint/engine/traffic_counts.hpp
@@ -43,6 +43,7 @@
     std::uint64_t callers_over_connections = 0;
     std::uint64_t evacuated_zones = 0;
     std::uint64_t evacuated_databases = 0; ///< That this host has connections to.
+    std::uint64_t cold_databases = 0;
 };
 
 /// All of it in the text format of Prometheus.
--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -126,8 +126,8 @@
               evidence,
               view,
               settings.name,
-              settings.drain,
-              settings.evacuation),
+              database_bounds{
+                  settings.drain, settings.evacuation, settings.cold_overrun}),
           guard(traffic_loop, time, view, *this, settings.name),
           runs{traffic_loop, time, view, orders, settings.availability_zone},
           quotas(traffic_loop, time, view, settings.name, settings.quotas),
@@ -149,6 +149,7 @@
         this->quotas.start(this->mesh);
         this->keeper.start(this->mesh);
         this->mesh.set_seeds(this->settings.seeds);
+        this->view.regions = this->settings.regions;
         this->remove_lost_hosts();
     }
 
@@ -503,6 +504,8 @@
     }
 
     void directory_changed() {
+        this->view.cold.update(
+            this->view.directory.current().databases, this->time.now());
         this->view.share_out_databases();
         database_directory const& now = this->view.directory.current();
         observe::log_event(
@@ -809,6 +812,7 @@
         }
         now.evacuated_zones = this->view.evacuations.current().zones.size();
         now.evacuated_databases = this->orders.evacuated_databases();
+        now.cold_databases = this->view.cold.count(this->time.now());
         return now;
     }
 
--- a/src/persimmonpoint/platform/fleet_decoder.cpp
+++ b/src/persimmonpoint/platform/fleet_decoder.cpp
@@ -33,6 +33,12 @@
     return static_cast<std::uint32_t>(value);
 }
 
+/// Rounded up.
+std::uint64_t to_whole_milliseconds(duration time) {
+    return static_cast<std::uint64_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(time).count());
+}
+
 std::optional<route_kind> parse_kind(std::string_view word) {
     if (word == "primary") {
         return route_kind::primary;
@@ -68,11 +74,11 @@
     }
 
     void leave_out(std::string_view list, std::string entry, field_fault fault) {
-        this->decoded.left_out.push_back(
+        this->listed.left_out.push_back(
             entry_fault{std::string(list), std::move(entry), std::move(fault)});
     }
 
-    decoded_configuration decoded;
+    listed_configuration listed;
 
 private:
     using entry_reader =
@@ -91,6 +97,22 @@
         }
     }
 
+    /// An entry whose regions can't be read is left out: it may not be seen everywhere.
+    static region_set read_regions(field_reader& fields) {
+        region_set regions;
+        if (!fields.has("allowed_regions")) {
+            return regions;
+        }
+        for (json::value const& each : fields.list("allowed_regions")) {
+            if (each.is_string()) {
+                regions.emplace(each.as_string());
+            } else {
+                fields.fail("allowed_regions", "holds what is no text");
+            }
+        }
+        return regions;
+    }
+
     static std::string name_of(json::object const& entry) {
         return field_reader(entry).text("name");
     }
@@ -113,8 +135,9 @@
             fields.optional_milliseconds("max_staleness_ms", max_route_time);
         route.priority = narrowed(fields.optional_number("priority", priority_range));
         route.allow_anonymous = fields.optional_flag("allow_anonymous");
+        route.allowed_regions = read_regions(fields);
         if (!fields.fault()) {
-            this->decoded.configuration.routes[route.database] = std::move(route);
+            this->listed.routes.push_back(std::move(route));
         }
         return fields.fault();
     }
@@ -127,29 +150,33 @@
             narrowed(fields.number("max_connections", connections_range));
         group.sync_replicas =
             narrowed(fields.optional_number("sync_replicas", sync_replicas_range));
+        if (fields.has("cold_per_s")) {
+            group.cold_rate = fields.decimal("cold_per_s", max_cold_rate);
+        }
         if (!fields.fault()) {
-            this->decoded.configuration.groups[group.name] = std::move(group);
+            this->listed.groups.push_back(std::move(group));
         }
         return fields.fault();
     }
 
     std::optional<field_fault> read_team(json::object const& entry) {
         field_reader fields(entry);
-        served_team team;
+        listed_team entry_read;
+        served_team& team = entry_read.team;
         team.name = fields.word("name");
         team.rate = fields.decimal("rate_per_s", max_team_rate);
         team.burst = fields.decimal("burst", max_team_rate);
+        team.allowed_regions = read_regions(fields);
         json::array const& keys = fields.list("api_keys");
         if (fields.fault()) {
             return fields.fault();
         }
         for (json::value const& each : keys) {
             if (each.is_string()) {
-                this->decoded.configuration.keys[std::string(each.as_string())] =
-                    team.name;
+                entry_read.keys.emplace_back(each.as_string());
             }
         }
-        this->decoded.configuration.teams[team.name] = std::move(team);
+        this->listed.teams.push_back(std::move(entry_read));
         return std::nullopt;
     }
 };
@@ -157,13 +184,24 @@
 } // namespace
 
 result<decoded_configuration> decode_configuration(std::string_view body) {
+    auto listed = decode_listed_configuration(body);
+    if (!listed) {
+        return listed.error();
+    }
+    decoded_configuration decoded;
+    decoded.left_out = std::move(listed.value().left_out);
+    decoded.configuration = index_configuration(std::move(listed.value()));
+    return decoded;
+}
+
+result<listed_configuration> decode_listed_configuration(std::string_view body) {
     auto const object = parse_object(body);
     if (!object) {
         return unreadable("configuration is not a JSON object");
     }
     field_reader fields(*object);
     configuration_reader lists;
-    fleet_configuration& configuration = lists.decoded.configuration;
+    listed_configuration& configuration = lists.listed;
     configuration.version = fields.number("version");
     lists.read_routes(fields.list("routes"));
     lists.read_groups(fields.list("services"));
@@ -177,7 +215,7 @@
             lists.leave_out("limits", {}, *limit.fault());
         }
     }
-    return checked(fields, std::move(lists.decoded));
+    return checked(fields, std::move(lists.listed));
 }
 
 result<registered_database> decode_database(std::string_view id, std::string_view body) {
@@ -203,6 +241,8 @@
         fields.fail("database_role", "is not known");
     }
     out.started_ms = fields.optional_number("born");
+    out.cold_remaining_ms = to_whole_milliseconds(fields.optional_milliseconds(
+        "cold_remaining_ms", std::chrono::milliseconds(cold_time_range.most)));
     if (auto const fault = find_fault(out); fault && !fields.fault()) {
         fields.fail(fault->field, fault->reason);
     }
--- a/src/persimmonpoint/platform/fleet_decoder.hpp
+++ b/src/persimmonpoint/platform/fleet_decoder.hpp
@@ -7,6 +7,7 @@
 #include <persimmonpoint/core/catalog/database_directory.hpp>
 #include <persimmonpoint/core/catalog/entry_rules.hpp>
 #include <persimmonpoint/core/catalog/fleet_configuration.hpp>
+#include <persimmonpoint/core/catalog/listed_configuration.hpp>
 #include <persimmonpoint/core/error.hpp>
 #include <persimmonpoint/interfaces/fleet_store.hpp>
 #include <string>
@@ -25,6 +26,9 @@
 /// can't be used is left out, and the others hold.
 result<decoded_configuration> decode_configuration(std::string_view body);
 
+/// The same with its lists in order, for a check of what was written.
+result<listed_configuration> decode_listed_configuration(std::string_view body);
+
 /// An entry of the databases' registry. Fails, and names what is wrong, if a field is
 /// missing, of another type or out of bounds: such an entry names no database to use.
 result<registered_database> decode_database(std::string_view id, std::string_view body);
--- a/src/persimmonpoint/settings/front_settings.cpp
+++ b/src/persimmonpoint/settings/front_settings.cpp
@@ -1,5 +1,6 @@
 #include <charconv>
 #include <fstream>
+#include <map>
 #include <persimmonpoint/net/tcp_options.hpp>
 #include <persimmonpoint/settings/front_settings.hpp>
 #include <persimmonpoint/settings/table_reader.hpp>
@@ -26,6 +27,8 @@
 constexpr double least_connections = 1;
 constexpr double most_count = 1e12;
 constexpr double most_overrun = 1;
+constexpr double least_cold_overrun = 1;
+constexpr double most_cold_overrun = 1000;
 constexpr double most_slack = 1000000; ///< Operations.
 
 /// Reads one table; an absent one is read as empty.
@@ -91,6 +94,17 @@
         value = std::chrono::duration_cast<std::chrono::milliseconds>(read);
     }
 
+    /// All keys with a text.
+    std::map<std::string, std::string, std::less<>> texts() const {
+        std::map<std::string, std::string, std::less<>> all;
+        for (auto const& [key, value] : this->table) {
+            if (auto const text = value.value<std::string>()) {
+                all.emplace(key.str(), *text);
+            }
+        }
+        return all;
+    }
+
     toml::table table;
     table_reader reader;
 };
@@ -159,6 +173,10 @@
     databases.length_of_time("drain", values.drain, least_drain, most_drain);
     databases.length_of_time(
         "evacuation", values.evacuation, least_evacuation, most_evacuation);
+    databases.number(
+        "cold_overrun", values.cold_overrun, least_cold_overrun, most_cold_overrun);
+    section zones(root, "zones", file, out.findings);
+    values.regions = zones.texts();
     section stop(root, "stop", file, out.findings);
     duration grace = values.grace;
     stop.reader.length_of_time("grace", grace, least_grace, most_grace);
--- a/src/persimmonpoint/settings/front_settings.hpp
+++ b/src/persimmonpoint/settings/front_settings.hpp
@@ -8,6 +8,7 @@
 #include <persimmonpoint/core/limits/caller_limits.hpp>
 #include <persimmonpoint/core/limits/quota_share.hpp>
 #include <persimmonpoint/core/placement/database_evacuation.hpp>
+#include <persimmonpoint/core/placement/home_regions.hpp>
 #include <persimmonpoint/settings/finding.hpp>
 #include <string>
 #include <string_view>
@@ -49,6 +50,11 @@
     /// From the operator's request to evacuate an availability zone on, the time within
     /// which its databases are sent their last statement.
     duration evacuation = default_evacuation_limit;
+    /// Factor by which the rate of a cold database may be exceeded.
+    double cold_overrun = 1;
+
+    // [zones] The region of each availability zone.
+    zone_regions regions;
 
     // [stop]
     std::chrono::milliseconds grace{6000}; ///< From the signal to the end.
--- a/tests/introspective/caller_session.tests.cpp
+++ b/tests/introspective/caller_session.tests.cpp
@@ -52,7 +52,7 @@
               this->observer,
               this->view,
               "a",
-              std::chrono::seconds(7)),
+              database_bounds{std::chrono::seconds(7)}),
           runs{this->loop, this->time, this->view, this->orders, "zone"},
           quotas(this->loop, this->time, this->view, "a", {}),
           context{this->runs, this->quotas, this->counts},
--- a/tests/introspective/commit_guard.tests.cpp
+++ b/tests/introspective/commit_guard.tests.cpp
@@ -269,8 +269,13 @@
     no_connector connector;
     no_observer observer;
     dispatcher orders{
-        this->loop, this->connector,        this->time, this->observer, this->b->view,
-        "b",        std::chrono::seconds(7)};
+        this->loop,
+        this->connector,
+        this->time,
+        this->observer,
+        this->b->view,
+        "b",
+        database_bounds{std::chrono::seconds(7)}};
     std::optional<upstream_response> answer;
 };
 
--- a/tests/introspective/database_owner.tests.cpp
+++ b/tests/introspective/database_owner.tests.cpp
@@ -248,6 +248,36 @@
     CHECK(stage.connector.sent[1] == sent_texts{"BEGIN", "WRITE b 2"});
 }
 
+TEST_CASE(
+    "A cold database is sent nothing of callers by an owner that isn't the first",
+    "[owner][cold]") {
+    owner_stage stage;
+    stage.owner->set_cold_allowance(
+        {true, 0, stage.time.now() + std::chrono::seconds(30)});
+    upstream_request read;
+    read.text = "READ a";
+    CHECK(stage.run(read, first_link).refusal == upstream_refusal::unreachable);
+    CHECK(stage.connector.sent.empty());
+    upstream_request report;
+    report.kind = upstream_request_kind::report_state;
+    CHECK(stage.run(report, first_link).outcome == upstream_outcome::answered);
+    stage.owner->set_cold_allowance({true, 0, {}});
+    CHECK(stage.run(read, first_link).succeeded());
+}
+
+// Load: all requests of a group at the moment at which its database comes back.
+TEST_CASE(
+    "What a cold database would take too late is refused at once", "[owner][cold]") {
+    owner_stage stage;
+    stage.owner->set_cold_allowance(
+        {true, 2, stage.time.now() + std::chrono::seconds(30)});
+    upstream_request read;
+    read.text = "READ a";
+    read.budget_ms = 400;
+    CHECK(stage.run(read, first_link).refusal == upstream_refusal::overloaded);
+    CHECK(stage.connector.sent.empty());
+}
+
 // Guards against a transaction that stays open, with its connection, though the host that
 // asked for it is gone.
 TEST_CASE(
--- a/tests/introspective/platform_codec.tests.cpp
+++ b/tests/introspective/platform_codec.tests.cpp
@@ -246,10 +246,16 @@
 promotion = "127.0.0.1:5"
 [peers]
 seeds = "127.0.0.1:3,127.0.0.2:3"
+[zones]
+zone-a = "north"
+[databases]
+cold_overrun = "1.5"
 [stop]
 grace = "6s"
 )");
     CHECK(good.findings.empty());
+    CHECK(good.values.regions == zone_regions{{"zone-a", "north"}});
+    CHECK(good.values.cold_overrun == 1.5);
     CHECK(good.values.seeds.size() == 2);
     CHECK(good.values.grace == std::chrono::seconds(6));
     auto const bad = settings::load_front("f", "[listen]\ncallers = \"somewhere\"\n");
--- a/tests/support/fleet_stage.cpp
+++ b/tests/support/fleet_stage.cpp
@@ -22,11 +22,13 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-std::string route(std::string const& database, std::string const& kind) {
+std::string
+route(std::string const& database, std::string const& kind, std::string const& fields) {
     return R"({"name":"route-)" + database + R"(","host":")" + database +
            R"(","kind":")" + kind +
            R"(","timeout_ms":2000,"target_latency_ms":1000,"priority":1,"service":")" +
-           group_name + R"(","max_staleness_ms":1500,"allow_anonymous":false})";
+           group_name + R"(","max_staleness_ms":1500,"allow_anonymous":false)" + fields +
+           "}";
 }
 
 } // namespace
@@ -83,16 +85,18 @@
         list += (list.empty() ? "\"" : ",\"") + each + "\"";
     }
     std::string const limit = std::to_string(rate);
-    std::string routes = route("alerts", "primary") + "," +
-                         route("browse", "bounded_staleness") + "," +
-                         route("tallies", "read_own_writes");
+    std::string const& fields = this->route_fields;
+    std::string routes = route("alerts", "primary", fields) + "," +
+                         route("browse", "bounded_staleness", fields) + "," +
+                         route("tallies", "read_own_writes", fields);
     if (extra_route) {
-        routes += "," + route("added", "primary");
+        routes += "," + route("added", "primary", fields);
     }
     std::string const body =
         R"({"version":)" + std::to_string(++this->version) + R"(,"routes":[)" + routes +
         R"(],"services":[{"name":")" + group_name +
-        R"(","max_connections":16,"sync_replicas":1}],"limits":{"transaction_idle_ms":400},)" +
+        R"(","max_connections":16,"sync_replicas":1)" + this->service_fields +
+        R"(}],"limits":{"transaction_idle_ms":400},)" +
         R"("tenants":[{"name":"hatchery","api_keys":[)" + list + R"(],"rate_per_s":)" +
         limit + R"(,"burst":)" + std::to_string(burst.value_or(rate)) +
         R"(},{"name":"audit","api_keys":["key-audit"],)" +
@@ -119,7 +123,8 @@
                     R"(","version":"v1","slots":2,"state":")" +
                     (leaves ? "draining" : "ready") + R"(","database_role":")" +
                     (id == this->group->leader() ? "primary" : "replica") +
-                    R"(","cold_remaining_ms":0,"sequence":1,"born":1000})");
+                    R"(","cold_remaining_ms":)" + std::to_string(this->cold_ms[id]) +
+                    R"(,"sequence":1,"born":1000})");
         }
     });
 }
@@ -137,6 +142,7 @@
     values.store = at(reaches_store ? this->store->port() : free_port());
     values.promotion = at(this->store->port());
     values.seeds = this->peer_addresses;
+    values.regions = this->regions;
     values.grace = std::chrono::milliseconds(2500);
     values.rotation = std::chrono::milliseconds(300);
     this->peer_addresses.push_back(values.peers);
--- a/tests/support/fleet_stage.hpp
+++ b/tests/support/fleet_stage.hpp
@@ -48,6 +48,13 @@
 
     /// Availability zones of databases that aren't in the hosts' zone, by id.
     std::map<std::string, std::string> zones;
+    /// Milliseconds that databases say to be cold for, by id.
+    std::map<std::string, unsigned> cold_ms;
+    /// Fields of the service and of each route, each with a comma in front.
+    std::string service_fields;
+    std::string route_fields;
+    /// The region of each availability zone, in the settings of hosts that are added.
+    zone_regions regions;
     standin::line_group* group = nullptr;
     standin::row_store* store = nullptr;
 
