--- a/src/persimmonpoint/platform/line_codec.cpp
+++ b/src/persimmonpoint/platform/line_codec.cpp
@@ -80,6 +80,9 @@
         return std::nullopt;
     }
     if (word == "DEALLOCATE") {
+        if (!rest.empty()) {
+            return std::nullopt;
+        }
         parsed.verb = statement_verb::deallocate;
         return parsed;
     }
--- a/tests/introspective/platform_codec.tests.cpp
+++ b/tests/introspective/platform_codec.tests.cpp
@@ -38,7 +38,7 @@
     for (char const* text :
          {"", "BEGIN WRITE", "COMMIT now", "READ", "PREPARE s1 BOTH q", "PREPARE s1 READ",
           "AFTER 3.1 READ a", "STATUS", "PAUSE 4", "RESET", "SET", "read a", "EXECUTE s1",
-          "EXECUTE s1 "}) {
+          "EXECUTE s1 ", "DEALLOCATE s1 more"}) {
         CAPTURE(text);
         CHECK_FALSE(parse_statement("1", text));
     }
