A host without a configuration isn't asked through to databases

Cause: it answered another host's question whether it reaches a database, and opened a connection for team "-". It leaves the question open now, as a host that doesn't answer.

--- a/src/persimmonpoint/host/front_host.cpp
+++ b/src/persimmonpoint/host/front_host.cpp
@@ -593,7 +593,11 @@
     void on_loan(loan_message const& message) override { this->quotas.on_loan(message); }
     void
     on_reach_query(std::string const& database, std::function<void(bool)> done) override {
-        this->keeper.probe(database, std::move(done));
+        // Without a configuration no team is known that a database could be told of. Who
+        // asks reckons with hosts that don't answer.
+        if (!this->view.configuration_body.empty()) {
+            this->keeper.probe(database, std::move(done));
+        }
     }
     void on_fence(
         std::string const& host,
