--- a/src/persimmonpoint/app/front_command.cpp
+++ b/src/persimmonpoint/app/front_command.cpp
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <malloc.h>
@@ -28,6 +29,9 @@
     run(std::span<std::string const> arguments,
         std::ostream& out,
         std::ostream& err) override {
+        // The settings are read below: a change told until the host looks for signals is
+        // none, and must not end the process.
+        std::signal(SIGHUP, SIG_IGN);
         cxxopts::Options options = make_options(*this);
         options.add_options()(
             "s,settings", "Settings file; else the file that PERSIMMONPOINT_CONFIG names",
