--- a/src/persimmonpoint/app/commands.hpp
+++ b/src/persimmonpoint/app/commands.hpp
@@ -9,6 +9,7 @@
 std::unique_ptr<command> make_serve_command();
 std::unique_ptr<command> make_front_command();
 std::unique_ptr<command> make_check_command();
+std::unique_ptr<command> make_check_configuration_command();
 std::unique_ptr<command> make_demo_command();
 std::unique_ptr<command> make_report_command();
 std::unique_ptr<command> make_version_command();
--- a/src/persimmonpoint/app/program.cpp
+++ b/src/persimmonpoint/app/program.cpp
@@ -8,7 +8,7 @@
 
 void print_usage(std::span<std::unique_ptr<command> const> commands, std::ostream& out) {
     out << "Usage: persimmonpoint COMMAND [OPTIONS]\n\nCommands:\n";
-    constexpr std::size_t name_width = 10;
+    constexpr std::size_t name_width = 22;
     for (auto const& each : commands) {
         std::string name(each->name());
         name.resize(name_width, ' ');
@@ -21,9 +21,11 @@
 
 exit_code run_program(
     std::span<std::string const> arguments, std::ostream& out, std::ostream& err) {
-    std::array<std::unique_ptr<command>, 6> const commands = {
-        make_front_command(), make_serve_command(),  make_check_command(),
-        make_demo_command(),  make_report_command(), make_version_command()};
+    std::array<std::unique_ptr<command>, 7> const commands = {
+        make_front_command(),  make_serve_command(),
+        make_check_command(),  make_check_configuration_command(),
+        make_demo_command(),   make_report_command(),
+        make_version_command()};
     if (arguments.empty()) {
         print_usage(commands, err);
         return exit_code::usage;
