--- a/src/persimmonpoint/core/catalog/entry_rules.hpp
+++ b/src/persimmonpoint/core/catalog/entry_rules.hpp
@@ -38,6 +38,7 @@
 inline constexpr duration max_route_time = std::chrono::hours(24);
 /// Milliseconds that a database is slow after its start.
 inline constexpr number_range cold_time_range{0, 86'400'000};
+inline constexpr double max_cold_seconds = 86'400;
 /// Statements a second that a cold database takes.
 inline constexpr double max_cold_rate = 1e9;
 /// Rate (operations a second) and burst (operations) of a team.
