--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds ready_patience(15000);
 constexpr std::size_t flooding_callers = 3;
 constexpr std::size_t most_violations_shown = 10;
+/// The command line can't be used.
+constexpr int exit_usage = 2;
 
 struct soak_options {
     std::filesystem::path program;
@@ -235,11 +237,10 @@
     return violations;
 }
 
-} // namespace
-
-int main(int argc, char** argv) {
+cxxopts::Options describe_options() {
     cxxopts::Options parser("soak", "Hosts as processes under faults drawn from seeds");
-    parser.add_options()("program", "The program", cxxopts::value<std::string>())(
+    parser.add_options()("h,help", "Print this help")(
+        "program", "The program", cxxopts::value<std::string>())(
         "seed", "First seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "count", "Number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "length", "Seconds of faults", cxxopts::value<unsigned>()->default_value("10"))(
@@ -247,7 +248,28 @@
         "callers", "Callers", cxxopts::value<std::size_t>()->default_value("12"))(
         "faults", "everyday, leadership, unseen, or silent",
         cxxopts::value<std::string>()->default_value("everyday"));
-    auto const given = parser.parse(argc, argv);
+    return parser;
+}
+
+/// False if the seed failed; the hosts' logs are kept then.
+bool play_seed(soak_options options) {
+    options.folder = std::filesystem::temp_directory_path() /
+                     ("persimmonpoint-soak-" + std::to_string(::getpid()) + "-" +
+                      std::to_string(options.seed));
+    std::filesystem::create_directories(options.folder);
+    auto const violations = run_seed(options);
+    if (violations.empty()) {
+        std::filesystem::remove_all(options.folder);
+        return true;
+    }
+    for (std::size_t at = 0; at < violations.size() && at < most_violations_shown; ++at) {
+        std::cout << "  " << violations[at] << '\n';
+    }
+    std::cout << "  logs: " << options.folder.string() << std::endl;
+    return false;
+}
+
+int play_seeds(cxxopts::ParseResult const& given) {
     soak_options options;
     options.program = given["program"].as<std::string>();
     options.length = std::chrono::seconds(given["length"].as<unsigned>());
@@ -256,30 +278,37 @@
     options.faults = given["faults"].as<std::string>();
     if (planner_of(options.faults) == nullptr) {
         std::cerr << "soak: no such faults: " << options.faults << std::endl;
-        return 2;
+        return exit_usage;
     }
     std::uint64_t const first = given["seed"].as<std::uint64_t>();
     std::uint64_t const seeds = given["count"].as<std::uint64_t>();
     std::size_t failed = 0;
     for (std::uint64_t i = 0; i < seeds; ++i) {
         options.seed = first + i;
-        options.folder = std::filesystem::temp_directory_path() /
-                         ("persimmonpoint-soak-" + std::to_string(::getpid()) + "-" +
-                          std::to_string(options.seed));
-        std::filesystem::create_directories(options.folder);
-        auto const violations = run_seed(options);
-        for (std::size_t at = 0; at < violations.size() && at < most_violations_shown;
-             ++at) {
-            std::cout << "  " << violations[at] << '\n';
-        }
-        if (violations.empty()) {
-            std::filesystem::remove_all(options.folder);
-        } else {
-            ++failed;
-            std::cout << "  logs: " << options.folder.string() << std::endl;
-        }
+        failed += play_seed(options) ? 0 : 1;
     }
     std::cout << "soak: " << seeds - failed << " passed, " << failed << " failed"
               << std::endl;
     return failed == 0 ? 0 : 1;
 }
+
+} // namespace
+
+int main(int argc, char** argv) {
+    cxxopts::Options parser = describe_options();
+    try {
+        auto const given = parser.parse(argc, argv);
+        if (given.count("help") > 0) {
+            std::cout << parser.help();
+            return 0;
+        }
+        if (given.count("program") == 0) {
+            std::cerr << "soak: name the program with --program" << std::endl;
+            return exit_usage;
+        }
+        return play_seeds(given);
+    } catch (cxxopts::exceptions::exception const& failure) {
+        std::cerr << "soak: " << failure.what() << std::endl;
+        return exit_usage;
+    }
+}
