--- a/src/persimmonpoint/engine/dispatcher.cpp
+++ b/src/persimmonpoint/engine/dispatcher.cpp
@@ -219,6 +219,9 @@
     }
 
     void run_here(upstream_request order, order_source source, response_handler done) {
+        if (this->knows_no_team() && !order.team.empty()) {
+            this->ordering_team = order.team;
+        }
         database_owner* const target = this->owner(order.database);
         if (target == nullptr) {
             upstream_response answer;
@@ -337,17 +340,24 @@
         }
         // Another owner may reach a database that is silent to the first one.
         std::string const host = this->ranked(*entry)[misses % owners];
+        upstream_request order = make_control_order(
+            this->view, group, database, upstream_request_kind::report_state,
+            state_budget);
+        if (this->knows_no_team() && !this->ordering_team.empty()) {
+            order.team = this->ordering_team;
+        }
         this->submit_to(
-            host,
-            make_control_order(
-                this->view, group, database, upstream_request_kind::report_state,
-                state_budget),
+            host, std::move(order),
             [done =
                  std::move(done)](upstream_response const& answer, std::string const&) {
                 done(answer.report);
             });
     }
 
+    /// A host that has just started may run orders of others before it has a
+    /// configuration.
+    bool knows_no_team() const { return this->view.configuration_body.empty(); }
+
     void trim_later() {
         this->trimmer.expires_after(trim_interval);
         this->trimmer.async_wait(
@@ -401,6 +411,8 @@
     commit_relay commits;
     boost::asio::steady_timer trimmer;
     bool ends_transactions = false;
+    /// Of the last order that came while this host had no configuration.
+    std::string ordering_team;
     peer_mesh* mesh = nullptr;
     commit_guard* guard = nullptr;
     std::vector<unjudged_commit> unjudged;
