--- a/src/persimmonpoint/net/send_queue.cpp
+++ b/src/persimmonpoint/net/send_queue.cpp
@@ -24,9 +24,9 @@
             boost::system::error_code failure, std::size_t) mutable {
             this->writing = false;
             // Whoever owns the queue may live on for long with nothing to send.
-            this->in_flight = {};
+            std::string().swap(this->in_flight);
             if (failure) {
-                this->waiting = {};
+                std::string().swap(this->waiting);
                 this->on_written(false);
             } else if (this->waiting.empty()) {
                 this->on_written(true);
--- a/src/persimmonpoint/platform/line_listener.cpp
+++ b/src/persimmonpoint/platform/line_listener.cpp
@@ -341,7 +341,7 @@
         }
         this->intake->leave(this->id);
         // A request that is under way keeps this object: what it holds counts no more.
-        this->lines = {};
+        this->lines.drop();
         if (this->dismissal_timer) {
             this->dismissal_timer->cancel();
         }
--- a/src/persimmonpoint/platform/line_reader.hpp
+++ b/src/persimmonpoint/platform/line_reader.hpp
@@ -37,6 +37,13 @@
         return std::string_view(this->buffer).substr(0, end);
     }
 
+    /// Gives all memory back; what was received is lost.
+    void drop() {
+        std::string().swap(this->buffer);
+        this->used = 0;
+        this->searched = 0;
+    }
+
     /// Of what next() gave no line for: true if no message can be so long. The first byte
     /// of its end may be there.
     bool is_over_long() const {
