Findings of a configuration in our own words; the platform's stand in platform/

core named lists and fields as the platform's document does. It says teams, groups, timeout now; platform/configuration_places turns places back into those of the file for the command.

--- a/src/persimmonpoint/app/check_configuration_command.cpp
+++ b/src/persimmonpoint/app/check_configuration_command.cpp
@@ -4,6 +4,7 @@
 #include <persimmonpoint/app/commands.hpp>
 #include <persimmonpoint/app/configuration_report.hpp>
 #include <persimmonpoint/app/options.hpp>
+#include <persimmonpoint/platform/configuration_places.hpp>
 #include <persimmonpoint/platform/fleet_decoder.hpp>
 #include <utility>
 
@@ -29,6 +30,18 @@
     return std::move(listed.value());
 }
 
+/// Has the report name places as the file does.
+void name_as_written(configuration_report& report) {
+    for (configuration_finding& each : report.findings) {
+        each.place = platform::place_in_document(each.place);
+    }
+    if (report.differences) {
+        for (configuration_difference& each : *report.differences) {
+            each.place = platform::place_in_document(each.place);
+        }
+    }
+}
+
 class check_configuration_command final : public command {
 public:
     std::string_view name() const override { return "check-configuration"; }
@@ -68,6 +81,7 @@
                 index_configuration(std::move(*before)),
                 index_configuration(std::move(*listed)));
         }
+        name_as_written(report);
         writer->write(report, out);
         return report.has_errors() ? exit_code::failure : exit_code::success;
     }
--- a/src/persimmonpoint/core/catalog/configuration_check.cpp
+++ b/src/persimmonpoint/core/catalog/configuration_check.cpp
@@ -29,11 +29,11 @@
 }
 
 std::string place_of(served_group const& group) {
-    return "services/" + group.name;
+    return "groups/" + group.name;
 }
 
 std::string place_of(listed_team const& team) {
-    return "tenants/" + team.team.name;
+    return "teams/" + team.team.name;
 }
 
 std::string to_ms_text(duration time) {
@@ -89,7 +89,7 @@
             [&each](served_group const& group) { return group.name == each.group; });
         if (!is_listed) {
             add(found, finding_weight::error, "no-service", place_of(each),
-                "leads to service " + each.group + ", which isn't listed");
+                "leads to " + each.group + ", which isn't listed");
         }
     }
 }
@@ -133,11 +133,11 @@
     for (served_route const& each : checked.routes) {
         if (each.statement_timeout <= duration(0)) {
             add(found, finding_weight::error, "no-time", place_of(each),
-                "timeout_ms is 0: no statement has time to run");
+                "its timeout is 0: no statement has time to run");
         } else if (each.statement_timeout < each.target_latency) {
             add(found, finding_weight::warning, "timeout-below-target", place_of(each),
-                "timeout_ms (" + to_ms_text(each.statement_timeout) +
-                    ") is below target_latency_ms (" + to_ms_text(each.target_latency) +
+                "its timeout (" + to_ms_text(each.statement_timeout) +
+                    ") is below its target latency (" + to_ms_text(each.target_latency) +
                     ")");
         }
     }
@@ -148,7 +148,7 @@
         bool const is_bounded = each.kind == route_kind::bounded_staleness;
         if (is_bounded && each.max_staleness <= staleness_margin) {
             add(found, finding_weight::warning, "too-fresh", place_of(each),
-                "max_staleness_ms is " + to_ms_text(each.max_staleness) + ": up to " +
+                "its staleness bound is " + to_ms_text(each.max_staleness) + ": up to " +
                     to_ms_text(staleness_margin) +
                     " no replica is known to be fresh enough, and the primary is asked "
                     "for each read");
@@ -160,7 +160,7 @@
     for (listed_team const& each : checked.teams) {
         if (each.team.rate <= 0 || each.team.burst < least_burst) {
             add(found, finding_weight::error, "closed-quota", place_of(each),
-                "rate_per_s and burst let no operation pass");
+                "its rate and burst let no operation pass");
         }
     }
 }
@@ -169,12 +169,12 @@
     for (served_group const& each : checked.groups) {
         if (each.max_connections == 0) {
             add(found, finding_weight::error, "no-connections", place_of(each),
-                "max_connections is 0");
+                "has no connections");
         } else if (teams_outnumber_connections(
                        checked.teams.size(), each.max_connections)) {
             add(found, finding_weight::warning, "few-connections", place_of(each),
-                "max_connections (" + std::to_string(each.max_connections) +
-                    ") leaves no connection for each of " +
+                "its limit of " + std::to_string(each.max_connections) +
+                    " connections leaves none for each of " +
                     std::to_string(checked.teams.size()) +
                     " teams: connections will be opened again and again");
         }
--- a/src/persimmonpoint/core/catalog/configuration_differences.cpp
+++ b/src/persimmonpoint/core/catalog/configuration_differences.cpp
@@ -112,14 +112,14 @@
 
 std::string changes_of(served_route const& before, served_route const& behind) {
     return field_changes()
-        .add("service", before.group, behind.group)
+        .add("group", before.group, behind.group)
         .add("kind", before.kind, behind.kind)
-        .add("timeout_ms", before.statement_timeout, behind.statement_timeout)
-        .add("target_latency_ms", before.target_latency, behind.target_latency)
-        .add("max_staleness_ms", before.max_staleness, behind.max_staleness)
+        .add("timeout", before.statement_timeout, behind.statement_timeout)
+        .add("target latency", before.target_latency, behind.target_latency)
+        .add("staleness bound", before.max_staleness, behind.max_staleness)
         .add("priority", before.priority, behind.priority)
-        .add("allow_anonymous", before.allow_anonymous, behind.allow_anonymous)
-        .add("allowed_regions", before.allowed_regions, behind.allowed_regions)
+        .add("open to all", before.allow_anonymous, behind.allow_anonymous)
+        .add("allowed regions", before.allowed_regions, behind.allowed_regions)
         .text;
 }
 
@@ -157,27 +157,27 @@
         in_force.groups, wanted.groups,
         [&found](served_group const& gone) {
             found.push_back(
-                {"services/" + gone.name, "removed",
+                {"groups/" + gone.name, "removed",
                  "one connection to each of its databases is left, for the routes that "
                  "still lead there"});
         },
         [&found](served_group const& before, served_group const& behind) {
             std::string change =
                 field_changes()
+                    .add("connections", before.max_connections, behind.max_connections)
                     .add(
-                        "max_connections", before.max_connections, behind.max_connections)
-                    .add("sync_replicas", before.sync_replicas, behind.sync_replicas)
-                    .add("cold_per_s", before.cold_rate, behind.cold_rate)
+                        "synchronous replicas", before.sync_replicas,
+                        behind.sync_replicas)
+                    .add("rate while cold", before.cold_rate, behind.cold_rate)
                     .text;
             if (!change.empty()) {
                 found.push_back(
-                    {"services/" + behind.name, std::move(change),
+                    {"groups/" + behind.name, std::move(change),
                      "connections over the new limit are closed once they are idle"});
             }
         },
         [&found](served_group const& added) {
-            found.push_back(
-                {"services/" + added.name, "added", "no open session uses it"});
+            found.push_back({"groups/" + added.name, "added", "no open session uses it"});
         });
 }
 
@@ -189,28 +189,27 @@
         in_force.teams, wanted.teams,
         [&found](served_team const& gone) {
             found.push_back(
-                {"tenants/" + gone.name, "removed",
+                {"teams/" + gone.name, "removed",
                  "its sessions are refused (DENIED) with their next statement, and their "
                  "transactions rolled back"});
         },
         [&found](served_team const& before, served_team const& behind) {
             std::string change =
                 field_changes()
-                    .add("rate_per_s", before.rate, behind.rate)
+                    .add("rate", before.rate, behind.rate)
                     .add("burst", before.burst, behind.burst)
                     .add(
-                        "allowed_regions", before.allowed_regions, behind.allowed_regions)
+                        "allowed regions", before.allowed_regions, behind.allowed_regions)
                     .text;
             if (!change.empty()) {
                 found.push_back(
-                    {"tenants/" + behind.name, std::move(change),
-                     "a higher quota holds at once, a lower one by the time of "
-                     "limits.in_force_within"});
+                    {"teams/" + behind.name, std::move(change),
+                     "a higher quota holds at once, a lower one by the time that "
+                     "the hosts' settings give"});
             }
         },
         [&found](served_team const& added) {
-            found.push_back(
-                {"tenants/" + added.name, "added", "no open session uses it"});
+            found.push_back({"teams/" + added.name, "added", "no open session uses it"});
         });
 }
 
@@ -231,7 +230,7 @@
     for (auto const& [team, count] : withdrawn) {
         if (count > 0) {
             found.push_back(
-                {"tenants/" + team, "keys withdrawn: " + std::to_string(count),
+                {"teams/" + team, "keys withdrawn: " + std::to_string(count),
                  "sessions that came with them are refused (DENIED) with their next "
                  "statement, and their transactions rolled back"});
         }
@@ -239,7 +238,7 @@
     for (auto const& [team, count] : given) {
         if (count > 0) {
             found.push_back(
-                {"tenants/" + team, "keys added: " + std::to_string(count),
+                {"teams/" + team, "keys added: " + std::to_string(count),
                  "no open session uses them"});
         }
     }
@@ -249,11 +248,11 @@
     fleet_configuration const& in_force,
     fleet_configuration const& wanted,
     differences& found) {
-    std::string change =
-        field_changes()
-            .add(
-                "transaction_idle_ms", in_force.transaction_idle, wanted.transaction_idle)
-            .text;
+    std::string change = field_changes()
+                             .add(
+                                 "idle time of transactions", in_force.transaction_idle,
+                                 wanted.transaction_idle)
+                             .text;
     if (!change.empty()) {
         found.push_back(
             {"limits", std::move(change),
--- a/tests/introspective/configuration_check.tests.cpp
+++ b/tests/introspective/configuration_check.tests.cpp
@@ -84,21 +84,21 @@
         made.teams.push_back(team("hatchery", {"key-2"}));
         CHECK(
             rules_of(made) ==
-            rules{"listed-twice services/group", "listed-twice tenants/hatchery"});
+            rules{"listed-twice groups/group", "listed-twice teams/hatchery"});
     }
     SECTION("a route to no service, and a service without a route") {
         made.routes.front().group = "gruop";
         CHECK(
             rules_of(made) ==
-            rules{"no-service routes/reports", "unused-service services/group"});
+            rules{"no-service routes/reports", "unused-service groups/group"});
     }
     SECTION("a team without keys") {
         made.teams.push_back(team("audit", {}));
-        CHECK(rules_of(made) == rules{"no-keys tenants/audit"});
+        CHECK(rules_of(made) == rules{"no-keys teams/audit"});
     }
     SECTION("a key of two teams, which isn't shown") {
         made.teams.push_back(team("audit", {"key-1"}));
-        CHECK(rules_of(made) == rules{"shared-key tenants/audit"});
+        CHECK(rules_of(made) == rules{"shared-key teams/audit"});
         CHECK(check_configuration(made).front().text.find("key-1") == std::string::npos);
     }
     SECTION("a timeout below the target latency, or of zero") {
@@ -115,13 +115,13 @@
     }
     SECTION("a quota that lets nothing pass") {
         made.teams.front().team.burst = 0.5;
-        CHECK(rules_of(made) == rules{"closed-quota tenants/hatchery"});
+        CHECK(rules_of(made) == rules{"closed-quota teams/hatchery"});
     }
     SECTION("too few connections for the teams, or none") {
         made.groups.front().max_connections = 1;
-        CHECK(rules_of(made) == rules{"few-connections services/group"});
+        CHECK(rules_of(made) == rules{"few-connections groups/group"});
         made.groups.front().max_connections = 0;
-        CHECK(rules_of(made) == rules{"no-connections services/group"});
+        CHECK(rules_of(made) == rules{"no-connections groups/group"});
     }
     SECTION("a route and a team that no region is open to") {
         made.routes.front().allowed_regions = {"north"};
@@ -147,7 +147,7 @@
         CHECK(
             changed_places(before, behind) ==
             rules{
-                "routes/reports: timeout_ms 1000 ms to 500 ms",
+                "routes/reports: timeout 1000 ms to 500 ms",
                 "routes/new: added (host other)"});
         CHECK(
             changed_places(behind, before).back() == "routes/new: removed (host other)");
@@ -157,23 +157,22 @@
         behind.groups.front().cold_rate = 2;
         CHECK(
             changed_places(before, behind) ==
-            rules{"services/group: max_connections 16 to 8, cold_per_s not given to 2"});
+            rules{"groups/group: connections 16 to 8, rate while cold not given to 2"});
     }
     SECTION("of teams and keys, without naming a key") {
         behind.teams.front().keys = {"key-2", "key-3"};
         behind.teams.front().team.rate = 5;
         behind.teams.push_back(team("audit", {"key-1"}));
         CHECK(
-            changed_places(before, behind) == rules{
-                                                  "tenants/hatchery: rate_per_s 10 to 5",
-                                                  "tenants/audit: added",
-                                                  "tenants/hatchery: keys withdrawn: 1",
-                                                  "tenants/hatchery: keys added: 2"});
+            changed_places(before, behind) ==
+            rules{
+                "teams/hatchery: rate 10 to 5", "teams/audit: added",
+                "teams/hatchery: keys withdrawn: 1", "teams/hatchery: keys added: 2"});
     }
     SECTION("of limits") {
         behind.transaction_idle = milliseconds(300);
         CHECK(
             changed_places(before, behind) ==
-            rules{"limits: transaction_idle_ms 0 ms to 300 ms"});
+            rules{"limits: idle time of transactions 0 ms to 300 ms"});
     }
 }
