Review case 6: acknowledged writes run in a refused transaction and are lost

200 connections hold half-sent messages of 250 KiB at one of three hosts. Ordinary clients have a WRITE of 100 KiB in a transaction refused with BUSY in state I, though the transaction stays open; their next single WRITE runs inside it, is answered with success, and is rolled back. The stand-in of the databases also notes whether a statement ran in a transaction, and can lose answers (for case 7).

--- a/review/stage-2/stage.cpp
+++ b/review/stage-2/stage.cpp
@@ -382,7 +382,7 @@
                 break;
             }
             auto const reply = this->answer(on, of, line);
-            serves = reply && send_all(socket, *reply);
+            serves = reply && (this->loses_answer(on, line) || send_all(socket, *reply));
         }
         buffer.erase(0, begin);
         searched = buffer.empty() ? 0 : buffer.size() - 1;
@@ -393,6 +393,24 @@
     ::close(socket);
 }
 
+void service::lose_answers(double share) {
+    std::lock_guard const lock(this->mutex);
+    this->log.write(share > 0 ? "the primary's answers get lost" : "no more answers get lost");
+    this->loses_answers = this->leader;
+    this->lost_share = share;
+}
+
+bool service::loses_answer(database const& on, std::string_view line) {
+    std::lock_guard const lock(this->mutex);
+    bool const lost = this->lost_share > 0 && on.id == this->loses_answers &&
+                      line.substr(0, 6) == "QUERY " &&
+                      std::uniform_real_distribution(0.0, 1.0)(this->chance) < this->lost_share;
+    if (lost) {
+        this->log.write("answer lost: " + std::string(line.substr(0, 60)));
+    }
+    return lost;
+}
+
 std::string service::position(database const& on) const {
     return std::to_string(on.log_term) + "." + std::to_string(on.received);
 }
@@ -474,7 +492,7 @@
     auto const signature = [&] { return on.id + "." + std::to_string(++this->signatures); };
     if (id != "-") {
         this->received_statements.push_back(
-            {std::string(id), std::string(text.substr(0, 200)), on.id});
+            {std::string(id), std::string(text.substr(0, 200)), on.id, of.open});
         this->log.write(
             "run " + std::string(id) + " " + std::string(text.substr(0, 60)) + " at " + on.id);
     }
--- a/review/stage-2/stage.hpp
+++ b/review/stage-2/stage.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -65,6 +66,7 @@
         std::string id;
         std::string text; ///< As it came.
         std::string database;
+        bool in_transaction = false; ///< One was open on the connection.
     };
     service(options given, record& log);
     ~service();
@@ -77,6 +79,9 @@
     unsigned promote(std::string const& id);
     /// Partitions a database from the others of the service; an empty id ends that.
     void cut_off(std::string const& id);
+    /// From now on the present primary runs what it is sent, but this share of its answers to
+    /// QUERY is lost; its connections stay. 0 ends that.
+    void lose_answers(double share);
     std::size_t times_written(std::string const& item, std::string const& data) const;
     /// Statements that carry another id than a dash, in order.
     std::vector<sent_statement> statements() const;
@@ -88,6 +93,7 @@
     void serve(database& on, int socket);
     /// What is sent for a line; nothing if the session ends.
     std::optional<std::string> answer(database& on, session& of, std::string_view line);
+    bool loses_answer(database const& on, std::string_view line);
     std::string query(database& on, session& of, std::string_view id, std::string_view text);
     std::string position(database const& on) const;
     std::string ready(database const& on, session const& of) const;
@@ -110,6 +116,9 @@
     std::condition_variable changed;
     std::string leader;
     std::string isolated;
+    std::string loses_answers; ///< Id.
+    double lost_share = 0;
+    std::mt19937 chance{1};
     bool stopped = false; ///< The primary was demoted, and nobody leads yet.
     std::uint64_t term = 1;
     /// The primary's log: each commit's changes.
