--- a/review/stage-2/stage.cpp
+++ b/review/stage-2/stage.cpp
@@ -66,9 +66,11 @@
     return descriptor;
 }
 
-int listen_on_free_port(std::uint16_t& port) {
+int listen_on(std::uint16_t& port) {
     int const socket = closed_on_exec(::socket(AF_INET, SOCK_STREAM, 0));
-    sockaddr_in address = loopback(0);
+    int const on = 1;
+    ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in address = loopback(port);
     socklen_t size = sizeof(address);
     ::bind(socket, reinterpret_cast<sockaddr*>(&address), size);
     ::listen(socket, 512);
@@ -139,7 +141,9 @@
     std::string id;
     std::string zone;
     std::uint16_t port = 0;
-    int listener = -1;
+    std::atomic<int> listener = -1;
+    std::atomic<bool> down = false;
+    std::uint64_t born = 1774494050000; ///< Differs in each run of its process.
     std::thread acceptor;
     std::size_t connections = 0;
     std::set<int> sockets;
@@ -167,7 +171,7 @@
         auto made = std::make_unique<database>();
         made->id = "i-" + this->given.name + "-" + std::to_string(i);
         made->zone = this->given.zones[i % this->given.zones.size()];
-        made->listener = listen_on_free_port(made->port);
+        made->listener = listen_on(made->port);
         this->databases.push_back(std::move(made));
     }
     this->leader = this->databases.front()->id;
@@ -219,7 +223,7 @@
                 << R"(","version":"v1","slots":)" << this->given.slots
                 << R"(,"state":"ready","cold_remaining_ms":0,"sequence":)" << sequence
                 << R"(,"database_role":")" << (id == this->leader ? "primary" : "replica")
-                << R"(","born":1774494050000})";
+                << R"(","born":)" << each->born << "}";
         }
     }
     return out.str();
@@ -245,6 +249,9 @@
 
 unsigned service::promote(std::string const& id) {
     std::lock_guard const lock(this->mutex);
+    if (this->at(id).down) {
+        return 409;
+    }
     if (id == this->leader && !this->stopped) {
         return 200;
     }
@@ -258,7 +265,9 @@
 
 void service::lead(std::string const& id) {
     database& next = this->at(id);
-    this->log.write("leads: " + id);
+    this->log.write(
+        "leads: " + id + " with " + std::to_string(next.received) + " of " +
+        std::to_string(this->log_entries.size()) + " commits");
     this->leader = id;
     this->stopped = false;
     ++this->term;
@@ -274,6 +283,45 @@
     this->changed.notify_all();
 }
 
+void service::crash(std::string const& id) {
+    std::lock_guard const lock(this->mutex);
+    this->log.write("crashes: " + id);
+    database& on = this->at(id);
+    on.down = true;
+    ::shutdown(on.listener, SHUT_RDWR);
+    for (int const socket : on.sockets) {
+        ::shutdown(socket, SHUT_RDWR);
+    }
+    this->changed.notify_all();
+}
+
+void service::start(std::string const& id, bool with_log) {
+    std::lock_guard const lock(this->mutex);
+    this->log.write("starts" + std::string(with_log ? "" : " without a log") + ": " + id);
+    database& on = this->at(id);
+    on.held_term = 0;
+    ++on.born;
+    if (!with_log) {
+        on.received = 0;
+        on.log_term = 1;
+    }
+    ::close(on.listener);
+    on.listener = listen_on(on.port);
+    on.down = false;
+    this->deliver();
+    this->changed.notify_all();
+}
+
+bool service::is_down(std::string const& id) const {
+    std::lock_guard const lock(this->mutex);
+    return this->at(id).down;
+}
+
+bool service::is_held(std::string const& id) const {
+    std::lock_guard const lock(this->mutex);
+    return this->at(id).held_term > 0;
+}
+
 void service::cut_off(std::string const& id) {
     std::lock_guard const lock(this->mutex);
     this->log.write(id.empty() ? "the cut is over" : "cut from the other databases: " + id);
@@ -285,7 +333,7 @@
 void service::deliver() {
     database const& primary = this->at(this->leader);
     for (auto& each : this->databases) {
-        bool const receives = each->id != this->leader && each->held_term == 0 &&
+        bool const receives = !each->down && !primary.down && each->id != this->leader && each->held_term == 0 &&
                               each->id != this->isolated &&
                               this->leader != this->isolated && !this->stopped;
         if (receives) {
@@ -338,8 +386,10 @@
 
 void service::accept(database& on) {
     while (!this->stopping) {
-        int const socket = closed_on_exec(::accept(on.listener, nullptr, nullptr));
+        int const socket =
+            on.down ? -1 : closed_on_exec(::accept(on.listener, nullptr, nullptr));
         if (socket < 0) {
+            sleep_for(milliseconds(1));
             continue;
         }
         int const no_delay = 1;
@@ -601,6 +651,10 @@
           }) {
         this->on_loop([&] {
             this->rows = std::make_unique<persimmonpoint::standin::row_store>(
+                this->loop, [](std::string const&, std::string const&, std::uint64_t) -> unsigned {
+                    return 409;
+                });
+            this->cloud = std::make_unique<persimmonpoint::standin::row_store>(
                 this->loop, [this, promote](
                                 std::string const& group, std::string const& database,
                                 std::uint64_t token) -> unsigned {
@@ -614,7 +668,10 @@
         });
     }
     ~store() {
-        this->on_loop([this] { this->rows.reset(); });
+        this->on_loop([this] {
+            this->rows.reset();
+            this->cloud.reset();
+        });
         this->loop.stop();
         this->thread.join();
     }
@@ -631,6 +688,8 @@
     std::thread thread;
     std::map<std::string, std::uint64_t> tokens;
     std::unique_ptr<persimmonpoint::standin::row_store> rows;
+    /// Takes the calls for promotions alone.
+    std::unique_ptr<persimmonpoint::standin::row_store> cloud;
 };
 
 std::string fleet::route(std::size_t service, std::string const& kind) {
@@ -730,13 +789,33 @@
 }
 
 /// Writes the databases' rows about as often as they do.
+void fleet::delay_promotions(milliseconds delay) {
+    this->rows->on_loop([&] { this->rows->cloud->set_promotion_delay(delay); });
+}
+
+std::size_t fleet::promotion_calls() const {
+    std::size_t calls = 0;
+    this->rows->on_loop([&] { calls = this->rows->cloud->calls(); });
+    return calls;
+}
+
 void fleet::beat() {
     constexpr milliseconds heartbeat{1200};
     constexpr milliseconds step{100};
+    // A row is removed after three intervals of silence.
+    constexpr int silent_intervals = 3;
+    std::map<std::string, int> silent;
     for (std::uint64_t sequence = 1; !this->stopping; ++sequence) {
         this->rows->on_loop([&] {
             for (auto const& each : this->services) {
                 for (std::string const& id : each->ids()) {
+                    if (each->is_down(id)) {
+                        if (++silent[id] > silent_intervals) {
+                            this->rows->rows->remove("servers", id);
+                        }
+                        continue;
+                    }
+                    silent[id] = 0;
                     this->rows->rows->put("servers", id, each->entry(id, sequence));
                 }
             }
@@ -750,7 +829,11 @@
 /// What deploy/front.toml.template gives for a small deployment.
 void fleet::write_settings(host& which) {
     std::uint16_t store_port = 0;
-    this->rows->on_loop([&] { store_port = this->rows->rows->port(); });
+    std::uint16_t cloud_port = 0;
+    this->rows->on_loop([&] {
+        store_port = this->rows->rows->port();
+        cloud_port = this->rows->cloud->port();
+    });
     which.settings = this->folder / (which.name + ".toml");
     std::string seeds;
     for (std::size_t i = 0; i < std::min<std::size_t>(this->all.size(), 3); ++i) {
@@ -762,7 +845,7 @@
         << "\"\nreadiness = \"" << address_of(which.readiness) << "\"\npeers = \"" << address_of(which.peers)
         << "\"\nmetrics = \"" << address_of(which.metrics)
         << "\"\n[callers]\ndescriptors = \"4200\"\n[platform]\nstore = \"" << address_of(store_port)
-        << "\"\npromotion = \"" << address_of(store_port) << "\"\n[peers]\nseeds = \"" << seeds
+        << "\"\npromotion = \"" << address_of(cloud_port) << "\"\n[peers]\nseeds = \"" << seeds
         << "\"\n[limits]\nin_force_within = \"3000ms\"\nquota_window = \"5s\"\n"
         << "quota_overrun = \"0.1\"\nquota_slack = \"20\"\n[zones]\n";
     for (std::string const& zone : this->given.zones) {
--- a/review/stage-2/stage.hpp
+++ b/review/stage-2/stage.hpp
@@ -77,6 +77,12 @@
     std::string primary() const;
     /// Status of the platform's answer. The database leads `promotion_time` later.
     unsigned promote(std::string const& id);
+    /// Its process is gone, until it is started again, with its log or without one.
+    void crash(std::string const& id);
+    void start(std::string const& id, bool with_log);
+    bool is_down(std::string const& id) const;
+    /// True while it receives nothing after a PAUSE.
+    bool is_held(std::string const& id) const;
     /// Partitions a database from the others of the service; an empty id ends that.
     void cut_off(std::string const& id);
     /// From now on the present primary runs what it is sent, but this share of its answers to
@@ -163,6 +169,11 @@
         std::size_t ends = 0;  ///< By itself.
     };
     std::vector<host>& hosts() { return this->all; }
+    /// From now on each second call for a promotion, the next one first, gets no answer and
+    /// is carried out this much later.
+    void delay_promotions(milliseconds delay);
+    /// Calls for promotions that have arrived, answered or not.
+    std::size_t promotion_calls() const;
     service& service_at(std::size_t index) { return *this->services.at(index); }
     /// The database name of a route: kinds are primary, bounded and own.
     static std::string route(std::size_t service, std::string const& kind);
