--- a/review/9/lost_rollback_answers.cpp
+++ b/review/9/lost_rollback_answers.cpp
@@ -11,7 +11,8 @@
 
 constexpr std::size_t teams = 8;
 constexpr milliseconds time_before{6000};
-/// As the site's `answer_lost` with how = "primary": this share of the answers, for this time.
+/// As the site's `answer_lost` with how = "primary": this share of the answers, for this
+/// time.
 constexpr double lost_share = 0.2;
 constexpr milliseconds lost_time{4000};
 /// The site's `recovery_s`.
@@ -50,22 +51,27 @@
 };
 
 /// One read or write at a time, each with a session of its own.
-void play(std::uint16_t port, std::size_t host, std::size_t team, scene& seen, record& log) {
-    std::string const prefix = "c" + std::to_string(host) + "-" + std::to_string(team) + "-";
+void play(
+    std::uint16_t port, std::size_t host, std::size_t team, scene& seen, record& log) {
+    std::string const prefix =
+        "c" + std::to_string(host) + "-" + std::to_string(team) + "-";
     for (std::size_t round = 0; !seen.stopping; ++round) {
         span const when = seen.now;
         client caller(port, prefix + std::to_string(round) + "-", milliseconds(3000));
         bool good = caller.start(fleet::route(0, "primary"), fleet::key(team)).good();
-        // A WRITE whose answer is lost makes the hosts replace the primary, which would hide
-        // what is shown here.
+        // A WRITE whose answer is lost makes the hosts replace the primary, which would
+        // hide what is shown here.
         bool const writes = round % 5 == 4 && when != span::trouble;
         std::string const text =
-            writes ? "WRITE item" + prefix + " d" + std::to_string(round) : "READ item" + prefix;
+            writes ? "WRITE item" + prefix + " d" + std::to_string(round)
+                   : "READ item" + prefix;
         auto const reply = caller.query(text);
         good = good && reply.good();
         log.write(
             "client " + caller.last_id() + " " + text + " -> " +
-            (reply.closed ? "closed" : reply.good() ? "COMPLETE" : reply.error));
+            (reply.closed   ? "closed"
+             : reply.good() ? "COMPLETE"
+                            : reply.error));
         ++seen.whole.asked;
         seen.whole.served += good ? 1 : 0;
         if (when == seen.now && when != span::trouble) {
@@ -119,8 +125,8 @@
         each.join();
     }
     std::cout << "served before: " << seen.before.text() << "; from "
-              << recovery_time.count() / 1000 << " s after the trouble: " << seen.after.text()
-              << "; by team:";
+              << recovery_time.count() / 1000
+              << " s after the trouble: " << seen.after.text() << "; by team:";
     for (counts const& each : seen.after_by_team) {
         std::cout << " " << each.text();
     }
--- a/review/stage-2/stage.cpp
+++ b/review/stage-2/stage.cpp
@@ -17,10 +17,10 @@
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
-#include <utility>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <utility>
 
 namespace review {
 
@@ -91,8 +91,8 @@
 
 void record::write(std::string const& line) {
     std::lock_guard const lock(this->mutex);
-    this->out << std::fixed << std::setprecision(1) << std::setw(10) << this->now_ms() << " "
-              << line << "\n";
+    this->out << std::fixed << std::setprecision(1) << std::setw(10) << this->now_ms()
+              << " " << line << "\n";
     this->out.flush();
 }
 
@@ -122,7 +122,8 @@
 int connect_to(std::uint16_t port) {
     int const socket = closed_on_exec(::socket(AF_INET, SOCK_STREAM, 0));
     sockaddr_in const address = loopback(port);
-    if (::connect(socket, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) != 0) {
+    if (::connect(socket, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) !=
+        0) {
         ::close(socket);
         return -1;
     }
@@ -324,7 +325,8 @@
 
 void service::cut_off(std::string const& id) {
     std::lock_guard const lock(this->mutex);
-    this->log.write(id.empty() ? "the cut is over" : "cut from the other databases: " + id);
+    this->log.write(
+        id.empty() ? "the cut is over" : "cut from the other databases: " + id);
     this->isolated = id;
     this->deliver();
     this->changed.notify_all();
@@ -333,8 +335,8 @@
 void service::deliver() {
     database const& primary = this->at(this->leader);
     for (auto& each : this->databases) {
-        bool const receives = !each->down && !primary.down && each->id != this->leader && each->held_term == 0 &&
-                              each->id != this->isolated &&
+        bool const receives = !each->down && !primary.down && each->id != this->leader &&
+                              each->held_term == 0 && each->id != this->isolated &&
                               this->leader != this->isolated && !this->stopped;
         if (receives) {
             each->received = primary.received;
@@ -355,7 +357,8 @@
 }
 
 bool service::commit(
-    std::unique_lock<std::mutex>& lock, database& on,
+    std::unique_lock<std::mutex>& lock,
+    database& on,
     std::vector<std::pair<std::string, std::string>> changes) {
     std::uint64_t const own_term = this->term;
     this->log_entries.push_back(std::move(changes));
@@ -373,7 +376,8 @@
     return this->received_statements;
 }
 
-std::size_t service::times_written(std::string const& item, std::string const& data) const {
+std::size_t
+service::times_written(std::string const& item, std::string const& data) const {
     std::lock_guard const lock(this->mutex);
     std::size_t count = 0;
     for (auto const& entry : this->log_entries) {
@@ -445,16 +449,18 @@
 
 void service::lose_answers(double share) {
     std::lock_guard const lock(this->mutex);
-    this->log.write(share > 0 ? "the primary's answers get lost" : "no more answers get lost");
+    this->log.write(
+        share > 0 ? "the primary's answers get lost" : "no more answers get lost");
     this->loses_answers = this->leader;
     this->lost_share = share;
 }
 
 bool service::loses_answer(database const& on, std::string_view line) {
     std::lock_guard const lock(this->mutex);
-    bool const lost = this->lost_share > 0 && on.id == this->loses_answers &&
-                      line.substr(0, 6) == "QUERY " &&
-                      std::uniform_real_distribution(0.0, 1.0)(this->chance) < this->lost_share;
+    bool const lost =
+        this->lost_share > 0 && on.id == this->loses_answers &&
+        line.substr(0, 6) == "QUERY " &&
+        std::uniform_real_distribution(0.0, 1.0)(this->chance) < this->lost_share;
     if (lost) {
         this->log.write("answer lost: " + std::string(line.substr(0, 60)));
     }
@@ -539,12 +545,15 @@
     auto const complete = [&](std::string const& with) {
         return "COMPLETE " + with + "\r\n" + this->ready(on, of);
     };
-    auto const signature = [&] { return on.id + "." + std::to_string(++this->signatures); };
+    auto const signature = [&] {
+        return on.id + "." + std::to_string(++this->signatures);
+    };
     if (id != "-") {
         this->received_statements.push_back(
             {std::string(id), std::string(text.substr(0, 200)), on.id, of.open});
         this->log.write(
-            "run " + std::string(id) + " " + std::string(text.substr(0, 60)) + " at " + on.id);
+            "run " + std::string(id) + " " + std::string(text.substr(0, 60)) + " at " +
+            on.id);
     }
     if (floor && std::pair(on.log_term, on.received) < *floor) {
         return fail("LAGGING");
@@ -555,8 +564,9 @@
         on.held_term = 0;
         this->deliver();
         this->changed.notify_all();
-    } else if (word == "DEMOTE" && this->leads(on) &&
-               std::stoull(std::string(rest)) > this->term) {
+    } else if (
+        word == "DEMOTE" && this->leads(on) &&
+        std::stoull(std::string(rest)) > this->term) {
         this->stopped = true;
     }
     if (word == "STATUS" || word == "PAUSE" || word == "RESUME" || word == "DEMOTE") {
@@ -627,8 +637,8 @@
     if (works) {
         std::string const item(take_word(arguments));
         std::string data = "-";
-        for (std::size_t i = 0; i < std::min<std::size_t>(on.received, this->log_entries.size());
-             ++i) {
+        for (std::size_t i = 0;
+             i < std::min<std::size_t>(on.received, this->log_entries.size()); ++i) {
             for (auto const& each : this->log_entries[i]) {
                 data = each.first == item ? each.second : data;
             }
@@ -644,20 +654,23 @@
 // The deployment
 
 struct fleet::store {
-    explicit store(std::function<unsigned(std::string const&, std::string const&)> promote)
+    explicit store(
+        std::function<unsigned(std::string const&, std::string const&)> promote)
         : thread([this] {
               auto const keep = boost::asio::make_work_guard(this->loop);
               this->loop.run();
           }) {
         this->on_loop([&] {
             this->rows = std::make_unique<persimmonpoint::standin::row_store>(
-                this->loop, [](std::string const&, std::string const&, std::uint64_t) -> unsigned {
+                this->loop,
+                [](std::string const&, std::string const&, std::uint64_t) -> unsigned {
                     return 409;
                 });
             this->cloud = std::make_unique<persimmonpoint::standin::row_store>(
-                this->loop, [this, promote](
-                                std::string const& group, std::string const& database,
-                                std::uint64_t token) -> unsigned {
+                this->loop,
+                [this, promote](
+                    std::string const& group, std::string const& database,
+                    std::uint64_t token) -> unsigned {
                     std::uint64_t& highest = this->tokens[group];
                     if (token < highest) {
                         return 409;
@@ -771,17 +784,18 @@
             {"bounded", "bounded_staleness", "1500"},
             {"own", "read_own_writes", "800"}};
         for (auto const& kind : kinds) {
-            out << (i > 0 || &kind != &kinds[0] ? "," : "") << R"({"name":"r-)" << kind[0] << i
-                << R"(","host":")" << route(i, kind[0]) << R"(","service":"passcount)" << i
-                << R"(","kind":")" << kind[1] << R"(","timeout_ms":)" << kind[2]
+            out << (i > 0 || &kind != &kinds[0] ? "," : "") << R"({"name":"r-)" << kind[0]
+                << i << R"(","host":")" << route(i, kind[0])
+                << R"(","service":"passcount)" << i << R"(","kind":")" << kind[1]
+                << R"(","timeout_ms":)" << kind[2]
                 << R"(,"target_latency_ms":200,"max_staleness_ms":1500,"priority":1,)"
                 << R"("allow_anonymous":false})";
         }
     }
     out << R"(],"tenants":[)";
     for (std::size_t i = 0; i < this->given.teams; ++i) {
-        out << (i > 0 ? "," : "") << R"({"name":"tenant)" << i << R"(","api_keys":[")" << key(i)
-            << R"("],"rate_per_s":)" << this->given.rate_per_s << R"(,"burst":)"
+        out << (i > 0 ? "," : "") << R"({"name":"tenant)" << i << R"(","api_keys":[")"
+            << key(i) << R"("],"rate_per_s":)" << this->given.rate_per_s << R"(,"burst":)"
             << this->given.burst << "}";
     }
     out << "]}";
@@ -820,7 +834,8 @@
                 }
             }
         });
-        for (milliseconds waited{0}; waited < heartbeat && !this->stopping; waited += step) {
+        for (milliseconds waited{0}; waited < heartbeat && !this->stopping;
+             waited += step) {
             sleep_for(step);
         }
     }
@@ -842,10 +857,11 @@
     std::ofstream out(which.settings);
     out << "[host]\nname = \"" << which.name << "\"\navailability_zone = \"" << which.zone
         << "\"\nprocessor = \"0.25\"\n[listen]\ncallers = \"" << address_of(which.callers)
-        << "\"\nreadiness = \"" << address_of(which.readiness) << "\"\npeers = \"" << address_of(which.peers)
-        << "\"\nmetrics = \"" << address_of(which.metrics)
-        << "\"\n[callers]\ndescriptors = \"4200\"\n[platform]\nstore = \"" << address_of(store_port)
-        << "\"\npromotion = \"" << address_of(cloud_port) << "\"\n[peers]\nseeds = \"" << seeds
+        << "\"\nreadiness = \"" << address_of(which.readiness) << "\"\npeers = \""
+        << address_of(which.peers) << "\"\nmetrics = \"" << address_of(which.metrics)
+        << "\"\n[callers]\ndescriptors = \"4200\"\n[platform]\nstore = \""
+        << address_of(store_port) << "\"\npromotion = \"" << address_of(cloud_port)
+        << "\"\n[peers]\nseeds = \"" << seeds
         << "\"\n[limits]\nin_force_within = \"3000ms\"\nquota_window = \"5s\"\n"
         << "quota_overrun = \"0.1\"\nquota_slack = \"20\"\n[zones]\n";
     for (std::string const& zone : this->given.zones) {
@@ -894,7 +910,8 @@
     }
     timeval const patience{1, 0};
     ::setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
-    send_all(socket, "GET /api/readiness HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    send_all(
+        socket, "GET /api/readiness HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
     char bytes[64] = {};
     ssize_t const size = ::recv(socket, bytes, sizeof(bytes) - 1, 0);
     ::close(socket);
--- a/review/stage-2/stage.hpp
+++ b/review/stage-2/stage.hpp
@@ -1,16 +1,16 @@
 #ifndef PERSIMMONPOINT_REVIEW_STAGE_HPP_INCLUDED
 #define PERSIMMONPOINT_REVIEW_STAGE_HPP_INCLUDED
 
-/// Stand-ins for the scripts of the second review: the store, the platform's promotion call
-/// and the databases, and the project's own program as processes.
+/// Stand-ins for the scripts of the second review: the store, the platform's promotion
+/// call and the databases, and the project's own program as processes.
 
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <filesystem>
-#include <functional>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -48,8 +48,8 @@
 int connect_to(std::uint16_t port);
 void sleep_for(milliseconds time);
 
-/// One service: a primary and replicas. A commit is acknowledged once a replica has received
-/// it. They speak the wire of the users' PROTOCOL page.
+/// One service: a primary and replicas. A commit is acknowledged once a replica has
+/// received it. They speak the wire of the users' PROTOCOL page.
 class service {
 public:
     struct options {
@@ -85,8 +85,8 @@
     bool is_held(std::string const& id) const;
     /// Partitions a database from the others of the service; an empty id ends that.
     void cut_off(std::string const& id);
-    /// From now on the present primary runs what it is sent, but this share of its answers to
-    /// QUERY is lost; its connections stay. 0 ends that.
+    /// From now on the present primary runs what it is sent, but this share of its
+    /// answers to QUERY is lost; its connections stay. 0 ends that.
     void lose_answers(double share);
     std::size_t times_written(std::string const& item, std::string const& data) const;
     /// Statements that carry another id than a dash, in order.
@@ -100,7 +100,8 @@
     /// What is sent for a line; nothing if the session ends.
     std::optional<std::string> answer(database& on, session& of, std::string_view line);
     bool loses_answer(database const& on, std::string_view line);
-    std::string query(database& on, session& of, std::string_view id, std::string_view text);
+    std::string
+    query(database& on, session& of, std::string_view id, std::string_view text);
     std::string position(database const& on) const;
     std::string ready(database const& on, session const& of) const;
     void take_slot(database& on);
@@ -111,7 +112,8 @@
     bool is_received(std::uint64_t commit) const;
     /// Adds to the log and waits for a replica; false if the lead was lost meanwhile.
     bool commit(
-        std::unique_lock<std::mutex>& lock, database& on,
+        std::unique_lock<std::mutex>& lock,
+        database& on,
         std::vector<std::pair<std::string, std::string>> changes);
     void lead(std::string const& id);
 
@@ -149,7 +151,8 @@
     milliseconds work{4};
 };
 
-/// A small deployment: the stand-ins, and hosts as processes of the deploy file's command.
+/// A small deployment: the stand-ins, and hosts as processes of the deploy file's
+/// command.
 class fleet {
 public:
     fleet(fleet_options options, record& log);
@@ -169,8 +172,8 @@
         std::size_t ends = 0;  ///< By itself.
     };
     std::vector<host>& hosts() { return this->all; }
-    /// From now on each second call for a promotion, the next one first, gets no answer and
-    /// is carried out this much later.
+    /// From now on each second call for a promotion, the next one first, gets no answer
+    /// and is carried out this much later.
     void delay_promotions(milliseconds delay);
     /// Calls for promotions that have arrived, answered or not.
     std::size_t promotion_calls() const;
@@ -186,8 +189,8 @@
     bool wait_until_all_ready(milliseconds patience);
     /// Memory that the process has now, in MiB.
     std::size_t memory_mb(host const& which) const;
-    /// As the platform does: a process above the limit is killed, and started again behind a
-    /// short delay; one that ended by itself, too. True if a process ended.
+    /// As the platform does: a process above the limit is killed, and started again
+    /// behind a short delay; one that ended by itself, too. True if a process ended.
     bool enforce_memory();
 
 private:
