Metrics tell what the connections to databases are doing

As found at the host that owns the connections shows database_connections 13, 34 opened so far, orders_open 7, and no figure that says what the 13 are doing: orders without an answer, commands of the system's own without one, or a limit that keeps orders away from idle connections.

A connection on which the owner's own ROLLBACK is under way was "busy", as one on which an order runs. It has a state of its own now, ending, and the metrics have persimmonpoint_database_connections_now by state. What is done with connections does not change.

Three checks of connections() == 0 ask for all() == 0.

--- a/src/persimmonpoint/core/routing/connection_choice.hpp
+++ b/src/persimmonpoint/core/routing/connection_choice.hpp
@@ -12,7 +12,13 @@
 
 namespace persimmonpoint {
 
-enum class pooled_connection_state { opening, idle, busy, in_transaction };
+enum class pooled_connection_state {
+    opening,
+    idle,
+    busy,          ///< An order runs on it.
+    ending,        ///< A ROLLBACK of the system's own is under way; nobody waits for it.
+    in_transaction ///< Of a caller, whether or not an order runs in it.
+};
 
 /// An owner's connection to its database. A connection serves one team until it is
 /// closed.
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -390,6 +390,14 @@
             }));
     }
 
+    connection_counts connections() const {
+        connection_counts counts;
+        for (auto const& each : this->lanes) {
+            counts.add(each.second.view.state);
+        }
+        return counts;
+    }
+
     void refuse_past_work_end() {
         this->refuse(this->waiting.take_if([this](pending_order const& each) {
             return this->is_past_work_end(each.order);
@@ -713,7 +721,7 @@
 
     /// Ends a transaction that nobody waits for any more; the lane is idle behind it.
     void roll_back(lane& on) {
-        on.view.state = pooled_connection_state::busy;
+        on.view.state = pooled_connection_state::ending;
         on.transaction = {};
         on.source = 0;
         upstream_command command;
@@ -955,8 +963,8 @@
     return this->impl->open_transactions();
 }
 
-std::size_t database_owner::connections() const {
-    return this->impl->lanes.size();
+connection_counts database_owner::connections() const {
+    return this->impl->connections();
 }
 
 std::uint64_t database_owner::connections_opened() const {
--- a/src/persimmonpoint/engine/database_owner.hpp
+++ b/src/persimmonpoint/engine/database_owner.hpp
@@ -10,6 +10,7 @@
 #include <persimmonpoint/core/limits/cold_pace.hpp>
 #include <persimmonpoint/core/recovery/unacknowledged_commits.hpp>
 #include <persimmonpoint/core/routing/connection_choice.hpp>
+#include <persimmonpoint/core/routing/connection_counts.hpp>
 #include <persimmonpoint/core/routing/log_position.hpp>
 #include <persimmonpoint/core/statement/transaction_id.hpp>
 #include <persimmonpoint/interfaces/clock.hpp>
@@ -84,7 +85,7 @@
     std::uint32_t load() const;
     /// Transactions that wait for their next statement.
     std::size_t open_transactions() const;
-    std::size_t connections() const;
+    connection_counts connections() const;
     std::uint64_t connections_opened() const;
 
 private:
--- a/src/persimmonpoint/engine/dispatcher.cpp
+++ b/src/persimmonpoint/engine/dispatcher.cpp
@@ -530,8 +530,8 @@
     return sum;
 }
 
-std::size_t dispatcher::connections() const {
-    std::size_t sum = 0;
+connection_counts dispatcher::connections() const {
+    connection_counts sum;
     for (auto const& each : this->impl->owners) {
         sum += each.second->connections();
     }
--- a/src/persimmonpoint/engine/dispatcher.hpp
+++ b/src/persimmonpoint/engine/dispatcher.hpp
@@ -75,7 +75,7 @@
     /// Ends all orders; those that run have no known outcome.
     void close();
     std::uint64_t connections_opened() const;
-    std::size_t connections() const;
+    connection_counts connections() const;
     std::uint32_t load() const;
     /// Transactions that are open at databases and wait for their next statement.
     std::size_t open_transactions() const;
--- a/src/persimmonpoint/engine/traffic_counts.cpp
+++ b/src/persimmonpoint/engine/traffic_counts.cpp
@@ -51,7 +51,15 @@
     line(out, "directory_version", gauges.directory);
     line(out, "sessions", gauges.sessions);
     line(out, "peers_connected", gauges.peers_connected);
-    line(out, "database_connections", gauges.database_connections);
+    connection_counts const& connections = gauges.database_connections;
+    line(out, "database_connections", connections.all());
+    line(out, "database_connections_now{state=\"opening\"}", connections.opening);
+    line(out, "database_connections_now{state=\"idle\"}", connections.idle);
+    line(out, "database_connections_now{state=\"busy\"}", connections.busy);
+    line(out, "database_connections_now{state=\"ending\"}", connections.ending);
+    line(
+        out, "database_connections_now{state=\"in_transaction\"}",
+        connections.in_transaction);
     line(out, "database_connections_opened_total", gauges.database_connections_opened);
     line(out, "orders_open", gauges.orders_open);
     line(out, "leadership_changes_total", gauges.leadership_changes);
--- a/src/persimmonpoint/engine/traffic_counts.hpp
+++ b/src/persimmonpoint/engine/traffic_counts.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <persimmonpoint/core/routing/connection_counts.hpp>
 #include <persimmonpoint/observe/latency_histogram.hpp>
 #include <string>
 
@@ -32,7 +33,7 @@
     std::uint64_t directory = 0;
     std::uint64_t sessions = 0;
     std::uint64_t peers_connected = 0;
-    std::uint64_t database_connections = 0;
+    connection_counts database_connections;
     std::uint64_t database_connections_opened = 0;
     std::uint64_t orders_open = 0;
     std::uint64_t leadership_changes = 0;
--- a/tests/introspective/database_owner.tests.cpp
+++ b/tests/introspective/database_owner.tests.cpp
@@ -535,7 +535,7 @@
         auto const answer = stage.run(execute, first_link);
         CHECK(answer.outcome == upstream_outcome::answered);
         CHECK(answer.error == statement_error::unknown_statement);
-        CHECK(stage.owner->connections() == 0);
+        CHECK(stage.owner->connections().all() == 0);
     }
     SECTION("a transaction is rolled back") {
         auto const opened = stage.open("WRITE a 1", first_link);
@@ -545,7 +545,7 @@
         auto const answer = stage.run(execute, first_link);
         CHECK(answer.outcome == upstream_outcome::not_run);
         CHECK(answer.refusal == upstream_refusal::transaction_lost);
-        CHECK(stage.owner->connections() == 0);
+        CHECK(stage.owner->connections().all() == 0);
     }
     stage.connector.database.forgets_names = false;
     upstream_request again;
@@ -568,7 +568,7 @@
     execute.prepared = prepared_shape{"q", false};
     CHECK(stage.run(execute, first_link).outcome == upstream_outcome::not_run);
     CHECK(stage.connector.sent[0] == sent_texts{"PREPARE 1 q"});
-    CHECK(stage.owner->connections() == 0);
+    CHECK(stage.owner->connections().all() == 0);
 }
 
 TEST_CASE(
--- /dev/null
+++ b/tests/introspective/owner_deadlines.tests.cpp
@@ -0,0 +1,160 @@
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <persimmonpoint/engine/database_owner.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace persimmonpoint;
+using namespace persimmonpoint::engine;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using trompeloeil::_;
+
+namespace {
+
+constexpr order_source link_to_host = 1;
+
+class set_clock final : public clock {
+public:
+    instant now() const override { return this->time; }
+    instant time{seconds(1000)};
+};
+
+class mock_upstream : public upstream_connection {
+public:
+    MAKE_MOCK2(open, void(upstream_target const&, open_handler), override);
+    MAKE_MOCK2(execute, void(upstream_command const&, command_handler), override);
+    MAKE_MOCK0(close, void(), override);
+};
+
+class mock_observer : public owner_observer {
+public:
+    MAKE_MOCK1(on_answer, void(std::string const&), override);
+    MAKE_MOCK1(on_refused, void(std::string const&), override);
+    MAKE_MOCK1(on_silent, void(std::string const&), override);
+    MAKE_MOCK2(on_commit_sent, void(std::string const&, instant), override);
+    MAKE_MOCK3(on_commit_ended, void(std::string const&, instant, commit_end), override);
+    MAKE_MOCK3(
+        on_commit_acknowledged,
+        void(std::string const&, instant, std::optional<log_position>),
+        override);
+};
+
+/// A connection of the owner, and what its database has yet to answer.
+struct connection_at_database {
+    std::shared_ptr<mock_upstream> mock;
+    upstream_connection::open_handler opened;
+    std::deque<std::pair<upstream_action, upstream_connection::command_handler>> asked;
+    bool closed = false;
+};
+
+/// An owner whose database answers only what a test lets it answer.
+class mocked_stage final : public upstream_connector {
+public:
+    mocked_stage() {
+        registered_database database;
+        database.id = "db";
+        database.group = "group";
+        this->owner = std::make_unique<database_owner>(
+            this->loop, *this, this->time, this->observer, this->transactions, database);
+        this->owner->set_limits({8, 8, 2, {}, 8});
+    }
+
+    std::shared_ptr<upstream_connection> make() override {
+        std::size_t const at = this->connections.size();
+        auto mock = std::make_shared<mock_upstream>();
+        this->allow(NAMED_ALLOW_CALL(*mock, open(_, _))
+                        .SIDE_EFFECT(this->connections[at].opened = _2));
+        this->allow(
+            NAMED_ALLOW_CALL(*mock, execute(_, _))
+                .SIDE_EFFECT(this->connections[at].asked.emplace_back(_1.action, _2)));
+        this->allow(NAMED_ALLOW_CALL(*mock, close())
+                        .SIDE_EFFECT(this->connections[at].closed = true));
+        this->connections.push_back({mock, nullptr, {}});
+        return mock;
+    }
+
+    void submit(upstream_request_kind kind, std::string const& team) {
+        upstream_request request;
+        request.kind = kind;
+        request.group = "group";
+        request.database = "db";
+        request.team = team;
+        request.text = "READ a";
+        request.budget_ms = 200;
+        this->owner->submit(
+            std::move(request), link_to_host,
+            [this](upstream_response answer) { this->answers.push_back(answer); });
+    }
+
+    void open(std::size_t at) {
+        this->connections[at].opened(open_result::opened, std::nullopt);
+        this->settle();
+    }
+
+    /// The oldest command without an answer gets one.
+    void answer(std::size_t at, transaction_state state) {
+        auto const next = std::move(this->connections[at].asked.front());
+        this->connections[at].asked.pop_front();
+        upstream_answer good;
+        good.state = state;
+        next.second(std::move(good));
+        this->settle();
+    }
+
+    /// A read at the primary is answered; the system's ROLLBACK behind it is under way.
+    void read_until_rollback(std::size_t at) {
+        this->answer(at, transaction_state::open);
+        this->answer(at, transaction_state::open);
+        REQUIRE(this->connections[at].asked.front().first == upstream_action::rollback);
+    }
+
+    void settle() {
+        this->loop.restart();
+        this->loop.poll();
+    }
+
+    std::size_t opening() const { return this->owner->connections().opening; }
+
+    boost::asio::io_context loop;
+    set_clock time;
+    mock_observer observer;
+    std::vector<std::unique_ptr<trompeloeil::expectation>> allowed;
+    transaction_numbering transactions{instant(seconds(1)), 1};
+    std::vector<connection_at_database> connections;
+    std::vector<upstream_response> answers;
+    std::unique_ptr<database_owner> owner;
+
+private:
+    void allow(std::unique_ptr<trompeloeil::expectation> call) {
+        this->allowed.push_back(std::move(call));
+    }
+};
+
+} // namespace
+
+// Guards against logs and metrics that can't tell a connection that works for a caller
+// from one that nobody waits for.
+TEST_CASE(
+    "A connection counts as ending for as long as the system's ROLLBACK has no answer",
+    "[owner][deadlines][metrics]") {
+    mocked_stage stage;
+    ALLOW_CALL(stage.observer, on_answer(_));
+    stage.submit(upstream_request_kind::leader_read, "team");
+    CHECK(stage.owner->connections().opening == 1);
+    stage.open(0);
+    CHECK(stage.owner->connections().busy == 1);
+    stage.read_until_rollback(0);
+    CHECK(stage.answers.size() == 1);
+    CHECK(stage.owner->connections().ending == 1);
+    CHECK(stage.owner->connections().busy == 0);
+    stage.answer(0, transaction_state::idle);
+    CHECK(stage.owner->connections().idle == 1);
+    CHECK(stage.owner->connections().all() == 1);
+}
