Any state of a database's connection but the idle one ends by a deadline

The ROLLBACK that an owner sends of its own had no deadline: those belonged to orders and to transactions that wait for their caller.

One whose ROLLBACK is overdue is closed, which rolls back at the database, and is logged. The database isn't told as silent for it: nobody waited, and the next order tells. A transaction in which an order runs goes by the order's deadline only.

--- a/src/persimmonpoint/core/routing/connection_choice.hpp
+++ b/src/persimmonpoint/core/routing/connection_choice.hpp
@@ -2,8 +2,7 @@
 #define PERSIMMONPOINT_CORE_ROUTING_CONNECTION_CHOICE_HPP_INCLUDED
 
 #include <cstdint>
-#include <optional>
-#include <persimmonpoint/core/routing/prepared_names.hpp>
+#include <persimmonpoint/core/routing/pooled_connection.hpp>
 #include <persimmonpoint/core/statement/upstream_request.hpp>
 #include <persimmonpoint/core/time.hpp>
 #include <span>
@@ -12,25 +11,6 @@
 
 namespace persimmonpoint {
 
-enum class pooled_connection_state {
-    opening,
-    idle,
-    busy,          ///< An order runs on it.
-    ending,        ///< A ROLLBACK of the system's own is under way; nobody waits for it.
-    in_transaction ///< Of a caller, whether or not an order runs in it.
-};
-
-/// An owner's connection to its database. A connection serves one team until it is
-/// closed.
-struct pooled_connection {
-    std::uint64_t id = 0;
-    std::string team;
-    pooled_connection_state state = pooled_connection_state::opening;
-    session_values values;
-    prepared_names prepared;
-    instant last_used{};
-};
-
 /// Limits on an owner's connections and on the statements that run at a time.
 struct connection_limits {
     std::uint32_t connections = 1;
--- a/src/persimmonpoint/core/routing/connection_counts.hpp
+++ b/src/persimmonpoint/core/routing/connection_counts.hpp
@@ -2,7 +2,7 @@
 #define PERSIMMONPOINT_CORE_ROUTING_CONNECTION_COUNTS_HPP_INCLUDED
 
 #include <cstddef>
-#include <persimmonpoint/core/routing/connection_choice.hpp>
+#include <persimmonpoint/core/routing/pooled_connection.hpp>
 
 namespace persimmonpoint {
 
--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -35,8 +35,9 @@
 constexpr duration reopen_pause = std::chrono::milliseconds(60);
 /// After a database took no further connection, none beyond those at hand is tried.
 constexpr duration crowded_time = std::chrono::milliseconds(700);
-/// Time that an order of the system's own may take if it names none.
-constexpr duration default_budget = std::chrono::milliseconds(500);
+/// Time that an order of the system's own may take if it names none, and a command of the
+/// owner's that nobody waits for.
+constexpr duration own_command_limit = std::chrono::milliseconds(500);
 constexpr double per_mille = 1000;
 /// Commands that a transaction is reckoned to take behind its first ones: they are sent
 /// as they come.
@@ -113,7 +114,7 @@
         instant const now = this->time.now();
         duration const budget = order.budget_ms > 0
                                     ? duration(std::chrono::milliseconds(order.budget_ms))
-                                    : default_budget;
+                                    : own_command_limit;
         duration const wait = order.wait_ms > 0
                                   ? duration(std::chrono::milliseconds(order.wait_ms))
                                   : budget;
@@ -356,8 +357,7 @@
         }
         if (result == open_result::opened) {
             this->observer.on_answer(this->database.id);
-            found->second.view.state = pooled_connection_state::idle;
-            found->second.view.last_used = this->time.now();
+            found->second.view.rest(this->time.now());
             this->pump();
             return;
         }
@@ -431,10 +431,13 @@
         on.source = pending.source;
         on.counts_as_commit = changes_log(pending.order);
         this->pace_out(pending.order, on.steps.size());
+        bool const inside = on.view.state == pooled_connection_state::in_transaction;
+        this->enter(
+            on,
+            inside ? pooled_connection_state::in_transaction
+                   : pooled_connection_state::busy,
+            pending.deadline);
         on.current = std::move(pending);
-        if (on.view.state == pooled_connection_state::idle) {
-            on.view.state = pooled_connection_state::busy;
-        }
         ++this->running;
         // The setup is sent as one, so that it takes one round trip. The statement itself
         // follows once all of it has succeeded.
@@ -531,8 +534,7 @@
         if (is_open) {
             this->roll_back(on);
         } else {
-            on.view.state = pooled_connection_state::idle;
-            on.view.last_used = this->time.now();
+            on.view.rest(this->time.now());
         }
         // Whoever chose the connection goes on with it first.
         asio::post(
@@ -596,8 +598,7 @@
         bool const reusable = was_begin && answer.state == transaction_state::idle;
         std::uint64_t const id = on.view.id;
         if (reusable) {
-            on.view.state = pooled_connection_state::idle;
-            on.view.last_used = this->time.now();
+            on.view.rest(this->time.now());
         } else if (was_begin) {
             this->roll_back(on);
         } else {
@@ -669,16 +670,16 @@
         pending_order pending = this->take_current(on);
         bool const wanted = pending.handler != nullptr;
         if (stays_open && wanted) {
-            on.view.state = pooled_connection_state::in_transaction;
-            on.view.last_used = this->time.now();
+            this->enter(
+                on, pooled_connection_state::in_transaction,
+                this->time.now() + longest_transaction_pause);
             if (!on.transaction.is_set()) {
                 on.transaction = this->transactions.next();
             }
             out.transaction = on.transaction;
         } else if (answer.state == transaction_state::idle) {
             on.transaction = {};
-            on.view.state = pooled_connection_state::idle;
-            on.view.last_used = this->time.now();
+            on.view.rest(this->time.now());
         } else {
             this->roll_back(on);
         }
@@ -721,18 +722,13 @@
 
     /// Ends a transaction that nobody waits for any more; the lane is idle behind it.
     void roll_back(lane& on) {
-        on.view.state = pooled_connection_state::ending;
+        this->enter(
+            on, pooled_connection_state::ending, this->time.now() + own_command_limit);
         on.transaction = {};
         on.source = 0;
         upstream_command command;
         command.action = upstream_action::rollback;
-        on.connection->execute(
-            command,
-            [weak = this->weak_from_this(), id = on.view.id](upstream_answer answer) {
-                if (auto const self = weak.lock()) {
-                    self->step_answered(id, std::move(answer));
-                }
-            });
+        this->send(on, command);
     }
 
     void idle_again(lane& on, upstream_answer const& answer) {
@@ -740,8 +736,7 @@
             answer.state != transaction_state::idle) {
             this->drop(on.view.id);
         } else {
-            on.view.state = pooled_connection_state::idle;
-            on.view.last_used = this->time.now();
+            on.view.rest(this->time.now());
         }
         this->pump();
     }
@@ -772,6 +767,11 @@
 
     // Deadlines and sources
 
+    void enter(lane& on, pooled_connection_state next, instant until) {
+        on.view.enter(next, until);
+        this->watch_deadlines();
+    }
+
     void watch_deadlines() {
         if (this->sweeping || this->closed) {
             return;
@@ -791,31 +791,54 @@
     void sweep() {
         instant const now = this->time.now();
         std::vector<pending_order> expired = this->waiting.take_expired(now);
+        this->end_overdue(now);
+        for (pending_order& each : expired) {
+            this->reply(each, not_run(upstream_refusal::expired));
+        }
+        this->refuse_past_work_end();
+        this->pump();
+        if (!this->waiting.empty() || this->has_deadlines()) {
+            this->watch_deadlines();
+        }
+    }
+
+    bool has_deadlines() const {
+        return std::any_of(this->lanes.begin(), this->lanes.end(), [](auto const& each) {
+            return each.second.view.deadline.has_value();
+        });
+    }
+
+    void end_overdue(instant now) {
         std::vector<std::uint64_t> overdue;
-        bool transactions = false;
         for (auto const& [id, on] : this->lanes) {
-            bool const late = on.current && on.current->deadline <= now;
-            bool const forgotten =
-                on.view.state == pooled_connection_state::in_transaction &&
-                now - on.view.last_used > longest_transaction_pause;
-            transactions =
-                transactions || on.view.state == pooled_connection_state::in_transaction;
-            if (late || forgotten) {
+            if (on.view.is_overdue(now)) {
                 overdue.push_back(id);
             }
         }
         for (std::uint64_t const id : overdue) {
-            this->observer.on_silent(this->database.id);
-            this->lane_broke(id);
+            this->give_up(id);
         }
-        for (pending_order& each : expired) {
-            this->reply(each, not_run(upstream_refusal::expired));
+    }
+
+    /// Closes a connection that has been in its state for too long.
+    void give_up(std::uint64_t id) {
+        auto const found = this->lanes.find(id);
+        if (found == this->lanes.end()) {
+            return;
         }
-        this->refuse_past_work_end();
-        this->pump();
-        if (!this->waiting.empty() || this->running > 0 || transactions) {
-            this->watch_deadlines();
+        bool const is_ending =
+            found->second.view.state == pooled_connection_state::ending;
+        observe::log_event(
+            observe::log_level::warning, "connection_given_up",
+            {{"database", this->database.id},
+             {"connection", id},
+             {"was_ending", is_ending}});
+        // Nobody waits for that answer: its loss is no sign that the database is silent,
+        // which the next order tells.
+        if (!is_ending) {
+            this->observer.on_silent(this->database.id);
         }
+        this->lane_broke(id);
     }
 
     void forget(order_source source) {
--- a/src/persimmonpoint/interfaces/upstream_connection.hpp
+++ b/src/persimmonpoint/interfaces/upstream_connection.hpp
@@ -72,6 +72,7 @@
     using command_handler = std::function<void(upstream_answer)>;
 
     virtual ~upstream_connection() = default;
+    /// The handler is called within a time limit of the connection's own.
     virtual void open(upstream_target const& target, open_handler handler) = 0;
     /// Commands are answered in the order in which they were sent.
     virtual void execute(upstream_command const& command, command_handler handler) = 0;
--- a/tests/introspective/owner_deadlines.tests.cpp
+++ b/tests/introspective/owner_deadlines.tests.cpp
@@ -19,6 +19,10 @@
 namespace {
 
 constexpr order_source link_to_host = 1;
+/// Past every deadline of a command, within that of a transaction's pause.
+constexpr duration past_commands = seconds(2);
+/// Real time; a look ends as soon as no deadline is left.
+constexpr duration longest_look = seconds(20);
 
 class set_clock final : public clock {
 public:
@@ -46,6 +50,15 @@
         override);
 };
 
+/// Why the owner rolls back without being asked to.
+enum class rollback_reason {
+    leader_read,     ///< Behind a read at a primary.
+    leader_check,    ///< Behind the question whether the database leads.
+    host_gone,       ///< Of whoever opened the transaction.
+    database_leaves, ///< The service, with a transaction open.
+    failed_opening   ///< The transaction's first statement failed.
+};
+
 /// A connection of the owner, and what its database has yet to answer.
 struct connection_at_database {
     std::shared_ptr<mock_upstream> mock;
@@ -115,12 +128,42 @@
         REQUIRE(this->connections[at].asked.front().first == upstream_action::rollback);
     }
 
+    /// On the first connection; the ROLLBACK is under way.
+    void let_roll_back(rollback_reason reason) {
+        bool const is_check = reason == rollback_reason::leader_check;
+        bool const is_read = reason == rollback_reason::leader_read;
+        this->submit(
+            is_check  ? upstream_request_kind::leader_check
+            : is_read ? upstream_request_kind::leader_read
+                      : upstream_request_kind::open_transaction,
+            "team");
+        this->open(0);
+        this->answer(0, transaction_state::open);
+        if (!is_check) {
+            bool const fails = reason == rollback_reason::failed_opening;
+            this->answer(0, fails ? transaction_state::failed : transaction_state::open);
+        }
+        if (reason == rollback_reason::host_gone) {
+            this->owner->forget(link_to_host);
+        } else if (reason == rollback_reason::database_leaves) {
+            this->owner->set_service(true, false);
+            this->owner->set_service(true, true);
+        }
+    }
+
     void settle() {
         this->loop.restart();
         this->loop.poll();
     }
 
-    std::size_t opening() const { return this->owner->connections().opening; }
+    /// The time passes, and the owner looks at its deadlines until nothing has one.
+    void pass(duration time) {
+        this->time.time += time;
+        this->loop.restart();
+        this->loop.run_for(longest_look);
+    }
+
+    connection_counts counts() const { return this->owner->connections(); }
 
     boost::asio::io_context loop;
     set_clock time;
@@ -147,14 +190,91 @@
     mocked_stage stage;
     ALLOW_CALL(stage.observer, on_answer(_));
     stage.submit(upstream_request_kind::leader_read, "team");
-    CHECK(stage.owner->connections().opening == 1);
+    CHECK(stage.counts().opening == 1);
     stage.open(0);
-    CHECK(stage.owner->connections().busy == 1);
+    CHECK(stage.counts().busy == 1);
     stage.read_until_rollback(0);
     CHECK(stage.answers.size() == 1);
-    CHECK(stage.owner->connections().ending == 1);
-    CHECK(stage.owner->connections().busy == 0);
+    CHECK(stage.counts().ending == 1);
+    CHECK(stage.counts().busy == 0);
     stage.answer(0, transaction_state::idle);
-    CHECK(stage.owner->connections().idle == 1);
-    CHECK(stage.owner->connections().all() == 1);
+    CHECK(stage.counts().idle == 1);
+    CHECK(stage.counts().all() == 1);
+}
+
+// Guards against the loss of all connections to a database, for as long as the process
+// lives: each ROLLBACK of the system's own whose answer was lost took one.
+TEST_CASE(
+    "A connection whose ROLLBACK has no answer is given up by a deadline",
+    "[owner][deadlines]") {
+    mocked_stage stage;
+    ALLOW_CALL(stage.observer, on_answer(_));
+    // A lost answer that nobody waits for says nothing of the database.
+    FORBID_CALL(stage.observer, on_silent(_));
+    FORBID_CALL(stage.observer, on_refused(_));
+
+    auto const reason = GENERATE(
+        rollback_reason::leader_read, rollback_reason::leader_check,
+        rollback_reason::host_gone, rollback_reason::database_leaves,
+        rollback_reason::failed_opening);
+    stage.let_roll_back(reason);
+    REQUIRE(stage.answers.size() == 1);
+    REQUIRE(stage.counts().ending == 1);
+
+    stage.pass(past_commands);
+
+    CHECK(stage.counts().all() == 0);
+    CHECK(stage.connections[0].closed);
+    SECTION("an answer that comes later is passed over") {
+        stage.answer(0, transaction_state::idle);
+        CHECK(stage.counts().all() == 0);
+    }
+    SECTION("the team is served on") {
+        stage.submit(upstream_request_kind::leader_read, "team");
+        stage.open(1);
+        stage.read_until_rollback(1);
+        stage.answer(1, transaction_state::idle);
+        CHECK(stage.answers.size() == 2);
+        CHECK(stage.counts().idle == 1);
+    }
+}
+
+TEST_CASE("Only the connections that have no answer are given up", "[owner][deadlines]") {
+    mocked_stage stage;
+    ALLOW_CALL(stage.observer, on_answer(_));
+    FORBID_CALL(stage.observer, on_silent(_));
+    stage.submit(upstream_request_kind::leader_read, "quick");
+    stage.open(0);
+    stage.read_until_rollback(0);
+    stage.submit(upstream_request_kind::leader_read, "lost");
+    stage.open(1);
+    stage.read_until_rollback(1);
+    stage.answer(0, transaction_state::idle);
+
+    stage.pass(past_commands);
+
+    CHECK(stage.counts().idle == 1);
+    CHECK(stage.counts().all() == 1);
+    CHECK_FALSE(stage.connections[0].closed);
+    CHECK(stage.connections[1].closed);
+    // The one that is left serves its team as before.
+    stage.submit(upstream_request_kind::leader_read, "quick");
+    CHECK(stage.counts().busy == 1);
+    CHECK(stage.connections.size() == 2);
+}
+
+TEST_CASE(
+    "Any state of a connection but the idle one has a deadline", "[owner][deadlines]") {
+    instant const now{seconds(1000)};
+    pooled_connection connection;
+    auto const state = GENERATE(
+        pooled_connection_state::busy, pooled_connection_state::ending,
+        pooled_connection_state::in_transaction);
+    connection.enter(state, now + milliseconds(10));
+    CHECK_FALSE(connection.is_overdue(now + milliseconds(9)));
+    CHECK(connection.is_overdue(now + milliseconds(10)));
+    connection.rest(now + milliseconds(5));
+    CHECK(connection.state == pooled_connection_state::idle);
+    CHECK(connection.last_used == now + milliseconds(5));
+    CHECK_FALSE(connection.is_overdue(now + seconds(100)));
 }
