Connections that are given up together are replaced one after the other

Opening takes a slot of the database.

Cause: only a failed attempt to connect made the next one wait. Where the answers on many connections are lost together their deadlines pass in one look, and all were opened anew in that look.

Change: connection_pace (core) spaces attempts 60 ms apart for a second after a connection was given up; the first replacement is made at once. The pauses after a failed attempt and after "too many connections" move there as they were.

Tests: "Connections that are given up together are replaced one after the other" failed on the commit before (6 opening at once, 1 expected), for orders and for ROLLBACKs.

--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -7,6 +7,7 @@
 #include <persimmonpoint/core/limits/cold_pace.hpp>
 #include <persimmonpoint/core/limits/commit_share.hpp>
 #include <persimmonpoint/core/limits/concurrency_profile.hpp>
+#include <persimmonpoint/core/limits/connection_pace.hpp>
 #include <persimmonpoint/core/limits/service_meter.hpp>
 #include <persimmonpoint/core/limits/waiting_line.hpp>
 #include <persimmonpoint/core/recovery/acknowledged_commits.hpp>
@@ -31,10 +32,6 @@
 constexpr std::size_t most_waiting = 400;
 /// Their bytes together; several of the largest orders fit.
 constexpr std::size_t most_waiting_bytes = 16 * 1024 * 1024;
-/// After a failed connection attempt, the next one waits this long.
-constexpr duration reopen_pause = std::chrono::milliseconds(60);
-/// After a database took no further connection, none beyond those at hand is tried.
-constexpr duration crowded_time = std::chrono::milliseconds(700);
 /// Time that an order of the system's own may take if it names none, and a command of the
 /// owner's that nobody waits for.
 constexpr duration own_command_limit = std::chrono::milliseconds(500);
@@ -259,7 +256,7 @@
     /// The limits, less what the database refused of late.
     connection_limits present_limits() const {
         connection_limits present = this->limits;
-        if (this->time.now() < this->crowded_until) {
+        if (this->attempts.is_crowded(this->time.now())) {
             present.connections = std::min(
                 present.connections, static_cast<std::uint32_t>(this->lanes.size()));
         }
@@ -328,13 +325,14 @@
 
     // Connections
 
-    bool may_open() const { return this->time.now() >= this->open_again; }
+    bool may_open() const { return this->attempts.may_attempt(this->time.now()); }
 
     void open(std::string const& team) {
         if (!this->may_open()) {
             return;
         }
         this->pace.sent(1, this->time.now());
+        this->attempts.attempted(this->time.now());
         std::uint64_t const id = ++this->last_lane;
         lane& made = this->lanes[id];
         made.view.id = id;
@@ -362,9 +360,9 @@
             return;
         }
         this->lanes.erase(found);
-        this->open_again = this->time.now() + reopen_pause;
+        this->attempts.failed(this->time.now());
         if (result == open_result::crowded) {
-            this->crowded_until = this->time.now() + crowded_time;
+            this->attempts.crowded(this->time.now());
         } else if (result == open_result::refused) {
             this->pace.refused(this->time.now());
             this->observer.on_refused(this->database.id);
@@ -838,6 +836,7 @@
         if (!is_ending) {
             this->observer.on_silent(this->database.id);
         }
+        this->attempts.gave_up(this->time.now());
         this->lane_broke(id);
     }
 
@@ -902,6 +901,7 @@
     waiting_line<pending_order> waiting{most_waiting, most_waiting_bytes};
     commit_share commits;
     cold_pace pace;
+    connection_pace attempts;
     service_meter meter;
     concurrency_profile concurrency;
     std::uint32_t logged_limit = 0;
@@ -910,8 +910,6 @@
     std::uint64_t last_lane = 0;
     std::uint64_t opened_count = 0;
     std::uint32_t running = 0;
-    instant open_again{};
-    instant crowded_until{};
     bool sweeping = false;
     bool ends_transactions = false;
     bool takes_new_work = true;
--- a/tests/introspective/owner_deadlines.tests.cpp
+++ b/tests/introspective/owner_deadlines.tests.cpp
@@ -2,7 +2,9 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
+#include <chrono>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <persimmonpoint/engine/database_owner.hpp>
@@ -93,14 +95,17 @@
         return mock;
     }
 
-    void submit(upstream_request_kind kind, std::string const& team) {
+    void submit(
+        upstream_request_kind kind,
+        std::string const& team,
+        std::uint32_t budget_ms = 200) {
         upstream_request request;
         request.kind = kind;
         request.group = "group";
         request.database = "db";
         request.team = team;
         request.text = "READ a";
-        request.budget_ms = 200;
+        request.budget_ms = budget_ms;
         this->owner->submit(
             std::move(request), link_to_host,
             [this](upstream_response answer) { this->answers.push_back(answer); });
@@ -163,6 +168,15 @@
         this->loop.run_for(longest_look);
     }
 
+    /// The owner looks at its deadlines until the condition holds.
+    void look_until(std::function<bool()> const& holds) {
+        auto const end = std::chrono::steady_clock::now() + longest_look;
+        this->loop.restart();
+        while (!holds() && std::chrono::steady_clock::now() < end) {
+            this->loop.run_one_for(longest_look);
+        }
+    }
+
     connection_counts counts() const { return this->owner->connections(); }
 
     boost::asio::io_context loop;
@@ -278,3 +292,45 @@
     CHECK(connection.last_used == now + milliseconds(5));
     CHECK_FALSE(connection.is_overdue(now + seconds(100)));
 }
+
+// Guards against a storm: as the answers on many connections were lost together, all were
+// replaced at the same moment, each at the cost of a slot of the database.
+TEST_CASE(
+    "Connections that are given up together are replaced one after the other",
+    "[owner][deadlines][pace]") {
+    constexpr std::uint32_t long_budget_ms = 10'000;
+    std::vector<std::string> const teams = {"a", "b", "c", "d", "e", "f"};
+    mocked_stage stage;
+    ALLOW_CALL(stage.observer, on_answer(_));
+    ALLOW_CALL(stage.observer, on_silent(_));
+    stage.owner->set_limits({6, 6, 2, {}, 6});
+    auto const kind = GENERATE(
+        upstream_request_kind::leader_read, // Its ROLLBACK gets no answer.
+        upstream_request_kind::single);     // It gets none itself.
+    for (std::string const& team : teams) {
+        stage.submit(kind, team);
+    }
+    REQUIRE(stage.counts().opening == teams.size());
+    for (std::size_t i = 0; i < teams.size(); ++i) {
+        stage.open(i);
+        if (kind == upstream_request_kind::leader_read) {
+            stage.read_until_rollback(i);
+        }
+    }
+    for (std::string const& team : teams) {
+        stage.submit(kind, team, long_budget_ms);
+    }
+    REQUIRE(stage.connections.size() == teams.size());
+
+    stage.time.time += past_commands;
+    stage.look_until([&stage] { return stage.counts().opening > 0; });
+
+    CHECK(stage.counts().all() == 1);
+    CHECK(stage.counts().opening == 1);
+    stage.time.time += milliseconds(100);
+    stage.look_until([&stage] { return stage.counts().opening > 1; });
+    CHECK(stage.counts().opening == 2);
+    stage.open(teams.size());
+    CHECK(stage.counts().busy == 1);
+    CHECK(stage.counts().opening == 1);
+}
