A transaction that its caller leaves alone is no sign of a silent database

Here it is the caller who owes the next word.

Change: the transaction is rolled back (by the deadline of such commands), its connection serves on, and the caller's next statement hears that it is lost. Only an order without an answer is told as silence.

Tests: "A transaction that its caller leaves alone is rolled back, and says nothing of the database" failed on the commit before (a forbidden call of on_silent); "An order without an answer is told as the database's silence" holds on both.

--- a/src/persimmonpoint/engine/database_owner.cpp
+++ b/src/persimmonpoint/engine/database_owner.cpp
@@ -814,30 +814,41 @@
             }
         }
         for (std::uint64_t const id : overdue) {
-            this->give_up(id);
+            auto const found = this->lanes.find(id);
+            if (found != this->lanes.end()) {
+                this->end_overdue(found->second);
+            }
         }
     }
 
-    /// Closes a connection that has been in its state for too long.
-    void give_up(std::uint64_t id) {
-        auto const found = this->lanes.find(id);
-        if (found == this->lanes.end()) {
-            return;
-        }
-        bool const is_ending =
-            found->second.view.state == pooled_connection_state::ending;
-        observe::log_event(
-            observe::log_level::warning, "connection_given_up",
-            {{"database", this->database.id},
-             {"connection", id},
-             {"was_ending", is_ending}});
-        // Nobody waits for that answer: its loss is no sign that the database is silent,
-        // which the next order tells.
-        if (!is_ending) {
+    /// Only an order without an answer is a sign that the database is silent: nobody
+    /// waits for the end of a ROLLBACK, which the next order finds out, and a transaction
+    /// waits for its caller.
+    void end_overdue(lane& on) {
+        if (on.current) {
             this->observer.on_silent(this->database.id);
+            this->give_up(on);
+        } else if (on.view.state == pooled_connection_state::in_transaction) {
+            this->log_overdue("transaction_left_ended", on);
+            this->roll_back(on);
+        } else {
+            this->give_up(on);
         }
+    }
+
+    /// Closes a connection on which the database has not answered.
+    void give_up(lane& on) {
+        this->log_overdue("connection_given_up", on);
         this->attempts.gave_up(this->time.now());
-        this->lane_broke(id);
+        this->lane_broke(on.view.id);
+    }
+
+    void log_overdue(std::string_view event, lane const& on) const {
+        observe::log_event(
+            observe::log_level::warning, event,
+            {{"database", this->database.id},
+             {"connection", on.view.id},
+             {"runs_order", on.current.has_value()}});
     }
 
     void forget(order_source source) {
--- a/tests/introspective/owner_deadlines.tests.cpp
+++ b/tests/introspective/owner_deadlines.tests.cpp
@@ -334,3 +334,71 @@
     CHECK(stage.counts().busy == 1);
     CHECK(stage.counts().opening == 1);
 }
+
+// Guards against a sound primary that is replaced since a caller left a transaction
+// alone.
+TEST_CASE(
+    "A transaction that its caller leaves alone is rolled back, and says nothing of the "
+    "database",
+    "[owner][deadlines][transactions]") {
+    constexpr duration past_pauses = seconds(15);
+    mocked_stage stage;
+    ALLOW_CALL(stage.observer, on_answer(_));
+    FORBID_CALL(stage.observer, on_silent(_));
+    stage.submit(upstream_request_kind::open_transaction, "team");
+    stage.open(0);
+    stage.answer(0, transaction_state::open);
+    stage.answer(0, transaction_state::open);
+    REQUIRE(stage.counts().in_transaction == 1);
+    transaction_id const opened = stage.answers[0].transaction;
+
+    stage.time.time += past_pauses;
+    stage.look_until([&stage] { return stage.counts().in_transaction == 0; });
+
+    REQUIRE(stage.counts().ending == 1);
+    CHECK_FALSE(stage.connections[0].closed);
+    REQUIRE(stage.connections[0].asked.size() == 1);
+    CHECK(stage.connections[0].asked.front().first == upstream_action::rollback);
+    SECTION("its caller is told that it is lost") {
+        upstream_request next;
+        next.kind = upstream_request_kind::commit;
+        next.transaction = opened;
+        next.text = "COMMIT";
+        stage.owner->submit(next, link_to_host, [&stage](upstream_response answer) {
+            stage.answers.push_back(answer);
+        });
+        REQUIRE(stage.answers.size() == 2);
+        CHECK(stage.answers[1].refusal == upstream_refusal::transaction_lost);
+    }
+    SECTION("its connection serves on") {
+        stage.answer(0, transaction_state::idle);
+        CHECK(stage.counts().idle == 1);
+        stage.submit(upstream_request_kind::single, "team");
+        CHECK(stage.counts().busy == 1);
+        CHECK(stage.connections.size() == 1);
+    }
+    SECTION("its connection is given up if the database is silent after all") {
+        stage.pass(past_commands);
+        CHECK(stage.counts().all() == 0);
+        CHECK(stage.connections[0].closed);
+    }
+}
+
+TEST_CASE(
+    "An order without an answer is told as the database's silence",
+    "[owner][deadlines]") {
+    mocked_stage stage;
+    ALLOW_CALL(stage.observer, on_answer(_));
+    auto const kind = GENERATE(
+        upstream_request_kind::single, upstream_request_kind::open_transaction,
+        upstream_request_kind::leader_check);
+    stage.submit(kind, "team");
+    stage.open(0);
+    {
+        REQUIRE_CALL(stage.observer, on_silent("db"));
+        stage.pass(past_commands);
+    }
+    CHECK(stage.counts().all() == 0);
+    REQUIRE(stage.answers.size() == 1);
+    CHECK(stage.answers[0].refusal == upstream_refusal::unreachable);
+}
