The reset of a pooled connection ends by a deadline

With a limit of one, the first lost answer to DISCARD ALL leaves the pool without a connection for as long as the process lives.

Connecting had one, by a timer for each attempt.

Change: connecting and resetting are one list with deadlines by the pool's clock, which it is given; the look that refuses late requests ends them. What is given up here, or by a statement without an answer, is replaced at the pace of connection_pace. A closed pool counts none of it as open.

--- a/src/persimmonpoint/traffic/connection_pool.cpp
+++ b/src/persimmonpoint/traffic/connection_pool.cpp
@@ -1,7 +1,9 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <persimmonpoint/core/limits/connection_pace.hpp>
 #include <persimmonpoint/core/limits/fair_queue.hpp>
+#include <persimmonpoint/observe/event_log.hpp>
 #include <persimmonpoint/traffic/connection_pool.hpp>
 #include <utility>
 
@@ -45,13 +47,24 @@
         handler done;
     };
 
+    enum class task { connecting, resetting };
+
+    /// A connection on which the pool waits for an answer, for nobody else.
+    struct transit {
+        std::shared_ptr<database_connection> link;
+        task what = task::connecting;
+        instant deadline{};
+    };
+
     implementation(
         asio::io_context& loop,
+        clock const& time,
         std::string name,
         factory make,
         pool_settings settings,
         std::shared_ptr<chart::chart const> rules)
         : loop(loop),
+          time(time),
           name(std::move(name)),
           make(std::move(make)),
           settings(settings),
@@ -59,15 +72,16 @@
           expiry(loop) {}
 
     asio::io_context& loop;
+    clock const& time;
     std::string name;
     factory make;
     pool_settings settings;
     std::shared_ptr<chart::chart const> rules;
     asio::steady_timer expiry;
     std::vector<std::shared_ptr<database_connection>> idle;
-    /// Connecting or resetting: they hold a handler that holds them, until they are
-    /// closed.
-    std::vector<std::shared_ptr<database_connection>> in_transit;
+    /// They hold a handler that holds them, until they are closed.
+    std::vector<transit> in_transit;
+    connection_pace attempts;
     fair_queue<request> waiting;
     std::size_t open = 0; ///< Connecting, idle, on loan or resetting.
     std::size_t connecting = 0;
@@ -94,33 +108,24 @@
                 std::make_unique<connection_lease>(self, std::move(link), this->rules));
         }
         while (this->waiting.size() > this->connecting &&
-               this->open < this->settings.limit) {
+               this->open < this->settings.limit &&
+               this->attempts.may_attempt(this->time.now())) {
             this->connect(self);
         }
-        this->arm_expiry(self);
+        this->watch_deadlines(self);
     }
 
     void connect(std::shared_ptr<connection_pool> const& self) {
         ++this->open;
         ++this->connecting;
+        this->attempts.attempted(this->time.now());
         auto link = this->make();
-        this->in_transit.push_back(link);
-        auto timer = std::make_shared<asio::steady_timer>(this->loop);
-        auto settled = std::make_shared<bool>(false);
-        timer->expires_after(this->settings.connect_timeout);
-        timer->async_wait([self, link, settled](boost::system::error_code failure) {
-            if (!failure && !std::exchange(*settled, true)) {
-                std::erase(self->impl->in_transit, link);
-                link->close();
-                self->impl->connect_failed(self, "connecting took too long");
-            }
-        });
-        link->connect([self, link, timer, settled](result<void> outcome) {
-            timer->cancel();
-            if (std::exchange(*settled, true)) {
-                return;
+        this->in_transit.push_back(
+            {link, task::connecting, this->time.now() + this->settings.connect_timeout});
+        link->connect([self, link](result<void> outcome) {
+            if (!self->impl->leave_transit(link)) {
+                return; // Given up meanwhile.
             }
-            std::erase(self->impl->in_transit, link);
             if (!outcome) {
                 self->impl->connect_failed(self, outcome.error().message);
                 return;
@@ -131,6 +136,37 @@
         });
     }
 
+    /// False if the connection was given up before.
+    bool leave_transit(std::shared_ptr<database_connection> const& link) {
+        return std::erase_if(this->in_transit, [&link](transit const& each) {
+                   return each.link == link;
+               }) > 0;
+    }
+
+    void reset(
+        std::shared_ptr<connection_pool> const& self,
+        std::shared_ptr<database_connection> const& link) {
+        this->in_transit.push_back(
+            {link, task::resetting, this->time.now() + this->settings.reset_timeout});
+        upstream_query reset;
+        reset.sql = "DISCARD ALL";
+        link->run(
+            {std::move(reset)},
+            std::make_shared<reset_observer>([self, link](bool clean) {
+                if (!self->impl->leave_transit(link)) {
+                    return; // Given up meanwhile.
+                }
+                if (clean) {
+                    self->impl->park(self, link);
+                    self->impl->serve(self);
+                } else {
+                    link->close();
+                    self->gone();
+                }
+            }));
+        this->watch_deadlines(self);
+    }
+
     void connect_failed(
         std::shared_ptr<connection_pool> const& self, std::string const& reason) {
         --this->open;
@@ -163,26 +199,58 @@
         this->idle.push_back(link);
     }
 
-    void arm_expiry(std::shared_ptr<connection_pool> const& self) {
-        if (this->expiry_armed || this->waiting.empty()) {
+    void watch_deadlines(std::shared_ptr<connection_pool> const& self) {
+        bool const has_none = this->waiting.empty() && this->in_transit.empty();
+        if (this->expiry_armed || this->closed || has_none) {
             return;
         }
         this->expiry_armed = true;
         this->expiry.expires_after(expiry_interval);
         this->expiry.async_wait([self](boost::system::error_code failure) {
             self->impl->expiry_armed = false;
-            if (failure) {
-                return;
+            if (!failure) {
+                self->impl->expire(self);
             }
-            auto const late =
-                self->impl->waiting.expire(std::chrono::steady_clock::now());
-            for (request const& each : late) {
-                each.done(error{
-                    "53300", "no connection to database \"" + self->impl->name +
-                                 "\" became free in time"});
+        });
+    }
+
+    void expire(std::shared_ptr<connection_pool> const& self) {
+        for (request const& each : this->waiting.expire(this->time.now())) {
+            each.done(error{
+                "53300",
+                "no connection to database \"" + this->name + "\" became free in time"});
+        }
+        for (transit const& each : this->take_overdue()) {
+            each.link->close();
+            if (each.what == task::connecting) {
+                this->connect_failed(self, "connecting took too long");
+            } else {
+                this->reset_overdue(self);
             }
-            self->impl->arm_expiry(self);
+        }
+        this->serve(self);
+    }
+
+    std::vector<transit> take_overdue() {
+        instant const now = this->time.now();
+        std::vector<transit> overdue;
+        std::erase_if(this->in_transit, [now, &overdue](transit const& each) {
+            bool const is_overdue = each.deadline <= now;
+            if (is_overdue) {
+                overdue.push_back(each);
+            }
+            return is_overdue;
         });
+        return overdue;
+    }
+
+    /// Nobody waits for a reset: that it has no answer is no sign of the database's
+    /// state.
+    void reset_overdue(std::shared_ptr<connection_pool> const& self) {
+        observe::log_event(
+            observe::log_level::warning, "connection_given_up",
+            {{"database", this->name}, {"was_resetting", true}});
+        self->gave_up();
     }
 };
 
@@ -230,14 +298,24 @@
     std::exchange(this->pool, nullptr)->gone();
 }
 
+void connection_lease::give_up() {
+    if (!this->connection) {
+        return;
+    }
+    this->machine.fire(connection_event::broken);
+    std::exchange(this->connection, nullptr)->close();
+    std::exchange(this->pool, nullptr)->gave_up();
+}
+
 connection_pool::connection_pool(
     asio::io_context& loop,
+    clock const& time,
     std::string name,
     factory make,
     pool_settings settings,
     std::shared_ptr<chart::chart const> rules)
     : impl(std::make_unique<implementation>(
-          loop, std::move(name), std::move(make), settings, std::move(rules))) {}
+          loop, time, std::move(name), std::move(make), settings, std::move(rules))) {}
 
 connection_pool::~connection_pool() = default;
 
@@ -292,10 +370,12 @@
     for (auto const& link : this->impl->idle) {
         link->close();
     }
-    for (auto const& link : std::exchange(this->impl->in_transit, {})) {
-        link->close();
+    auto const in_transit = std::exchange(this->impl->in_transit, {});
+    for (auto const& each : in_transit) {
+        each.link->close();
     }
-    this->impl->open -= this->impl->idle.size();
+    this->impl->open -= this->impl->idle.size() + in_transit.size();
+    this->impl->connecting = 0;
     this->impl->idle.clear();
     this->impl->refuse_all("database \"" + this->impl->name + "\" is leaving");
 }
@@ -316,20 +396,12 @@
         this->gone();
         return;
     }
-    upstream_query reset;
-    reset.sql = "DISCARD ALL";
-    this->impl->in_transit.push_back(link);
-    link->run(
-        {std::move(reset)}, std::make_shared<reset_observer>([self, link](bool clean) {
-            std::erase(self->impl->in_transit, link);
-            if (clean) {
-                self->impl->park(self, link);
-                self->impl->serve(self);
-            } else {
-                link->close();
-                self->gone();
-            }
-        }));
+    this->impl->reset(self, link);
+}
+
+void connection_pool::gave_up() {
+    this->impl->attempts.gave_up(this->impl->time.now());
+    this->gone();
 }
 
 void connection_pool::gone() {
--- a/src/persimmonpoint/traffic/connection_pool.hpp
+++ b/src/persimmonpoint/traffic/connection_pool.hpp
@@ -7,6 +7,7 @@
 #include <persimmonpoint/core/error.hpp>
 #include <persimmonpoint/core/routing/read_router.hpp>
 #include <persimmonpoint/core/time.hpp>
+#include <persimmonpoint/interfaces/clock.hpp>
 #include <persimmonpoint/postgres/database_connection.hpp>
 #include <persimmonpoint/traffic/connection_chart.hpp>
 #include <string>
@@ -42,6 +43,8 @@
     void release();
     /// Closes the connection: its state is in doubt.
     void discard();
+    /// Closes the connection: the database has not answered on it.
+    void give_up();
 
 private:
     std::shared_ptr<connection_pool> pool;
@@ -55,6 +58,7 @@
 struct pool_settings {
     std::size_t limit = 0; ///< Connections of this pool at most.
     duration connect_timeout{std::chrono::seconds(1)};
+    duration reset_timeout{std::chrono::seconds(1)};
     std::size_t max_waiting = 10'000; ///< More requests are refused at once.
 };
 
@@ -66,6 +70,7 @@
 
     connection_pool(
         boost::asio::io_context& loop,
+        clock const& time,
         std::string name,
         factory make,
         pool_settings settings,
@@ -86,6 +91,7 @@
     friend class connection_lease;
     void give_back(std::shared_ptr<database_connection> link, bool dirty);
     void gone();
+    void gave_up();
 
     struct implementation;
     std::unique_ptr<implementation> impl;
--- a/src/persimmonpoint/traffic/statement_runner.cpp
+++ b/src/persimmonpoint/traffic/statement_runner.cpp
@@ -706,7 +706,7 @@
     }
 
     void give_up_connection() {
-        this->lease->discard();
+        this->lease->give_up();
         this->lease.reset();
         this->connection_lost();
     }
--- a/src/persimmonpoint/traffic/worker.cpp
+++ b/src/persimmonpoint/traffic/worker.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <persimmonpoint/net/run_loop.hpp>
+#include <persimmonpoint/observe/monotonic_clock.hpp>
 #include <persimmonpoint/observe/random_device_source.hpp>
 #include <persimmonpoint/observe/thread_name.hpp>
 #include <persimmonpoint/postgres/query_classifier.hpp>
@@ -107,7 +108,7 @@
         pool_settings settings;
         settings.limit = this->connection_share(database);
         return std::make_shared<connection_pool>(
-            this->loop, database.name,
+            this->loop, this->time, database.name,
             [this, database] {
                 return this->environment.make_connection(this->loop, database);
             },
@@ -171,6 +172,7 @@
     postgres::query_classifier classifier;
     asio::steady_timer last_call;
     observe::random_device_source random;
+    observe::monotonic_clock time;
     std::unique_ptr<control_link> link;
     std::unique_ptr<worker_context> context;
     std::map<std::string, std::shared_ptr<connection_pool>> pools;
--- a/tests/introspective/connection_pool.tests.cpp
+++ b/tests/introspective/connection_pool.tests.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
+#include <chrono>
+#include <functional>
 #include <persimmonpoint/traffic/connection_pool.hpp>
 
 using namespace persimmonpoint;
@@ -22,9 +24,17 @@
     MAKE_MOCK0(close, void(), override);
 };
 
-instant soon() {
-    return std::chrono::steady_clock::now() + std::chrono::seconds(60);
-}
+class set_clock final : public clock {
+public:
+    instant now() const override { return this->time; }
+    instant time{std::chrono::seconds(1000)};
+};
+
+/// Past every deadline of the pool's own, within that of a request.
+constexpr duration past_resets = std::chrono::seconds(5);
+constexpr duration patience = std::chrono::seconds(60);
+/// Real time; a look ends as soon as no deadline is left.
+constexpr duration longest_look = std::chrono::seconds(20);
 
 /// A pool over mocks that connect at once, unless told to fail.
 struct pool_stage {
@@ -32,7 +42,7 @@
         pool_settings settings;
         settings.limit = limit;
         this->pool = std::make_shared<connection_pool>(
-            this->loop, "db", [this] { return this->make(); }, settings,
+            this->loop, this->time, "db", [this] { return this->make(); }, settings,
             chart::require("connection", connection_states, connection_events));
     }
 
@@ -61,13 +71,18 @@
         std::vector<upstream_query> const& batch,
         std::shared_ptr<answer_observer> const& observer) {
         this->resets.push_back(batch.at(0).sql);
-        observer->on_finished(postgres::transaction_status::idle);
+        if (this->answers_resets) {
+            observer->on_finished(postgres::transaction_status::idle);
+        } else {
+            this->unanswered.push_back(observer);
+        }
     }
 
     /// Keeps what it gets; the name tells who was served.
     void acquire(std::string const& team) {
         this->pool->acquire(
-            team, soon(), [this, team](result<std::unique_ptr<connection_lease>> got) {
+            team, this->time.now() + patience,
+            [this, team](result<std::unique_ptr<connection_lease>> got) {
                 if (got) {
                     this->served.push_back(team);
                     this->leases.push_back(std::move(got.value()));
@@ -82,7 +97,25 @@
         this->loop.poll();
     }
 
+    /// The pool looks at its deadlines until the condition holds.
+    void look_until(std::function<bool()> const& holds) {
+        auto const end = std::chrono::steady_clock::now() + longest_look;
+        this->loop.restart();
+        while (!holds() && std::chrono::steady_clock::now() < end &&
+               this->loop.run_one_for(longest_look) > 0) {}
+    }
+
+    /// Each of these connections comes back with a session's state on it.
+    void give_back_dirty(std::size_t count) {
+        for (std::size_t i = 0; i < count; ++i) {
+            this->leases[i]->mark_dirty();
+            this->leases[i]->answered(postgres::transaction_status::idle);
+            this->leases[i]->release();
+        }
+    }
+
     boost::asio::io_context loop;
+    set_clock time;
     std::shared_ptr<connection_pool> pool;
     std::vector<std::shared_ptr<mock_connection>> made;
     std::vector<std::unique_ptr<trompeloeil::expectation>> expectations;
@@ -90,7 +123,9 @@
     std::vector<std::string> served;
     std::vector<std::string> refused;
     std::vector<std::string> resets;
+    std::vector<std::shared_ptr<answer_observer>> unanswered;
     int closed = 0;
+    bool answers_resets = true;
     bool fail_connect = false;
 };
 
@@ -195,3 +230,72 @@
     CHECK(on.resets.empty());
     CHECK(on.closed == 1);
 }
+
+// Guards against a pool that runs out of connections: each reset whose answer was lost
+// took one for ever.
+TEST_CASE("A reset that has no answer is given up by a deadline", "[pool][deadlines]") {
+    pool_stage on(1);
+    on.answers_resets = false;
+    on.acquire("a");
+    on.give_back_dirty(1);
+    REQUIRE(on.resets.size() == 1);
+    on.acquire("b");
+    REQUIRE(on.served.size() == 1);
+
+    on.time.time += past_resets;
+    on.look_until([&on] { return on.served.size() > 1; });
+
+    CHECK(on.closed == 1);
+    CHECK(on.made.size() == 2);
+    CHECK(on.served == std::vector<std::string>{"a", "b"});
+    CHECK(on.refused.empty());
+    SECTION("an answer that comes later is passed over") {
+        on.unanswered.front()->on_finished(postgres::transaction_status::idle);
+        on.settle();
+        CHECK(on.pool->open_connections() == 1);
+        CHECK(on.closed == 1);
+    }
+}
+
+// Guards against a storm of new connections after the answers on many were lost.
+TEST_CASE(
+    "A pool replaces connections that it gave up one after the other",
+    "[pool][deadlines][pace]") {
+    constexpr std::size_t limit = 4;
+    pool_stage on(limit);
+    on.answers_resets = false;
+    for (std::size_t i = 0; i < limit; ++i) {
+        on.acquire("a");
+    }
+    auto const ends_by_reset = GENERATE(true, false);
+    if (ends_by_reset) {
+        on.give_back_dirty(limit);
+    }
+    for (std::size_t i = 0; i < limit; ++i) {
+        on.acquire("b");
+    }
+    REQUIRE(on.made.size() == limit);
+
+    on.time.time += past_resets;
+    for (std::size_t i = 0; i < limit && !ends_by_reset; ++i) {
+        on.leases[i]->give_up(); // A statement had no answer.
+    }
+    on.look_until([&on] { return on.made.size() > limit; });
+
+    CHECK(on.closed == limit);
+    CHECK(on.made.size() == limit + 1);
+    on.time.time += std::chrono::milliseconds(100);
+    on.look_until([&on] { return on.made.size() > limit + 1; });
+    CHECK(on.made.size() == limit + 2);
+    CHECK(on.refused.empty());
+}
+
+TEST_CASE("A closed pool counts no connection that it gave up", "[pool]") {
+    pool_stage on(2);
+    on.answers_resets = false;
+    on.acquire("a");
+    on.give_back_dirty(1);
+    on.pool->close();
+    CHECK(on.closed == 1);
+    CHECK(on.pool->open_connections() == 0);
+}
