--- a/tests/usage/evacuation.tests.cpp
+++ b/tests/usage/evacuation.tests.cpp
@@ -14,7 +14,7 @@
 class evacuation_stage {
 public:
     evacuation_stage() : primary(this->fleet.group->leader()) {
-        this->fleet.zones[this->primary] = "z";
+        this->fleet.zones[this->primary] = std::string("z");
         this->fleet.register_databases();
         this->caller.start("tallies", key);
     }
