--- a/tests/introspective/line_connection.tests.cpp
+++ b/tests/introspective/line_connection.tests.cpp
@@ -6,6 +6,7 @@
 #include <persimmonpoint/platform/line_connection.hpp>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace persimmonpoint;
 using boost::asio::ip::tcp;
@@ -89,3 +90,22 @@
     }
     CHECK(received(rows + end_of_answer).lost);
 }
+
+// Guards against a connection that counts as being opened for ever, with its team's turn.
+TEST_CASE(
+    "A database that takes a connection and doesn't greet is told as silent",
+    "[line][deadlines]") {
+    boost::asio::io_context loop;
+    tcp::acceptor const mute(loop, {boost::asio::ip::address_v4::loopback(), 0});
+    platform::line_connector connector(loop);
+    auto const connection = connector.make();
+    std::vector<open_result> results;
+    connection->open(
+        {"127.0.0.1:" + std::to_string(mute.local_endpoint().port()), "group", "db",
+         "team"},
+        [&results](open_result result, std::optional<log_position>) {
+            results.push_back(result);
+        });
+    loop.run();
+    CHECK(results == std::vector{open_result::silent});
+}
